--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `admit` crate of limpetplank.
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `agent` crate of limpetplank.
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `balancer` crate of limpetplank.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `bench` crate of limpetplank.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the control group.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `config` crate of limpetplank.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `consensus` crate of limpetplank.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `control` crate of limpetplank.
--- /dev/null
+++ b/crates/limpetctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `limpetctl` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/limpetd/src/main.rs
@@ -0,0 +1,3 @@
+//! The `limpetd` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `member` crate of limpetplank.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `route` crate of limpetplank.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `standin` crate of limpetplank.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `store` crate of limpetplank.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,41 @@
+//! Value types that the processes of limpetplank share.
+//!
+//! The modules follow the life span of what they describe: [`process`] for
+//! names and identities that last as long as a process, [`version`] for what
+//! changes with a version of the configuration or of the membership,
+//! [`connection`] for a flow and [`request`] for a single request or operator
+//! change.
+//!
+//! Every id, size and rate is a newtype with [`Display`](std::fmt::Display)
+//! and [`FromStr`](std::str::FromStr):
+//!
+//! ```
+//! use types::{Revision, ServiceName, UpstreamId};
+//!
+//! let name: ServiceName = "vouchers".parse()?;
+//! assert_eq!(name.to_string(), "vouchers");
+//! assert_eq!("17".parse::<Revision>()?, Revision(17));
+//! assert_eq!(UpstreamId(255).to_string(), "00000000000000ff");
+//! # Ok::<(), types::Error>(())
+//! ```
+
+#[macro_use]
+mod macros;
+
+pub mod connection;
+pub mod error;
+pub mod process;
+pub mod request;
+pub mod version;
+
+pub use connection::{FlowKey, FlowPhase, UpstreamId};
+pub use error::{Category, Error, Result};
+pub use process::{ClassName, DataCentre, HostName, MemberId, OperatorName, Role, ServiceName};
+pub use request::{
+    Answer, Change, ChangeId, ChangeRequest, Conflict, Connections, Refusal, ReservationId, Slots,
+    UnixMillis,
+};
+pub use version::{
+    Announcement, Balancer, CidKey, ClassLoad, KeyGeneration, KeySet, Loads, Member, PathPrefix,
+    Revision, Service, ServiceId, ServiceState, Share, Target, Term, UpstreamState, Version,
+};
--- /dev/null
+++ b/crates/types/src/process/mod.rs
@@ -0,0 +1,10 @@
+//! Names and identities that last as long as a process.
+
+mod member;
+mod name;
+mod role;
+
+pub use member::MemberId;
+pub(crate) use name::check_label;
+pub use name::{ClassName, DataCentre, HostName, OperatorName, ServiceName};
+pub use role::Role;
--- /dev/null
+++ b/crates/types/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for one request or one operator change.
+
+mod change;
+mod size;
+
+pub use change::{Answer, Change, ChangeId, ChangeRequest, Conflict, Refusal};
+pub use size::{Connections, ReservationId, Slots, UnixMillis};
--- /dev/null
+++ b/crates/types/src/version/mod.rs
@@ -0,0 +1,11 @@
+//! What changes with a version of the configuration or of the membership.
+
+mod key;
+mod member;
+mod number;
+mod service;
+
+pub use key::{CidKey, KeyGeneration, KeySet};
+pub use member::{Announcement, Balancer, ClassLoad, Loads, Member, ServiceState, UpstreamState};
+pub use number::{Revision, Term, Version};
+pub use service::{PathPrefix, Service, ServiceId, Share, Target};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `wire` crate of limpetplank.
