Add the encodings of datagrams and control messages

Cause: balancers and agents need a caller's address beside each datagram, and an upstream's identity in each connection id.

Change: the wire crate reads and writes PROXY v2 prefixes, QUIC headers, encrypted connection ids and versioned MessagePack messages.

--- /dev/null
+++ b/crates/wire/src/connection/mod.rs
@@ -0,0 +1,9 @@
+//! Encodings of datagrams.
+
+mod cid;
+mod prefix;
+mod quic;
+
+pub use cid::{CID_LEN, CidCodec, ConnectionId, ServiceTag};
+pub use prefix::{Endpoints, MAX_PREFIX_LEN, Prefix};
+pub use quic::{LongKind, QuicHeader};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,42 @@
-//! The `wire` crate of limpetplank.
+//! Encodings of everything that the processes of limpetplank send each other.
+//!
+//! Datagrams between balancers and agents carry a PROXY protocol v2 prefix
+//! ([`Prefix`]); QUIC packets are read as far as a balancer may read them
+//! ([`QuicHeader`]); connection ids carry an encrypted upstream id
+//! ([`CidCodec`]). Control messages are `MessagePack` behind a protocol version
+//! ([`encode`], [`decode`]).
+//!
+//! Nothing here decides anything, and every decoder takes arbitrary input
+//! without a panic:
+//!
+//! ```
+//! use wire::{Endpoints, Prefix};
+//!
+//! let endpoints = Endpoints {
+//!     caller: "192.0.2.7:50000".parse()?,
+//!     service: "198.51.100.1:443".parse()?,
+//! };
+//! let mut buf = Vec::new();
+//! endpoints.encode(&mut buf);
+//! buf.extend_from_slice(b"payload");
+//!
+//! let (prefix, payload) = Prefix::decode(&buf)?;
+//! assert_eq!(prefix, Prefix::Proxy(endpoints));
+//! assert_eq!(payload, b"payload");
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod connection;
+pub mod error;
+pub mod process;
+pub mod request;
+pub mod version;
+
+pub use connection::{
+    CID_LEN, CidCodec, ConnectionId, Endpoints, LongKind, MAX_PREFIX_LEN, Prefix, QuicHeader,
+    ServiceTag,
+};
+pub use error::{Category, Error, Result};
+pub use process::{CONTENT_TYPE, MAX_MESSAGE, decode, encode};
+pub use request::{ClaimHeader, ReserveReply, ReserveRequest};
+pub use version::{Subset, SyncReply, SyncRequest, Update};
--- /dev/null
+++ b/crates/wire/src/process/mod.rs
@@ -0,0 +1,43 @@
+//! The envelope of control messages.
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{Result, error::ErrorKind};
+
+/// Version of the control protocol; the first byte of every message.
+const PROTOCOL_VERSION: u8 = 1;
+
+/// Largest control message in bytes.
+pub const MAX_MESSAGE: usize = 64 << 20;
+
+/// Media type of control messages in HTTP.
+pub const CONTENT_TYPE: &str = "application/msgpack";
+
+/// Encodes a control message.
+///
+/// # Errors
+///
+/// The message cannot be represented in `MessagePack`.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    let mut buf = vec![PROTOCOL_VERSION];
+    rmp_serde::encode::write(&mut buf, message).map_err(ErrorKind::Encode)?;
+    Ok(buf)
+}
+
+/// Decodes a control message.
+///
+/// # Errors
+///
+/// The input is too large, of another protocol version, or not a `T`.
+pub fn decode<T: DeserializeOwned>(input: &[u8]) -> Result<T> {
+    if input.len() > MAX_MESSAGE {
+        return Err(ErrorKind::Size(input.len(), MAX_MESSAGE).into());
+    }
+    match input.split_first() {
+        None => Err(ErrorKind::Truncated(0).into()),
+        Some((&PROTOCOL_VERSION, body)) => {
+            Ok(rmp_serde::from_slice(body).map_err(ErrorKind::Decode)?)
+        }
+        Some((&version, _)) => Err(ErrorKind::Version(version, PROTOCOL_VERSION).into()),
+    }
+}
