Add the client of the control group

Cause: balancers, agents and tools all need the leader, and must not take a lost answer for a refusal.

--- /dev/null
+++ b/crates/client/src/process/mod.rs
@@ -0,0 +1,71 @@
+//! The HTTP client of a process.
+
+use std::{net::SocketAddr, time::Instant};
+
+use awc::error::SendRequestError;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout_at;
+
+use crate::{Result, error::ErrorKind};
+
+/// Sends control messages over HTTP.
+#[derive(Clone)]
+pub struct Http {
+    client: awc::Client,
+}
+
+impl Default for Http {
+    /// A client without limits of its own; every request has a deadline.
+    fn default() -> Self {
+        let client = awc::Client::builder()
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Http { client }
+    }
+}
+
+impl Http {
+    /// Sends `message` to `path` at `host` and waits for the reply.
+    ///
+    /// # Errors
+    ///
+    /// The host cannot be reached, does not answer by the deadline, or answers
+    /// with something that is not a `Reply`.
+    pub async fn post<Message: Serialize, Reply: DeserializeOwned>(
+        &self,
+        host: SocketAddr,
+        path: &str,
+        message: &Message,
+        deadline: Instant,
+    ) -> Result<Reply> {
+        let body = wire::encode(message).map_err(|e| ErrorKind::Encode(host, e))?;
+        let exchange = self.exchange(host, path, body);
+        let reply = timeout_at(deadline.into(), exchange)
+            .await
+            .map_err(|_| ErrorKind::Timeout(host))??;
+        Ok(wire::decode(&reply).map_err(|e| ErrorKind::Decode(host, e))?)
+    }
+
+    async fn exchange(&self, host: SocketAddr, path: &str, body: Vec<u8>) -> Result<bytes::Bytes> {
+        let mut response = self
+            .client
+            .post(format!("http://{host}{path}"))
+            .content_type(wire::CONTENT_TYPE)
+            .send_body(body)
+            .await
+            .map_err(|e| send_error(host, e))?;
+        if !response.status().is_success() {
+            return Err(ErrorKind::Status(host, response.status()).into());
+        }
+        let body = response.body().limit(wire::MAX_MESSAGE).await;
+        Ok(body.map_err(|e| ErrorKind::Body(host, e))?)
+    }
+}
+
+fn send_error(host: SocketAddr, error: SendRequestError) -> ErrorKind {
+    match error {
+        SendRequestError::Connect(e) => ErrorKind::Connect(host, e),
+        e => ErrorKind::Request(host, e),
+    }
+}
--- /dev/null
+++ b/crates/client/src/version/sync.rs
@@ -0,0 +1,207 @@
+//! The task that syncs a node with the control group.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use tokio::sync::{mpsc, oneshot, watch};
+use types::{Announcement, Balancer, DataCentre, HostName, Loads, Role, UpstreamId, Version};
+use wire::{Subset, SyncReply, SyncRequest, Update};
+
+use crate::{Http, Result};
+
+/// Path of the sync exchange.
+const PATH: &str = "/v1/sync";
+
+/// How a node syncs.
+#[derive(Debug, Clone)]
+pub struct SyncSettings {
+    /// Name of the node's host.
+    pub host: HostName,
+    /// Role of the node.
+    pub role: Role,
+    /// Data centre of the node.
+    pub data_centre: DataCentre,
+    /// The control hosts; never empty.
+    pub control: Vec<SocketAddr>,
+    /// Services that the node wants to know.
+    pub subset: Subset,
+    /// Longest time that the leader holds a request.
+    pub hold: Duration,
+    /// Time without an answer after which the next host is tried. Longer
+    /// than `hold`.
+    pub timeout: Duration,
+    /// Longest pause after a failed exchange; the pause is drawn at random,
+    /// so that nodes do not come back all at once.
+    pub max_pause: Duration,
+}
+
+impl SyncSettings {
+    /// Settings of a node with the default times.
+    #[must_use]
+    pub fn new(
+        host: HostName,
+        role: Role,
+        data_centre: DataCentre,
+        control: Vec<SocketAddr>,
+    ) -> Self {
+        SyncSettings {
+            host,
+            role,
+            data_centre,
+            control,
+            subset: Subset::All,
+            hold: Duration::from_secs(1),
+            timeout: Duration::from_secs(2),
+            max_pause: Duration::from_millis(300),
+        }
+    }
+}
+
+/// What a node tells of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NodeReport {
+    /// The upstream of an agent.
+    pub upstream: Option<Announcement>,
+    /// The sockets of a balancer.
+    pub balancer: Option<Balancer>,
+}
+
+/// One step that the node's owner applies.
+#[derive(Debug)]
+pub enum Step {
+    /// A newer version. The owner answers once it is in force.
+    Update(Box<Update>, oneshot::Sender<()>),
+    /// New loads of the peers.
+    Loads(BTreeMap<UpstreamId, Loads>),
+}
+
+/// Keeps a node on the newest version.
+pub struct SyncTask {
+    cfg: SyncSettings,
+    http: Http,
+    /// The version in force; never goes back while the process lives.
+    have: Option<Version>,
+    /// Index into `cfg.control` of the host to ask next.
+    next: usize,
+    /// Host that another one named as the leader.
+    hint: Option<SocketAddr>,
+    report: watch::Receiver<NodeReport>,
+    tx: mpsc::Sender<Step>,
+}
+
+impl SyncTask {
+    /// Creates the task. `report` is sent with every request, at once when
+    /// it changes; steps go to `tx`.
+    #[must_use]
+    pub fn new(
+        cfg: SyncSettings,
+        http: Http,
+        report: watch::Receiver<NodeReport>,
+        tx: mpsc::Sender<Step>,
+    ) -> Self {
+        let next = rand::rng().random_range(0..cfg.control.len().max(1));
+        SyncTask {
+            cfg,
+            http,
+            have: None,
+            next,
+            hint: None,
+            report,
+            tx,
+        }
+    }
+
+    /// Runs until the owner of the node goes away.
+    pub async fn run(mut self) {
+        while !self.tx.is_closed() {
+            let host = self.host();
+            match self.exchange(host).await {
+                Some(Ok(reply)) => self.handle(host, reply).await,
+                Some(Err(e)) => {
+                    log::debug!(event = "sync_failed", host:% = host, error:% = e; "sync failed");
+                    self.move_on().await;
+                }
+                // The report changed: ask again with the new one.
+                None => {}
+            }
+        }
+    }
+
+    fn host(&self) -> SocketAddr {
+        self.hint
+            .unwrap_or_else(|| self.cfg.control[self.next % self.cfg.control.len()])
+    }
+
+    /// One exchange; `None` if the report changed meanwhile.
+    async fn exchange(&mut self, host: SocketAddr) -> Option<Result<SyncReply>> {
+        let req = self.request();
+        let deadline = Instant::now() + self.cfg.timeout;
+        tokio::select! {
+            reply = self.http.post(host, PATH, &req, deadline) => Some(reply),
+            changed = self.report.changed() => match changed {
+                Ok(()) => None,
+                // The owner stopped reporting; keep the last report.
+                Err(_) => Some(self.http.post(host, PATH, &req, deadline).await),
+            },
+        }
+    }
+
+    fn request(&mut self) -> SyncRequest {
+        let report = self.report.borrow_and_update().clone();
+        SyncRequest {
+            host: self.cfg.host.clone(),
+            role: self.cfg.role,
+            data_centre: self.cfg.data_centre.clone(),
+            have: self.have,
+            subset: self.cfg.subset.clone(),
+            hold: self.cfg.hold,
+            upstream: report.upstream,
+            balancer: report.balancer,
+        }
+    }
+
+    async fn handle(&mut self, host: SocketAddr, reply: SyncReply) {
+        match reply {
+            SyncReply::Current { loads } => {
+                self.hint = Some(host);
+                let _ = self.tx.send(Step::Loads(loads)).await;
+            }
+            SyncReply::Update(update) => {
+                self.hint = Some(host);
+                self.apply(update).await;
+            }
+            SyncReply::NotLeader {
+                leader: Some(leader),
+            } if self.hint != Some(leader) => {
+                self.hint = Some(leader);
+            }
+            SyncReply::NotLeader { .. } | SyncReply::Unconfirmed => self.move_on().await,
+        }
+    }
+
+    /// Hands an update to the owner and waits until it is in force.
+    async fn apply(&mut self, update: Box<Update>) {
+        let version = update.version;
+        if self.have.is_some_and(|have| version.is_behind(&have)) {
+            log::warn!(event = "stale_update", version:% = version; "discarded an update that goes back");
+            self.move_on().await;
+            return;
+        }
+        let (tx, rx) = oneshot::channel();
+        if self.tx.send(Step::Update(update, tx)).await.is_ok() && rx.await.is_ok() {
+            self.have = Some(version);
+        }
+    }
+
+    /// Turns to the next host after a pause.
+    async fn move_on(&mut self) {
+        self.hint = None;
+        self.next += 1;
+        let pause = rand::rng().random_range(0.0..1.0);
+        actix_rt::time::sleep(self.cfg.max_pause.mul_f64(pause)).await;
+    }
+}
