Add the table of services and the decision on each datagram

Cause: balancers and agents need one pure function that says where a datagram goes, with the same answer on every host.

Change: Table (apply, service_by_address, decide, pass_on), Decision, Hop, DropReason, Arrival, flow keys.

--- /dev/null
+++ b/crates/route/src/connection/mod.rs
@@ -0,0 +1,8 @@
+//! What belongs to a flow: its key and the decision on its datagrams.
+
+mod decision;
+mod key;
+
+pub use decision::{Arrival, Decision, DropReason, Hop};
+pub(crate) use key::hash;
+pub use key::{address_flow_key, flow_key};
--- /dev/null
+++ b/crates/route/src/version/table.rs
@@ -0,0 +1,208 @@
+//! The table of services and upstreams.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use types::{FlowKey, FlowPhase, Member, ServiceId, ServiceState, Share, UpstreamId};
+
+use crate::{
+    connection::{Arrival, Decision, DropReason, Hop},
+    version::owners::{Owners, ShareList},
+};
+
+/// Where the datagrams of each service go.
+///
+/// Equal after any history of updates that ends in the same states.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Table {
+    services: BTreeMap<ServiceId, Entry>,
+    /// Service of each address. A set of pairs, so that the result does not
+    /// depend on the order in which an address goes from one service to
+    /// another.
+    addresses: BTreeSet<(SocketAddr, ServiceId)>,
+    /// Service of each upstream, read only to name the reason of a drop.
+    upstreams: BTreeSet<(UpstreamId, ServiceId)>,
+}
+
+/// A service in the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Entry {
+    address: SocketAddr,
+    /// In ascending order of the upstreams' ids.
+    members: Box<[Hop]>,
+    /// Owners by the present shares.
+    present: Owners,
+    /// Owners by the former shares; `None` when they are the present ones.
+    former: Option<Owners>,
+}
+
+impl Table {
+    /// Replaces the states of the `changed` services and forgets the `removed`
+    /// ones.
+    ///
+    /// Placement is computed again only for services whose shares changed.
+    pub fn apply(
+        &mut self,
+        changed: impl IntoIterator<Item = ServiceState>,
+        removed: impl IntoIterator<Item = ServiceId>,
+    ) {
+        for id in removed {
+            self.remove(id);
+        }
+        for state in changed {
+            let id = state.service.id;
+            let old = self.remove(id);
+            self.insert(id, Entry::new(&state, old));
+        }
+    }
+
+    fn remove(&mut self, id: ServiceId) -> Option<Entry> {
+        let entry = self.services.remove(&id)?;
+        self.addresses.remove(&(entry.address, id));
+        for hop in &entry.members {
+            self.upstreams.remove(&(hop.upstream, id));
+        }
+        Some(entry)
+    }
+
+    fn insert(&mut self, id: ServiceId, entry: Entry) {
+        self.addresses.insert((entry.address, id));
+        self.upstreams
+            .extend(entry.members.iter().map(|hop| (hop.upstream, id)));
+        self.services.insert(id, entry);
+    }
+
+    /// Service that callers reach at `address`.
+    ///
+    /// While a version moves an address from one service to another, the newer
+    /// service (the one with the higher id) has it.
+    #[must_use]
+    pub fn service_by_address(&self, address: SocketAddr) -> Option<ServiceId> {
+        let range = (address, ServiceId(0))..=(address, ServiceId(u32::MAX));
+        self.addresses.range(range).next_back().map(|(_, id)| *id)
+    }
+
+    /// Where a balancer forwards a datagram of `service`.
+    ///
+    /// `upstream` is the one that the connection id names, if any. It keeps its
+    /// flows whatever its state and share. Without it the datagram goes to the
+    /// present owner of the bucket of `flow`, in either phase: an agent that
+    /// does not hold the flow then asks [`Table::pass_on`].
+    #[must_use]
+    pub fn decide(
+        &self,
+        service: ServiceId,
+        flow: FlowKey,
+        _phase: FlowPhase,
+        upstream: Option<UpstreamId>,
+    ) -> Decision {
+        let Some(entry) = self.services.get(&service) else {
+            return Decision::Drop(DropReason::UnknownService);
+        };
+        let hop = match upstream {
+            Some(id) => entry.hop(id).ok_or_else(|| self.reason(id)),
+            None => entry
+                .hop_of_owner(&entry.present, service, flow)
+                .ok_or(DropReason::NoUpstream),
+        };
+        hop.map_or_else(Decision::Drop, Decision::Forward)
+    }
+
+    /// Where the agent of `own` passes a datagram of a flow that it does not
+    /// hold.
+    ///
+    /// - A datagram that was passed on once is dropped, so that two agents with
+    ///   different versions cannot send it back and forth.
+    /// - One that may open a flow goes to the present owner if `own` has no
+    ///   share.
+    /// - One that continues a flow goes to the former owner if `own` is the
+    ///   present one. Else it goes to the present owner: either the balancer
+    ///   has an older version, and the present owner opened the flow, or this
+    ///   table has the older one, and its present owner is the former owner in
+    ///   the newer.
+    #[must_use]
+    pub fn pass_on(
+        &self,
+        service: ServiceId,
+        flow: FlowKey,
+        own: UpstreamId,
+        phase: FlowPhase,
+        arrival: Arrival,
+    ) -> Decision {
+        let Some(entry) = self.services.get(&service) else {
+            return Decision::Drop(DropReason::UnknownService);
+        };
+        if arrival == Arrival::PassedOn {
+            return Decision::Drop(DropReason::PassedOnTwice);
+        }
+        let present = entry.hop_of_owner(&entry.present, service, flow);
+        let owns = present.is_some_and(|hop| hop.upstream == own);
+        let hop = match phase {
+            FlowPhase::Opens if entry.present.has(own) => None,
+            FlowPhase::Continues if owns => entry.hop_of_owner(entry.former(), service, flow),
+            _ if present.is_none() => return Decision::Drop(DropReason::NoUpstream),
+            _ => present,
+        };
+        hop.filter(|hop| hop.upstream != own)
+            .map_or(Decision::Drop(DropReason::NotHeld), Decision::PassOn)
+    }
+
+    /// Why `upstream`, which is not of the service asked for, gets nothing.
+    fn reason(&self, upstream: UpstreamId) -> DropReason {
+        let range = (upstream, ServiceId(0))..=(upstream, ServiceId(u32::MAX));
+        if self.upstreams.range(range).next().is_some() {
+            DropReason::OtherService
+        } else {
+            DropReason::UnknownUpstream
+        }
+    }
+}
+
+impl Entry {
+    /// Builds the entry of `state`, with the owners of `old` where the share
+    /// lists are the same.
+    fn new(state: &ServiceState, old: Option<Entry>) -> Self {
+        let list = |share: fn(&Member) -> Share| -> ShareList {
+            let shares = state.members.iter().map(|(id, m)| (*id, share(m)));
+            shares.filter(|(_, share)| share.0 > 0).collect()
+        };
+        let (present, former) = (list(|m| m.share), list(|m| m.former_share));
+        let old: Vec<Owners> = old
+            .into_iter()
+            .flat_map(|old| [Some(old.present), old.former])
+            .flatten()
+            .collect();
+        let place = |shares: ShareList| {
+            let same = old.iter().find(|owners| owners.shares() == &*shares);
+            same.cloned().unwrap_or_else(|| Owners::from_list(shares))
+        };
+        Entry {
+            address: state.service.address,
+            members: state.members.iter().map(hop).collect(),
+            former: (present != former).then(|| place(former)),
+            present: place(present),
+        }
+    }
+
+    fn former(&self) -> &Owners {
+        self.former.as_ref().unwrap_or(&self.present)
+    }
+
+    fn hop(&self, id: UpstreamId) -> Option<Hop> {
+        let at = self.members.binary_search_by_key(&id, |hop| hop.upstream);
+        at.ok().map(|at| self.members[at])
+    }
+
+    fn hop_of_owner(&self, owners: &Owners, service: ServiceId, flow: FlowKey) -> Option<Hop> {
+        self.hop(owners.owner(service, flow)?)
+    }
+}
+
+fn hop((id, member): (&UpstreamId, &Member)) -> Hop {
+    Hop {
+        upstream: *id,
+        address: member.data,
+    }
+}
