Add the balancer

Cause: datagrams of one flow may reach any balancer, so a balancer must forward without state of its own.

Change: one task owns the sockets, the table and the keys; a sync task brings it versions by message. The side towards the callers is a trait with two forms: a fabric that encapsulates, and sockets on the service addresses.

--- /dev/null
+++ b/crates/balancer/src/connection/mod.rs
@@ -0,0 +1,121 @@
+//! Reading one datagram.
+
+use std::fmt;
+
+use route::{Decision, DropReason, Hop, Table, flow_key};
+use types::{FlowPhase, ServiceId};
+use wire::{CidCodec, Endpoints, LongKind, QuicHeader, ServiceTag};
+
+/// What happens to a datagram of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to this agent.
+    Forward(Hop),
+    /// Drop it.
+    Drop(DropCause),
+}
+
+/// Why a datagram was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DropCause {
+    /// It could not be read.
+    Input(wire::Category),
+    /// The table has no place for it.
+    Route(DropReason),
+    /// Smaller than the first packet of a connection must be.
+    Undersized,
+    /// The socket would not take it.
+    Send,
+}
+
+impl DropCause {
+    /// Label of the cause in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DropCause::Input(category) => category.as_str(),
+            DropCause::Route(reason) => reason.as_str(),
+            DropCause::Undersized => "undersized",
+            DropCause::Send => "send",
+        }
+    }
+}
+
+impl fmt::Display for DropCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// Smallest datagram that may open a connection (RFC 9000, section 14.1).
+const MIN_OPENING: usize = 1200;
+
+/// Decides on the datagrams of callers with one version of table and keys.
+#[derive(Debug, Default)]
+pub struct Classifier {
+    /// Where flows go.
+    pub table: Table,
+    /// Keys of connection ids; none before the first version.
+    pub keys: Option<CidCodec>,
+}
+
+impl Classifier {
+    /// Decides where the QUIC packet of a caller goes.
+    #[must_use]
+    pub fn classify(&self, endpoints: &Endpoints, packet: &[u8]) -> Verdict {
+        let Some(service) = self.table.service_by_address(endpoints.service) else {
+            return Verdict::Drop(DropCause::Route(DropReason::UnknownService));
+        };
+        match QuicHeader::decode(packet) {
+            Ok(QuicHeader::Short { dcid }) => self.established(service, dcid),
+            Ok(QuicHeader::Long { kind, dcid }) => self.handshake(service, kind, dcid, packet),
+            Err(e) => Verdict::Drop(DropCause::Input(e.category())),
+        }
+    }
+
+    fn established(&self, service: ServiceId, dcid: &[u8]) -> Verdict {
+        match self.decode(dcid) {
+            Some(id) => self.by_id(service, dcid, &id),
+            None => Verdict::Drop(DropCause::Input(wire::Category::UnknownId)),
+        }
+    }
+
+    fn handshake(&self, service: ServiceId, kind: LongKind, dcid: &[u8], packet: &[u8]) -> Verdict {
+        match (self.decode(dcid), kind) {
+            (Some(id), _) => self.by_id(service, dcid, &id),
+            (None, LongKind::Handshake) => {
+                Verdict::Drop(DropCause::Input(wire::Category::UnknownId))
+            }
+            (None, LongKind::MayOpen) if packet.len() < MIN_OPENING => {
+                Verdict::Drop(DropCause::Undersized)
+            }
+            (None, LongKind::MayOpen) => {
+                let flow = flow_key(service, dcid);
+                verdict(self.table.decide(service, flow, FlowPhase::Opens, None))
+            }
+        }
+    }
+
+    fn by_id(&self, service: ServiceId, dcid: &[u8], id: &wire::ConnectionId) -> Verdict {
+        if id.tag != ServiceTag::from(service) {
+            return Verdict::Drop(DropCause::Route(DropReason::OtherService));
+        }
+        let flow = flow_key(service, dcid);
+        let upstream = Some(id.upstream);
+        verdict(
+            self.table
+                .decide(service, flow, FlowPhase::Continues, upstream),
+        )
+    }
+
+    fn decode(&self, dcid: &[u8]) -> Option<wire::ConnectionId> {
+        self.keys.as_ref()?.decode(dcid).ok()
+    }
+}
+
+fn verdict(decision: Decision) -> Verdict {
+    match decision {
+        Decision::Forward(hop) | Decision::PassOn(hop) => Verdict::Forward(hop),
+        Decision::Drop(reason) => Verdict::Drop(DropCause::Route(reason)),
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/process/metrics.rs
@@ -0,0 +1,74 @@
+//! Metrics of a balancer.
+
+use std::collections::BTreeMap;
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+use crate::{DropCause, Result};
+
+/// Metrics of a balancer.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Datagrams sent to agents.
+    pub forwarded: IntCounter,
+    /// Datagrams sent to callers.
+    pub returned: IntCounter,
+    /// Probes of agents that were answered.
+    pub probes: IntCounter,
+    /// Revision of the configuration that is in force.
+    pub revision: IntGauge,
+    dropped: IntCounterVec,
+    /// Counters by cause, looked up once.
+    causes: BTreeMap<DropCause, IntCounter>,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    pub fn new(registry: &Registry) -> Result<Self> {
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let revision = IntGauge::new(
+            "limpet_balancer_revision",
+            "Revision of the configuration that is in force.",
+        )?;
+        registry.register(Box::new(revision.clone()))?;
+        let dropped = IntCounterVec::new(
+            Opts::new(
+                "limpet_balancer_dropped_datagrams_total",
+                "Datagrams that were dropped, by cause.",
+            ),
+            &["cause"],
+        )?;
+        registry.register(Box::new(dropped.clone()))?;
+        Ok(Metrics {
+            forwarded: counter(
+                "limpet_balancer_forwarded_datagrams_total",
+                "Datagrams of callers that were sent to agents.",
+            )?,
+            returned: counter(
+                "limpet_balancer_returned_datagrams_total",
+                "Datagrams of agents that were sent to callers.",
+            )?,
+            probes: counter(
+                "limpet_balancer_probes_total",
+                "Health probes of agents that were answered.",
+            )?,
+            revision,
+            dropped,
+            causes: BTreeMap::new(),
+        })
+    }
+
+    /// Counts a dropped datagram and returns the count for its cause.
+    pub fn count_drop(&mut self, cause: DropCause) -> u64 {
+        let counter = self
+            .causes
+            .entry(cause)
+            .or_insert_with(|| self.dropped.with_label_values(&[cause.as_str()]));
+        counter.inc();
+        counter.get()
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/process/mod.rs
@@ -0,0 +1,66 @@
+//! What lives as long as the balancer.
+
+mod datapath;
+mod ingress;
+mod metrics;
+mod settings;
+
+use client::{Http, NodeReport, SyncSettings, SyncTask};
+use prometheus::Registry;
+use tokio::sync::{mpsc, watch};
+use types::{Balancer, Role};
+
+pub use ingress::{DirectIngress, FabricIngress, Ingress};
+pub use settings::Settings;
+
+use crate::{Error, Result};
+use datapath::Datapath;
+use ingress::bind;
+use metrics::Metrics;
+
+/// Steps that may wait for the data path.
+const STEPS: usize = 4;
+
+/// Runs a balancer until `stop` changes.
+///
+/// # Errors
+///
+/// A socket cannot be opened.
+pub async fn run(cfg: Settings, registry: &Registry, stop: watch::Receiver<bool>) -> Result<()> {
+    let metrics = Metrics::new(registry)?;
+    match cfg.fabric_listen {
+        Some(address) => {
+            let ingress = FabricIngress::open(address)?;
+            serve(cfg, ingress, metrics, stop).await
+        }
+        None => serve(cfg, DirectIngress::default(), metrics, stop).await,
+    }
+}
+
+async fn serve<I: Ingress>(
+    cfg: Settings,
+    ingress: I,
+    metrics: Metrics,
+    stop: watch::Receiver<bool>,
+) -> Result<()> {
+    let agents = bind(cfg.return_listen)?;
+    let return_address = agents
+        .local_addr()
+        .map_err(|e| Error::Bind(cfg.return_listen, e))?;
+    log::info!(event = "balancer_started", return_address:% = return_address; "balancer started");
+
+    let balancer = Some(Balancer { return_address });
+    let (_report_tx, report_rx) = watch::channel(NodeReport {
+        balancer,
+        upstream: None,
+    });
+    let (step_tx, step_rx) = mpsc::channel(STEPS);
+    let sync = SyncSettings::new(cfg.host, Role::Balancer, cfg.data_centre, cfg.control);
+    let sync = actix_rt::spawn(SyncTask::new(sync, Http::default(), report_rx, step_tx).run());
+
+    Datapath::new(ingress, agents, step_rx, metrics, cfg.services_listen)
+        .run(stop)
+        .await;
+    sync.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/balancer/src/process/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of a balancer.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use types::{DataCentre, HostName};
+
+/// Settings of a balancer.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: HostName,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// The control hosts; never empty.
+    pub control: Vec<SocketAddr>,
+    /// Where a fabric that encapsulates sends datagrams. Without it the
+    /// balancer opens the addresses of the services itself.
+    pub fabric_listen: Option<SocketAddr>,
+    /// Where agents send answers and probes.
+    pub return_listen: SocketAddr,
+    /// Opens only services at this address; all if unset. Used without
+    /// `fabric_listen`.
+    pub services_listen: Option<IpAddr>,
+}
+
+impl Settings {
+    /// Settings for a host with default sockets.
+    #[must_use]
+    pub fn new(host: HostName, data_centre: DataCentre, control: Vec<SocketAddr>) -> Self {
+        Settings {
+            host,
+            data_centre,
+            control,
+            fabric_listen: None,
+            return_listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            services_listen: None,
+        }
+    }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -40,6 +40,8 @@
     Prefix(#[from] ppp::v2::ParseError),
     #[error("PROXY protocol prefix without UDP addresses")]
     PrefixAddresses,
+    #[error("health probe where a datagram of a caller was expected")]
+    UnexpectedProbe,
     #[error("packet of {0} bytes ends within its header")]
     Truncated(usize),
     #[error("connection id of {0} bytes in a long header; at most 20 are allowed")]
@@ -57,6 +59,12 @@
 }
 
 impl Error {
+    /// A health probe arrived on a socket that takes only callers' datagrams.
+    #[must_use]
+    pub fn unexpected_probe() -> Self {
+        ErrorKind::UnexpectedProbe.into()
+    }
+
     /// Why the input was rejected.
     #[must_use]
     pub fn category(&self) -> Category {
