Mark datagrams that one agent passes on to another

Cause: two agents with different versions could send a datagram back and forth.

Change: a custom field in the PROXY v2 prefix marks a datagram that was passed on; a balancer takes none.

Result: prefixes of both kinds read back; the longest stays in MAX_PREFIX_LEN.

--- a/crates/balancer/src/process/datapath.rs
+++ b/crates/balancer/src/process/datapath.rs
@@ -168,6 +168,7 @@
                     .map_err(send)?;
                 self.metrics.returned.inc();
             }
+            Prefix::PassedOn(_) => return Err(DropCause::Input(wire::Category::Malformed)),
         }
         Ok(())
     }
--- a/crates/balancer/src/process/ingress.rs
+++ b/crates/balancer/src/process/ingress.rs
@@ -114,7 +114,7 @@
                     packet,
                 })
             }
-            Ok((Prefix::Local, _)) => Err(wire::Error::unexpected_probe()),
+            Ok(_) => Err(wire::Error::unexpected_prefix()),
             Err(e) => Err(e),
         }))
     }
--- a/crates/wire/src/connection/prefix.rs
+++ b/crates/wire/src/connection/prefix.rs
@@ -6,8 +6,16 @@
 
 use crate::{Result, error::ErrorKind};
 
-/// Longest prefix in bytes: the fixed part and a pair of IPv6 addresses.
-pub const MAX_PREFIX_LEN: usize = 16 + 36;
+/// Longest prefix in bytes: the fixed part, a pair of IPv6
+/// addresses and the field that marks a datagram as passed on.
+pub const MAX_PREFIX_LEN: usize = 16 + 36 + EMPTY_FIELD_LEN;
+
+/// Custom type-length-value field of a datagram that one agent passed on to
+/// another (the PROXY protocol leaves 0xE0 to 0xEF to applications).
+const PASSED_ON: u8 = 0xe0;
+
+/// Length of a type-length-value field without a value.
+const EMPTY_FIELD_LEN: usize = 3;
 
 /// Length of a prefix without addresses.
 const LOCAL_LEN: usize = 16;
@@ -25,7 +33,19 @@
     /// Appends the prefix to `buf`.
     pub fn encode(&self, buf: &mut Vec<u8>) {
         let addresses = Addresses::from((self.caller, self.service));
-        append(Command::Proxy, Protocol::Datagram, addresses, buf);
+        append(Command::Proxy, Protocol::Datagram, addresses, None, buf);
+    }
+
+    /// Appends the prefix of a datagram that one agent passes on to another.
+    pub fn encode_passed_on(&self, buf: &mut Vec<u8>) {
+        let addresses = Addresses::from((self.caller, self.service));
+        append(
+            Command::Proxy,
+            Protocol::Datagram,
+            addresses,
+            Some(PASSED_ON),
+            buf,
+        );
     }
 }
 
@@ -34,8 +54,10 @@
 pub enum Prefix {
     /// A health probe between two processes of the system.
     Local,
-    /// A datagram of a caller.
+    /// A datagram of a caller, or an answer to it.
     Proxy(Endpoints),
+    /// A datagram of a caller that another agent has passed on.
+    PassedOn(Endpoints),
 }
 
 impl Prefix {
@@ -49,6 +71,7 @@
         let payload = &datagram[header.len()..];
         let prefix = match header.command {
             Command::Local => Prefix::Local,
+            Command::Proxy if is_passed_on(&header) => Prefix::PassedOn(endpoints(&header)?),
             Command::Proxy => Prefix::Proxy(endpoints(&header)?),
         };
         Ok((prefix, payload))
@@ -62,18 +85,35 @@
             Command::Local,
             Protocol::Unspecified,
             Addresses::Unspecified,
+            None,
             &mut buf,
         );
         buf
     }
 }
 
-fn append(command: Command, protocol: Protocol, addresses: Addresses, buf: &mut Vec<u8>) {
-    let header = Builder::with_addresses(Version::Two | command, protocol, addresses).build();
-    // A header without type-length-value fields always fits its length field.
+fn append(
+    command: Command,
+    protocol: Protocol,
+    addresses: Addresses,
+    field: Option<u8>,
+    buf: &mut Vec<u8>,
+) {
+    let builder = Builder::with_addresses(Version::Two | command, protocol, addresses);
+    let header = match field {
+        Some(kind) => builder.write_tlv(kind, &[]).and_then(Builder::build),
+        None => builder.build(),
+    };
+    // A header with at most one empty field always fits its length field.
     buf.extend_from_slice(&header.unwrap_or_default());
 }
 
+fn is_passed_on(header: &Header<'_>) -> bool {
+    header
+        .tlvs()
+        .any(|field| field.is_ok_and(|field| field.kind == PASSED_ON))
+}
+
 fn endpoints(header: &Header<'_>) -> Result<Endpoints> {
     if header.protocol != Protocol::Datagram {
         return Err(ErrorKind::PrefixAddresses.into());
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -40,8 +40,8 @@
     Prefix(#[from] ppp::v2::ParseError),
     #[error("PROXY protocol prefix without UDP addresses")]
     PrefixAddresses,
-    #[error("health probe where a datagram of a caller was expected")]
-    UnexpectedProbe,
+    #[error("prefix of a kind that does not belong on this socket")]
+    UnexpectedPrefix,
     #[error("packet of {0} bytes ends within its header")]
     Truncated(usize),
     #[error("connection id of {0} bytes in a long header; at most 20 are allowed")]
@@ -59,10 +59,10 @@
 }
 
 impl Error {
-    /// A health probe arrived on a socket that takes only callers' datagrams.
+    /// A prefix of a kind that does not belong on the socket it came from.
     #[must_use]
-    pub fn unexpected_probe() -> Self {
-        ErrorKind::UnexpectedProbe.into()
+    pub fn unexpected_prefix() -> Self {
+        ErrorKind::UnexpectedPrefix.into()
     }
 
     /// Why the input was rejected.
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -62,6 +62,13 @@
             Prefix::decode(&buf).unwrap(),
             (Prefix::Proxy(endpoints), &[][..])
         );
+        let mut passed_on = Vec::new();
+        endpoints.encode_passed_on(&mut passed_on);
+        assert!(passed_on.len() <= wire::MAX_PREFIX_LEN);
+        assert_eq!(
+            Prefix::decode(&passed_on).unwrap(),
+            (Prefix::PassedOn(endpoints), &[][..])
+        );
         for end in 0..buf.len() {
             let error = Prefix::decode(&buf[..end]).unwrap_err();
             assert_eq!(error.category(), Category::Malformed, "{end} bytes");
