--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,48 @@
-//! The `admit` crate of limpetplank.
+//! Decides what an agent does with each request: run it on its upstream, hand
+//! it off to a peer, queue it or refuse it.
+//!
+//! Everything here is pure: no sockets, no clock, no randomness beyond a seed.
+//! The agent's task owns one [`Admission`], tells it what happened at which
+//! instant and carries out the [`Decision`]s.
+//!
+//! - [`process`]: [`Admission`], [`Settings`] and [`RetryBudget`];
+//! - [`version`]: what a version of the configuration or membership sets, the
+//!   slots of each class of work and the peers;
+//! - [`request`]: the decisions, and [`verdict`], which says how a failed
+//!   attempt ends without ever running a request twice.
+//!
+//! Invariants: requests in progress plus reservations never exceed the slots
+//! of a class, except after the slots were lowered, when they only sink; each
+//! request gets exactly one final decision; a handed-off request is neither
+//! queued nor handed off again.
+//!
+//! ```
+//! use std::{collections::BTreeMap, time::Instant};
+//! use admit::{Admission, Decision, Outcome, RequestInfo, Settings, Wake};
+//! use types::{ClassName, RequestId, Slots, Target};
+//!
+//! let now = Instant::now();
+//! let target = Target { carry: Slots(1), ..Target::default() };
+//! let mut admission = Admission::new(Settings::default(), 1);
+//! admission.set_targets(now, &BTreeMap::from([(ClassName::default(), target)]));
+//!
+//! let first = RequestInfo::new(RequestId(1), ClassName::default());
+//! let second = RequestInfo::new(RequestId(2), ClassName::default());
+//! assert_eq!(admission.arrive(now, first), Decision::Run);
+//! assert!(matches!(admission.arrive(now, second), Decision::Queue { .. }));
+//! assert_eq!(
+//!     admission.finish(now, RequestId(1), Outcome::Completed),
+//!     [Wake { id: RequestId(2), decision: Decision::Run }],
+//! );
+//! ```
+
+pub mod process;
+pub mod request;
+pub mod version;
+
+pub use process::{Admission, QueueOrder, RetryBudget, Settings};
+pub use request::{
+    Attempt, Claim, Decision, Failure, Outcome, PeerAnswer, Progress, Reason, RequestInfo, Reserve,
+    Verdict, Wake, verdict,
+};
+pub use version::Report;
--- /dev/null
+++ b/crates/admit/src/process/health.rs
@@ -0,0 +1,1 @@
+//! Health of the upstream by what the agent saw.
--- /dev/null
+++ b/crates/admit/src/process/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as the agent.
+
+mod admission;
+mod budget;
+mod health;
+mod settings;
+
+pub use admission::Admission;
+pub use budget::RetryBudget;
+pub use settings::{QueueOrder, Settings};
--- /dev/null
+++ b/crates/admit/src/process/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of the admission.
+
+use std::time::Duration;
+
+/// Which queued request gets a slot that becomes free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum QueueOrder {
+    /// The oldest.
+    Fifo,
+    /// The newest.
+    Lifo,
+    /// The oldest, or the newest while the oldest has waited for longer than
+    /// half of [`Settings::queue_limit`].
+    Adaptive,
+}
+
+/// Settings of the admission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Longest time that a request waits for a slot.
+    pub queue_limit: Duration,
+    /// Queued requests of a class for each of its slots.
+    pub queue_per_slot: u32,
+    /// Order in which queued requests get slots.
+    pub queue_order: QueueOrder,
+    /// Requests of a class that ask peers while the queue is full. Bounds the
+    /// memory when peers answer slowly.
+    pub max_asking: u32,
+    /// Whether requests are handed off to peers.
+    pub hand_off: bool,
+    /// Time between two questions to peers for the queued requests of a class.
+    /// `None` leaves queued requests to the local slots.
+    pub ask_again: Option<Duration>,
+    /// Time for which a peer that was full is not asked again.
+    pub full_peer_pause: Duration,
+    /// Longest time that a reservation is held for a peer.
+    pub reservation_limit: Duration,
+    /// Time after which a report of the upstream is dropped.
+    pub report_limit: Duration,
+    /// Consecutive failures to connect after which the upstream is down.
+    pub down_after: u32,
+    /// Delay before the first probe of an upstream that is down; doubles.
+    pub first_probe: Duration,
+    /// Longest delay between probes.
+    pub longest_probe: Duration,
+    /// Connections that the process accepts whatever the targets say.
+    pub max_connections: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            queue_limit: Duration::from_millis(500),
+            queue_per_slot: 4,
+            queue_order: QueueOrder::Fifo,
+            max_asking: 256,
+            hand_off: true,
+            ask_again: Some(Duration::from_millis(10)),
+            full_peer_pause: Duration::from_millis(20),
+            reservation_limit: Duration::from_millis(200),
+            report_limit: Duration::from_secs(2),
+            down_after: 3,
+            first_probe: Duration::from_millis(100),
+            longest_probe: Duration::from_secs(2),
+            max_connections: 10_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/request/state.rs
@@ -0,0 +1,1 @@
+//! State of a request that waits or runs here.
--- a/crates/types/src/request/mod.rs
+++ b/crates/types/src/request/mod.rs
@@ -4,4 +4,4 @@
 mod size;
 
 pub use change::{Answer, Change, ChangeId, ChangeRequest, Conflict, Refusal};
-pub use size::{Connections, ReservationId, Slots, UnixMillis};
+pub use size::{Connections, RequestId, ReservationId, Slots, UnixMillis};
--- a/crates/types/src/request/size.rs
+++ b/crates/types/src/request/size.rs
@@ -19,3 +19,8 @@
     /// Identity of a slot that an agent holds for a peer.
     ReservationId
 }
+
+decimal! {
+    /// Number of a request, unique within one run of an agent.
+    RequestId(u64)
+}
