--- a/crates/admit/src/version/mod.rs
+++ b/crates/admit/src/version/mod.rs
@@ -1,5 +1,9 @@
 //! What a version of the configuration or of the membership sets.
 
+mod class;
+mod peers;
 mod report;
 
+pub(crate) use class::Class;
+pub(crate) use peers::Peers;
 pub use report::Report;
