Add the agent

Cause: connections must survive the loss of a balancer, so they end beside the upstream, and each request must be placed on its own.

Change: tasks for the data socket, the admission and the versions, which talk by message; QUIC and HTTP/3 towards callers, HTTP/1.1 with a connection for each request towards the upstream and towards peers that hold a slot. A request is repeated only when it certainly did not start, or when it is idempotent and its body was not consumed.

--- /dev/null
+++ b/crates/agent/src/connection/cid.rs
@@ -0,0 +1,66 @@
+//! Connection ids that lead back to this agent.
+
+use std::time::Duration;
+
+use quinn::{ConnectionId, ConnectionIdGenerator};
+use quinn_proto::InvalidCid;
+use rand::Rng;
+use tokio::sync::watch;
+use types::UpstreamId;
+use wire::{CID_LEN, CidCodec, ServiceTag};
+
+/// Time after which a connection id is replaced, so that connections follow a
+/// change of key within one lifetime.
+const LIFETIME: Duration = Duration::from_mins(10);
+
+/// What connection ids are made with.
+#[derive(Debug, Clone)]
+pub struct CidSource {
+    /// Keys of the version in force.
+    pub codec: CidCodec,
+    /// The agent's service.
+    pub tag: ServiceTag,
+}
+
+/// Makes connection ids that lead back to this agent.
+#[derive(Debug, Clone)]
+pub struct CidGenerator {
+    own: UpstreamId,
+    source: watch::Receiver<CidSource>,
+}
+
+impl CidGenerator {
+    /// Creates a generator for the agent with the id `own`.
+    #[must_use]
+    pub fn new(own: UpstreamId, source: watch::Receiver<CidSource>) -> Self {
+        CidGenerator { own, source }
+    }
+}
+
+impl ConnectionIdGenerator for CidGenerator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let mut rng = rand::rng();
+        let source = self.source.borrow();
+        let id = wire::ConnectionId {
+            upstream: self.own,
+            tag: source.tag,
+            nonce: rng.random(),
+        };
+        ConnectionId::new(&source.codec.encode(&id, rng.random()))
+    }
+
+    fn validate(&self, cid: &ConnectionId) -> Result<(), InvalidCid> {
+        match self.source.borrow().codec.decode(cid) {
+            Ok(id) if id.upstream == self.own => Ok(()),
+            _ => Err(InvalidCid),
+        }
+    }
+
+    fn cid_len(&self) -> usize {
+        CID_LEN
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        Some(LIFETIME)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/connection/serve.rs
@@ -0,0 +1,100 @@
+//! The task of one connection.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use h3::error::Code;
+use quinn::{Connection, VarInt};
+use tokio::{sync::watch, task::JoinSet, time::sleep_until};
+
+use crate::request::{RequestContext, handle};
+
+/// Requests that a caller may still start after the first GOAWAY. They are
+/// handed off to peers; the caller had no time to hear of it.
+const GRACE_REQUESTS: usize = 100;
+
+/// Time between the first GOAWAY and the last one (RFC 9114, section 5.2):
+/// several round trips, so that the caller has heard of it.
+const GRACE: Duration = Duration::from_secs(1);
+
+type Server = h3::server::Connection<h3_quinn::Connection, Bytes>;
+
+/// Serves the requests of a connection until it ends. When the agent leaves,
+/// requests in progress run to their end and no others are accepted.
+pub async fn serve(cx: RequestContext, connection: Connection, mut leaving: watch::Receiver<bool>) {
+    let Ok(mut server) = Server::new(h3_quinn::Connection::new(connection.clone())).await else {
+        return;
+    };
+    let mut requests = JoinSet::new();
+    let mut goaway = Goaway::None;
+    if *leaving.borrow_and_update() {
+        goaway.advance(&mut server).await;
+    }
+    loop {
+        tokio::select! {
+            accepted = server.accept() => match accepted {
+                Ok(Some(resolver)) => {
+                    let cx = cx.clone();
+                    requests.spawn_local(async move {
+                        if let Err(e) = handle(cx, resolver).await {
+                            log::debug!(event = "request_aborted", error:% = e; "request aborted");
+                        }
+                    });
+                }
+                Ok(None) | Err(_) => break,
+            },
+            Some(_) = requests.join_next() => {}
+            changed = leaving.changed() => match changed {
+                Ok(()) if *leaving.borrow() => goaway.advance(&mut server).await,
+                Ok(()) => {}
+                Err(_) => break,
+            },
+            () = sleep_until(goaway.next().into()), if goaway.is_pending() => {
+                goaway.advance(&mut server).await;
+            }
+        }
+        if goaway == Goaway::Last && requests.is_empty() {
+            break;
+        }
+    }
+    let code = VarInt::from_u64(Code::H3_NO_ERROR.value()).unwrap_or_default();
+    connection.close(code, b"");
+}
+
+/// How far the caller was told to go away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Goaway {
+    None,
+    /// The last GOAWAY follows at this instant.
+    First(Instant),
+    Last,
+}
+
+impl Goaway {
+    fn is_pending(self) -> bool {
+        matches!(self, Goaway::First(_))
+    }
+
+    fn next(self) -> Instant {
+        match self {
+            Goaway::First(next) => next,
+            Goaway::None | Goaway::Last => Instant::now(),
+        }
+    }
+
+    /// Sends the next GOAWAY.
+    async fn advance(&mut self, server: &mut Server) {
+        // A connection that cannot take it is ending anyway.
+        match self {
+            Goaway::None => {
+                let _ = server.shutdown(GRACE_REQUESTS).await;
+                *self = Goaway::First(Instant::now() + GRACE);
+            }
+            Goaway::First(_) => {
+                let _ = server.shutdown(0).await;
+                *self = Goaway::Last;
+            }
+            Goaway::Last => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process/admission.rs
@@ -0,0 +1,442 @@
+//! The task that owns the admission.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use admit::{
+    Admission, Attempt, Claim, Decision, Outcome, PeerAnswer, Reason, RequestInfo, Reserve,
+    RetryBudget, Verdict, Wake, verdict,
+};
+use client::Http;
+use rand::Rng;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::{sleep_until, timeout},
+};
+use types::{
+    ClassName, Connections, DataCentre, Loads, RequestId, ReservationId, ServiceId, Target,
+    UpstreamId, UpstreamState,
+};
+use wire::{ReserveReply, ReserveRequest};
+
+use super::peer::{RELEASE_PATH, RESERVE_PATH};
+use crate::version::Peer;
+
+/// Time for a peer to answer, after which it counts as unreachable. Several
+/// times the delay between data centres, so that a lost packet fits in.
+const PEER_ANSWER: Duration = Duration::from_millis(100);
+
+/// Time for which a peer is asked to hold a slot: the answer has to come back
+/// and the request has to go out.
+const HOLD: Duration = Duration::from_millis(200);
+
+/// Time for a probe of the upstream.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Pause that bounds how late the admission's own deadlines are met.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// What a request may do.
+#[derive(Debug)]
+pub enum Grant {
+    /// Send it to the upstream; a slot is taken.
+    Run,
+    /// Send it to a peer, which holds a slot.
+    Pass {
+        /// The peer's identity.
+        upstream: UpstreamId,
+        /// The peer.
+        peer: Peer,
+        /// The slot that the peer holds.
+        reservation: ReservationId,
+    },
+    /// Refuse it as not run.
+    Refuse(Reason),
+}
+
+/// What a version tells the task.
+#[derive(Debug)]
+pub struct AdmissionView {
+    /// Service whose requests are served; none while it is not configured.
+    pub service: Option<ServiceId>,
+    /// Target of each class of work.
+    pub targets: BTreeMap<ClassName, Target>,
+    /// The other upstreams of the service.
+    pub peers: BTreeMap<UpstreamId, Peer>,
+    /// Whether the upstream leaves.
+    pub leaving: bool,
+}
+
+/// What the agent announces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Summary {
+    /// State of the upstream.
+    pub state: UpstreamState,
+    /// Load of each class of work.
+    pub loads: Loads,
+    /// Connections that are open.
+    pub connections: Connections,
+}
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum AdmissionCommand {
+    /// A request arrived; the grant is its only answer.
+    Arrive(RequestInfo, oneshot::Sender<Grant>),
+    /// A request that ran here ended.
+    Finish(RequestId, Outcome),
+    /// A request that waited or ran here is gone.
+    Cancel(RequestId),
+    /// An attempt failed; says what to do.
+    Judge(Attempt, oneshot::Sender<Verdict>),
+    /// A peer asks for a slot.
+    Reserve(ReserveRequest, oneshot::Sender<ReserveReply>),
+    /// A peer sends a request against its reservation.
+    Claim(ReservationId, RequestId, oneshot::Sender<Claim>),
+    /// A peer no longer needs its reservation.
+    Release(ReservationId),
+    /// Whether one more connection may be accepted; counts it if so.
+    OpenConnection(oneshot::Sender<bool>),
+    /// A connection was closed.
+    CloseConnection,
+    /// A connection to the upstream was opened or could not be.
+    Connected(bool),
+    /// A new version is in force.
+    View(AdmissionView),
+    /// New loads of peers.
+    PeerLoads(BTreeMap<UpstreamId, Loads>),
+    /// A peer answered a question of this task.
+    PeerAnswered(RequestId, UpstreamId, ReservationId, PeerAnswer),
+    /// What to announce.
+    Summarise(oneshot::Sender<Summary>),
+}
+
+/// Sends commands to the task.
+///
+/// The channel is unbounded, because giving a slot back must never fail or
+/// wait; each request and connection sends only a fixed number of commands.
+#[derive(Debug, Clone)]
+pub struct AdmissionHandle {
+    tx: mpsc::UnboundedSender<AdmissionCommand>,
+}
+
+impl AdmissionHandle {
+    /// Creates the handle and the task's end.
+    #[must_use]
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<AdmissionCommand>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        (AdmissionHandle { tx }, rx)
+    }
+
+    /// Sends a command. Does nothing once the task has ended.
+    pub fn send(&self, command: AdmissionCommand) {
+        let _ = self.tx.send(command);
+    }
+
+    /// Sends a command and waits for its answer; `None` once the task has
+    /// ended.
+    pub async fn ask<T>(
+        &self,
+        command: impl FnOnce(oneshot::Sender<T>) -> AdmissionCommand,
+    ) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.send(command(tx));
+        rx.await.ok()
+    }
+}
+
+/// The task that owns the admission.
+pub struct AdmissionTask {
+    admission: Admission,
+    budget: RetryBudget,
+    own: UpstreamId,
+    data_centre: DataCentre,
+    upstream: std::net::SocketAddr,
+    service: Option<ServiceId>,
+    peers: BTreeMap<UpstreamId, Peer>,
+    /// Requests without a grant: the class, and whoever waits.
+    waiting: BTreeMap<RequestId, (ClassName, oneshot::Sender<Grant>)>,
+    connections: Connections,
+    http: Http,
+    handle: AdmissionHandle,
+    rx: mpsc::UnboundedReceiver<AdmissionCommand>,
+}
+
+impl AdmissionTask {
+    /// Creates the task.
+    #[must_use]
+    pub fn new(
+        cfg: &super::Settings,
+        own: UpstreamId,
+        http: Http,
+        handle: AdmissionHandle,
+        rx: mpsc::UnboundedReceiver<AdmissionCommand>,
+    ) -> Self {
+        let seed = rand::rng().random();
+        AdmissionTask {
+            admission: Admission::new(cfg.admission.clone(), seed),
+            budget: RetryBudget::new(),
+            own,
+            data_centre: cfg.data_centre.clone(),
+            upstream: cfg.upstream,
+            service: None,
+            peers: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            connections: Connections(0),
+            http,
+            handle,
+            rx,
+        }
+    }
+
+    /// Runs until every handle is gone or the task is aborted.
+    pub async fn run(mut self) {
+        loop {
+            let idle = Instant::now() + IDLE;
+            let deadline = self.admission.next_deadline().unwrap_or(idle);
+            let command = tokio::select! {
+                command = self.rx.recv() => match command {
+                    Some(command) => Some(command),
+                    None => return,
+                },
+                () = sleep_until(deadline.into()) => None,
+            };
+            match command {
+                Some(command) => self.handle_command(Instant::now(), command),
+                None => self.tick(Instant::now()),
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let wakes = self.admission.tick(now);
+        self.wake(wakes);
+        if self.admission.probe_due(now) {
+            self.probe();
+        }
+    }
+
+    fn handle_command(&mut self, now: Instant, command: AdmissionCommand) {
+        use AdmissionCommand as C;
+        match command {
+            C::Arrive(info, tx) => self.arrive(now, info, tx),
+            C::Finish(id, outcome) => {
+                let wakes = self.admission.finish(now, id, outcome);
+                self.wake(wakes);
+            }
+            C::Cancel(id) => {
+                self.waiting.remove(&id);
+                let wakes = self.admission.cancel(now, id);
+                self.wake(wakes);
+            }
+            C::Judge(attempt, tx) => {
+                let _ = tx.send(verdict(now, &attempt, &mut self.budget));
+            }
+            C::Reserve(req, tx) => {
+                let _ = tx.send(self.reserve(now, &req));
+            }
+            C::Claim(reservation, id, tx) => {
+                let _ = tx.send(self.admission.claim(now, reservation, id));
+            }
+            C::Release(reservation) => {
+                let wakes = self.admission.release(now, reservation);
+                self.wake(wakes);
+            }
+            C::OpenConnection(tx) => {
+                let may = self.admission.may_accept_connection();
+                if may {
+                    self.admission.connection_opened();
+                    self.connections.0 += 1;
+                }
+                let _ = tx.send(may);
+            }
+            C::CloseConnection => {
+                self.admission.connection_closed();
+                self.connections.0 = self.connections.0.saturating_sub(1);
+            }
+            C::Connected(ok) => self.connected(now, ok),
+            C::View(view) => self.apply(now, view),
+            C::PeerLoads(loads) => {
+                let own = self.own;
+                for (peer, loads) in loads.into_iter().filter(|(id, _)| *id != own) {
+                    let wakes = self.admission.note_peer_load(now, peer, &loads);
+                    self.wake(wakes);
+                }
+            }
+            C::PeerAnswered(id, peer, reservation, answer) => {
+                if let Some(decision) = self.admission.peer_answer(now, id, peer, answer) {
+                    self.decide(id, decision, Some(reservation));
+                }
+            }
+            C::Summarise(tx) => {
+                let _ = tx.send(self.summary());
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Instant, info: RequestInfo, tx: oneshot::Sender<Grant>) {
+        let id = info.id;
+        self.budget.earn();
+        self.waiting.insert(id, (info.class.clone(), tx));
+        let decision = self.admission.arrive(now, info);
+        self.decide(id, decision, None);
+    }
+
+    fn wake(&mut self, wakes: Vec<Wake>) {
+        for Wake { id, decision } in wakes {
+            self.decide(id, decision, None);
+        }
+    }
+
+    /// Carries out a decision. `reservation` is the one that a peer granted,
+    /// if the decision follows a peer's answer.
+    fn decide(&mut self, id: RequestId, decision: Decision, reservation: Option<ReservationId>) {
+        match (decision, reservation) {
+            (Decision::Run, _) => self.grant(id, Grant::Run),
+            (Decision::Refuse(reason), _) => self.grant(id, Grant::Refuse(reason)),
+            (Decision::HandOff { peer }, _) => self.ask_peer(id, peer),
+            (Decision::Pass { peer }, Some(reservation)) => self.pass(id, peer, reservation),
+            (Decision::Release { peer }, Some(reservation)) => self.release(peer, reservation),
+            // A peer's slot is only ever given or returned on its answer.
+            (Decision::Pass { .. } | Decision::Release { .. }, None)
+            | (Decision::Queue { .. }, _) => {}
+        }
+    }
+
+    fn grant(&mut self, id: RequestId, grant: Grant) {
+        let Some((_, tx)) = self.waiting.remove(&id) else {
+            return;
+        };
+        let runs = matches!(grant, Grant::Run);
+        if tx.send(grant).is_err() && runs {
+            // The request went away meanwhile; its slot is free again.
+            self.handle.send(AdmissionCommand::Cancel(id));
+        }
+    }
+
+    fn pass(&mut self, id: RequestId, upstream: UpstreamId, reservation: ReservationId) {
+        let grant = match self.peers.get(&upstream) {
+            Some(peer) => Grant::Pass {
+                upstream,
+                peer: peer.clone(),
+                reservation,
+            },
+            None => Grant::Refuse(Reason::NotServing),
+        };
+        self.grant(id, grant);
+    }
+
+    /// Asks a peer for a slot; the answer comes back as a command.
+    fn ask_peer(&self, id: RequestId, upstream: UpstreamId) {
+        let reservation = ReservationId(rand::rng().random());
+        let handle = self.handle.clone();
+        let (Some(peer), Some(service), Some(class)) = (
+            self.peers.get(&upstream).cloned(),
+            self.service,
+            self.waiting.get(&id).map(|(class, _)| class.clone()),
+        ) else {
+            let answer = PeerAnswer::Unreachable;
+            return handle.send(AdmissionCommand::PeerAnswered(
+                id,
+                upstream,
+                reservation,
+                answer,
+            ));
+        };
+        let req = ReserveRequest {
+            id: reservation,
+            service,
+            upstream,
+            class,
+            hold: HOLD,
+        };
+        let http = self.http.clone();
+        actix_rt::spawn(async move {
+            let deadline = Instant::now() + PEER_ANSWER;
+            let reply = http.post(peer.address, RESERVE_PATH, &req, deadline).await;
+            let answer = match reply {
+                Ok(ReserveReply::Granted) => PeerAnswer::Granted,
+                Ok(ReserveReply::Refused { loads }) => PeerAnswer::Refused(loads),
+                Ok(ReserveReply::Misdirected) | Err(_) => PeerAnswer::Unreachable,
+            };
+            handle.send(AdmissionCommand::PeerAnswered(
+                id,
+                upstream,
+                reservation,
+                answer,
+            ));
+        });
+    }
+
+    /// Returns a slot to a peer. If the message is lost, the reservation
+    /// lapses at its deadline.
+    fn release(&self, peer: UpstreamId, reservation: ReservationId) {
+        let Some(peer) = self.peers.get(&peer).cloned() else {
+            return;
+        };
+        let http = self.http.clone();
+        actix_rt::spawn(async move {
+            let deadline = Instant::now() + PEER_ANSWER;
+            let _: Result<(), _> = http
+                .post(peer.address, RELEASE_PATH, &reservation, deadline)
+                .await;
+        });
+    }
+
+    fn reserve(&mut self, now: Instant, req: &ReserveRequest) -> ReserveReply {
+        if req.upstream != self.own || Some(req.service) != self.service {
+            return ReserveReply::Misdirected;
+        }
+        let deadline = now + req.hold;
+        match self.admission.reserve(now, req.id, &req.class, deadline) {
+            Reserve::Granted { .. } => ReserveReply::Granted,
+            Reserve::Refused(loads) => ReserveReply::Refused { loads },
+        }
+    }
+
+    fn connected(&mut self, now: Instant, ok: bool) {
+        let wakes = if ok {
+            self.admission.connect_succeeded(now)
+        } else {
+            self.admission.connect_failed(now)
+        };
+        self.wake(wakes);
+    }
+
+    /// Tries to connect to an upstream that is down.
+    fn probe(&self) {
+        let handle = self.handle.clone();
+        let upstream = self.upstream;
+        actix_rt::spawn(async move {
+            let connected = timeout(PROBE, TcpStream::connect(upstream)).await;
+            let ok = matches!(connected, Ok(Ok(_)));
+            handle.send(AdmissionCommand::Connected(ok));
+        });
+    }
+
+    fn apply(&mut self, now: Instant, view: AdmissionView) {
+        self.service = view.service;
+        let data_centres: BTreeMap<_, _> = view
+            .peers
+            .iter()
+            .map(|(&id, peer)| (id, peer.data_centre.clone()))
+            .collect();
+        self.peers = view.peers;
+        self.admission.set_peers(&self.data_centre, &data_centres);
+        let wakes = self.admission.set_targets(now, &view.targets);
+        self.wake(wakes);
+        let wakes = self.admission.set_leaving(now, view.leaving);
+        self.wake(wakes);
+    }
+
+    fn summary(&self) -> Summary {
+        Summary {
+            state: self.admission.state(),
+            loads: self.admission.loads(),
+            connections: self.connections,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process/metrics.rs
@@ -0,0 +1,98 @@
+//! Metrics of an agent.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+use crate::Result;
+
+/// Metrics of an agent. Clones share the values.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Datagrams of callers that were taken.
+    pub received: IntCounter,
+    /// Datagrams that were sent to callers.
+    pub sent: IntCounter,
+    /// First packets that were passed on to a peer.
+    pub passed_on: IntCounter,
+    /// Connections that are open.
+    pub connections: IntGauge,
+    /// Connections that were refused, by reason.
+    pub refused_connections: IntCounterVec,
+    /// Requests, by class and result.
+    pub requests: IntCounterVec,
+    /// Time from the head of a request to the head of its answer, by class.
+    pub answer_seconds: HistogramVec,
+    dropped: IntCounterVec,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// The registry already has one of the names.
+    pub fn new(registry: &Registry) -> Result<Self> {
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let connections = IntGauge::new("limpet_agent_connections", "Connections that are open.")?;
+        registry.register(Box::new(connections.clone()))?;
+        let answer_seconds = HistogramVec::new(
+            HistogramOpts::new(
+                "limpet_agent_answer_seconds",
+                "Time from the head of a request to the head of its answer, by class.",
+            ),
+            &["class"],
+        )?;
+        registry.register(Box::new(answer_seconds.clone()))?;
+        Ok(Metrics {
+            received: counter(
+                "limpet_agent_received_datagrams_total",
+                "Datagrams of callers that were taken.",
+            )?,
+            sent: counter(
+                "limpet_agent_sent_datagrams_total",
+                "Datagrams that were sent to callers.",
+            )?,
+            passed_on: counter(
+                "limpet_agent_passed_on_datagrams_total",
+                "First packets that were passed on to a peer.",
+            )?,
+            connections,
+            refused_connections: counters(
+                "limpet_agent_refused_connections_total",
+                "Connections that were refused, by reason.",
+                &["reason"],
+            )?,
+            requests: counters(
+                "limpet_agent_requests_total",
+                "Requests, by class and result.",
+                &["class", "result"],
+            )?,
+            answer_seconds,
+            dropped: counters(
+                "limpet_agent_dropped_datagrams_total",
+                "Datagrams that were dropped, by cause.",
+                &["cause"],
+            )?,
+        })
+    }
+
+    /// Counts a dropped datagram.
+    pub fn count_drop(&self, cause: &str) {
+        self.dropped.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a request that came to its end.
+    pub fn count_request(&self, class: &str, result: &str) {
+        self.requests.with_label_values(&[class, result]).inc();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process/mod.rs
@@ -0,0 +1,21 @@
+//! What lives as long as the agent.
+
+mod admission;
+mod balancers;
+mod datagram;
+mod identity;
+mod metrics;
+mod node;
+mod openers;
+mod peer;
+mod port;
+mod run;
+mod settings;
+
+pub use admission::{AdmissionCommand, AdmissionHandle, Grant};
+pub use balancers::Balancers;
+pub use identity::Identity;
+pub use metrics::Metrics;
+pub use openers::Openers;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/agent/src/process/node.rs
@@ -0,0 +1,156 @@
+//! The task that applies versions and announces the upstream.
+
+use std::time::{Duration, Instant};
+
+use client::{NodeReport, Step};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep_until,
+};
+use types::{Announcement, Loads, ServiceState, UpstreamId, UpstreamState};
+use wire::{CidCodec, ServiceTag, Update};
+
+use super::{
+    AdmissionCommand, AdmissionHandle, Settings,
+    admission::{AdmissionView, Summary},
+    datagram::{DatagramCommand, DatagramView},
+};
+use crate::{connection::CidSource, version::View};
+
+/// Time between two looks at what is announced.
+const ANNOUNCE: Duration = Duration::from_millis(500);
+
+/// What the node task needs of the others.
+pub struct NodeTask {
+    /// Settings of the agent.
+    pub cfg: Settings,
+    /// Announcement without state and loads.
+    pub announcement: Announcement,
+    /// Versions and loads of peers.
+    pub steps: mpsc::Receiver<Step>,
+    /// What the sync task sends.
+    pub report: watch::Sender<NodeReport>,
+    /// The admission task.
+    pub admission: AdmissionHandle,
+    /// The datagram task.
+    pub datagrams: mpsc::Sender<DatagramCommand>,
+    /// State of the service, for requests.
+    pub service: watch::Sender<Option<ServiceState>>,
+    /// Keys, for new connection ids.
+    pub cids: watch::Sender<Option<CidSource>>,
+    /// Whether the agent leaves, for connections.
+    pub leaving: watch::Sender<bool>,
+    /// Changes when the process is to stop.
+    pub stop: watch::Receiver<bool>,
+}
+
+impl NodeTask {
+    /// Runs until the agent ends.
+    pub async fn run(mut self) {
+        let own = self.announcement.id;
+        let mut view = View::default();
+        let mut stopping = false;
+        let mut announce_at = Instant::now();
+        loop {
+            tokio::select! {
+                step = self.steps.recv() => match step {
+                    Some(Step::Update(update, done)) => {
+                        view.apply(&update, &self.cfg.service, &self.cfg.host);
+                        self.apply(own, &view, &update, stopping).await;
+                        self.admission.send(AdmissionCommand::PeerLoads(update.loads));
+                        let _ = done.send(());
+                    }
+                    Some(Step::Loads(loads)) => {
+                        self.admission.send(AdmissionCommand::PeerLoads(loads));
+                        continue;
+                    }
+                    None => return,
+                },
+                changed = self.stop.changed(), if !stopping => {
+                    stopping = true;
+                    if changed.is_ok() {
+                        log::info!(event = "leaving"; "agent leaves");
+                    }
+                    self.set_leaving(own, &view, stopping).await;
+                }
+                () = sleep_until(announce_at.into()) => {}
+            }
+            announce_at = Instant::now() + ANNOUNCE;
+            self.announce().await;
+        }
+    }
+
+    /// Brings a version into force in every task.
+    async fn apply(&self, own: UpstreamId, view: &View, update: &Update, stopping: bool) {
+        let keys = update.keys.as_ref().map(CidCodec::new);
+        let service = view.service.clone();
+        if let (Some(codec), Some(state)) = (keys.clone(), &service) {
+            let tag = ServiceTag::from(state.service.id);
+            self.cids.send_replace(Some(CidSource { codec, tag }));
+        }
+        self.service.send_replace(service.clone());
+        let datagrams = DatagramView {
+            service,
+            balancers: view.balancers.clone(),
+            keys,
+        };
+        self.send(DatagramCommand::View(Box::new(datagrams))).await;
+        self.set_leaving(own, view, stopping).await;
+        log::info!(event = "version_applied", version:% = update.version; "version applied");
+    }
+
+    async fn set_leaving(&self, own: UpstreamId, view: &View, stopping: bool) {
+        let leaving = stopping || view.drained;
+        self.send(DatagramCommand::Leaving(leaving)).await;
+        self.admission.send(AdmissionCommand::View(AdmissionView {
+            service: view.service.as_ref().map(|state| state.service.id),
+            targets: view.targets(&self.cfg.classes),
+            peers: view.peers(own),
+            leaving,
+        }));
+        self.leaving.send_if_modified(|known| {
+            let changed = *known != leaving;
+            *known = leaving;
+            changed
+        });
+    }
+
+    async fn send(&self, command: DatagramCommand) {
+        // The datagram task ends only with the agent.
+        let _ = self.datagrams.send(command).await;
+    }
+
+    /// Tells the sync task what to announce, if it differs from the last time.
+    async fn announce(&self) {
+        let Some(summary) = self.admission.ask(AdmissionCommand::Summarise).await else {
+            return;
+        };
+        let upstream = Some(self.announcement_of(summary));
+        self.report.send_if_modified(|report| {
+            let urgent = state_of(report) != upstream.as_ref().map(|u| u.state);
+            report.upstream = upstream;
+            // Loads go with the next regular sync; only a new state is worth
+            // an extra one.
+            urgent
+        });
+    }
+
+    fn announcement_of(&self, summary: Summary) -> Announcement {
+        let served = &self.cfg.classes;
+        let loads: Loads = summary
+            .loads
+            .into_iter()
+            .filter(|(class, _)| served.is_empty() || served.contains(class))
+            .collect();
+        Announcement {
+            state: summary.state,
+            connections: summary.connections,
+            loads,
+            ..self.announcement.clone()
+        }
+    }
+}
+
+fn state_of(report: &NodeReport) -> Option<UpstreamState> {
+    report.upstream.as_ref().map(|upstream| upstream.state)
+}
--- /dev/null
+++ b/crates/agent/src/process/peer.rs
@@ -0,0 +1,236 @@
+//! The server that peers hand requests off to.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    time::Instant,
+};
+
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer, body::SizedStream, dev::Server,
+    http::StatusCode as ActixStatus, web,
+};
+use admit::{Claim, Failure, Outcome};
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream::unfold};
+use http::{Method, Request, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use serde::Serialize;
+use types::{ReservationId, UpstreamId};
+use wire::{ClaimHeader, ReserveReply, ReserveRequest};
+
+use super::{AdmissionCommand, AdmissionHandle};
+use crate::{
+    Error, Result,
+    request::{
+        Answer, Call, Connection, Head, RequestIds, Slot, Target, deadline_of, ended, outcome_of,
+        status_of,
+    },
+};
+
+/// Path of reservations.
+pub const RESERVE_PATH: &str = "/v1/reserve";
+
+/// Path on which a reservation is returned.
+pub const RELEASE_PATH: &str = "/v1/release";
+
+/// Answer to a request without a valid reservation.
+const NOT_CLAIMED: (StatusCode, &str) = (StatusCode::SERVICE_UNAVAILABLE, ClaimHeader::NOT_RUN);
+
+/// Time for requests in progress when the server stops.
+const STOP_TIMEOUT_SECS: u64 = 3600;
+
+/// What the handlers share; each worker has a copy.
+#[derive(Clone)]
+struct PeerContext {
+    admission: AdmissionHandle,
+    ids: RequestIds,
+    own: UpstreamId,
+    upstream: SocketAddr,
+}
+
+/// Starts the server on `listener`.
+///
+/// # Errors
+///
+/// The listener cannot be used.
+pub fn serve(
+    listener: TcpListener,
+    admission: AdmissionHandle,
+    ids: RequestIds,
+    own: UpstreamId,
+    upstream: SocketAddr,
+) -> Result<Server> {
+    let address = listener.local_addr();
+    let cx = PeerContext {
+        admission,
+        ids,
+        own,
+        upstream,
+    };
+    let factory = move || {
+        App::new()
+            .app_data(web::Data::new(cx.clone()))
+            .route(RESERVE_PATH, web::post().to(reserve))
+            .route(RELEASE_PATH, web::post().to(release))
+            .default_service(web::to(run_claimed))
+    };
+    let server = HttpServer::new(factory)
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(STOP_TIMEOUT_SECS)
+        .listen(listener)
+        .map_err(|e| Error::Bind(address.unwrap_or(upstream), e))?;
+    Ok(server.run())
+}
+
+async fn reserve(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
+    let Ok(req) = wire::decode::<ReserveRequest>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let reply = cx
+        .admission
+        .ask(|tx| AdmissionCommand::Reserve(req, tx))
+        .await
+        .unwrap_or(ReserveReply::Misdirected);
+    message(&reply)
+}
+
+async fn release(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
+    let Ok(id) = wire::decode::<ReservationId>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    cx.admission.send(AdmissionCommand::Release(id));
+    message(&())
+}
+
+fn message<T: Serialize>(reply: &T) -> HttpResponse {
+    match wire::encode(reply) {
+        Ok(body) => HttpResponse::Ok()
+            .content_type(wire::CONTENT_TYPE)
+            .body(body),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+/// Runs a request of a peer against its reservation.
+async fn run_claimed(
+    cx: web::Data<PeerContext>,
+    req: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let Some(reservation) = claimed(&cx, &req) else {
+        return outcome(NOT_CLAIMED);
+    };
+    let id = cx.ids.next();
+    let mut slot = Slot::new(id, cx.admission.clone());
+    let claim = cx
+        .admission
+        .ask(|tx| AdmissionCommand::Claim(reservation, id, tx))
+        .await;
+    if claim != Some(Claim::Run) {
+        return outcome(NOT_CLAIMED);
+    }
+    let Some(call) = call(&cx, &req, payload) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let result = call.send().await;
+    let refused = matches!(&result, Err(failed) if failed.failure == Failure::Connect);
+    cx.admission.send(AdmissionCommand::Connected(!refused));
+    match result {
+        Ok(answer) => stream_answer(answer, slot),
+        Err(failed) => {
+            slot.set(outcome_of(failed));
+            outcome(status_of(failed))
+        }
+    }
+}
+
+/// The reservation that a request claims, if it is meant for this upstream.
+fn claimed(cx: &PeerContext, req: &HttpRequest) -> Option<ReservationId> {
+    let field = |name: &str| req.headers().get(name)?.to_str().ok();
+    let upstream: UpstreamId = field(ClaimHeader::UPSTREAM)?.parse().ok()?;
+    (upstream == cx.own).then_some(())?;
+    field(ClaimHeader::RESERVATION)?.parse().ok()
+}
+
+/// The same request for the upstream. `None` if it cannot be represented.
+fn call(
+    cx: &PeerContext,
+    req: &HttpRequest,
+    payload: web::Payload,
+) -> Option<Call<StreamBody<impl Stream<Item = io::Result<Frame<Bytes>>> + use<>>>> {
+    let parts = payload.map(|part| part.map(Frame::data).map_err(io::Error::other));
+    let mut request = Request::new(StreamBody::new(parts));
+    *request.method_mut() = Method::from_bytes(req.method().as_str().as_bytes()).ok()?;
+    *request.uri_mut() = req.uri().to_string().parse().ok()?;
+    let fields = req.headers().iter();
+    let head = Head::copy(fields.map(|(name, value)| (name.as_str(), value.as_bytes())));
+    Some(Call {
+        target: Target::Upstream(cx.upstream),
+        deadline: deadline_of(Instant::now(), &head.headers),
+        request,
+        head,
+    })
+}
+
+/// Passes an answer on to the peer. The slot is given back when the body ends
+/// or the peer goes away.
+fn stream_answer(answer: Answer, slot: Slot) -> HttpResponse {
+    let (parts, body, connection) = answer.into_parts();
+    let status = parts.status.as_u16();
+    let mut response = HttpResponse::build(ActixStatus::from_u16(status).unwrap_or_default());
+    let head = Head::of(&parts.headers).headers;
+    for (name, value) in &head {
+        if name != header::CONTENT_LENGTH {
+            response.append_header((name.as_str(), value.as_bytes()));
+        }
+    }
+    let length = head.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let outcome = ended(parts.status);
+    let stream = unfold((body, slot, connection), move |state| {
+        next_part(state, outcome)
+    });
+    let stream = Box::pin(stream);
+    match length {
+        Some(length) => response.body(SizedStream::new(length, stream)),
+        None => response.streaming(stream),
+    }
+}
+
+type AnswerState = (Incoming, Slot, Connection);
+
+async fn next_part(
+    (mut body, mut slot, connection): AnswerState,
+    outcome: Outcome,
+) -> Option<(hyper::Result<Bytes>, AnswerState)> {
+    loop {
+        let part = match body.frame().await {
+            None => {
+                slot.set(outcome);
+                return None;
+            }
+            Some(Err(e)) => {
+                slot.set(Outcome::Failed);
+                Err(e)
+            }
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => Ok(data),
+                // Trailers are not passed on.
+                Err(_) => continue,
+            },
+        };
+        return Some((part, (body, slot, connection)));
+    }
+}
+
+/// The answer to a request without an answer of the upstream.
+fn outcome((status, value): (StatusCode, &'static str)) -> HttpResponse {
+    let status = ActixStatus::from_u16(status.as_u16()).unwrap_or_default();
+    HttpResponse::build(status)
+        .insert_header((ClaimHeader::OUTCOME, value))
+        .finish()
+}
--- /dev/null
+++ b/crates/agent/src/process/port.rs
@@ -0,0 +1,94 @@
+//! The socket that the QUIC endpoint sees.
+//!
+//! The endpoint's datagrams go by message to and from the datagram task, which
+//! owns the real socket. quinn takes its socket as a trait object behind an
+//! `Arc`; that is its interface.
+
+use std::{
+    io::{self, IoSliceMut},
+    net::{Ipv4Addr, SocketAddr},
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use quinn::{AsyncUdpSocket, UdpPoller, udp};
+use tokio::sync::mpsc;
+
+/// A datagram of a caller, or an answer to it.
+#[derive(Debug, Clone)]
+pub struct Packet {
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The QUIC packet.
+    pub payload: Bytes,
+}
+
+/// The endpoint's end of the two channels.
+#[derive(Debug)]
+pub struct Port {
+    /// Locked only by the endpoint's own task; quinn's trait takes `&self`.
+    rx: Mutex<mpsc::Receiver<Packet>>,
+    tx: mpsc::Sender<Packet>,
+}
+
+impl Port {
+    /// Creates the endpoint's end.
+    #[must_use]
+    pub fn new(rx: mpsc::Receiver<Packet>, tx: mpsc::Sender<Packet>) -> Self {
+        Port {
+            rx: Mutex::new(rx),
+            tx,
+        }
+    }
+}
+
+impl AsyncUdpSocket for Port {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(AlwaysWritable)
+    }
+
+    /// Sends by message. A datagram that finds the channel full is lost, as on
+    /// a full socket buffer; QUIC's congestion control slows down.
+    fn try_send(&self, transmit: &udp::Transmit<'_>) -> io::Result<()> {
+        let _ = self.tx.try_send(Packet {
+            caller: transmit.destination,
+            payload: Bytes::copy_from_slice(transmit.contents),
+        });
+        Ok(())
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [udp::RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut rx = self.rx.lock().unwrap_or_else(PoisonError::into_inner);
+        let packet = ready!(rx.poll_recv(cx)).ok_or(io::ErrorKind::BrokenPipe)?;
+        let len = packet.payload.len().min(bufs[0].len());
+        bufs[0][..len].copy_from_slice(&packet.payload[..len]);
+        meta[0] = udp::RecvMeta {
+            addr: packet.caller,
+            len,
+            stride: len,
+            ecn: None,
+            dst_ip: None,
+        };
+        Poll::Ready(Ok(1))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Ok((Ipv4Addr::UNSPECIFIED, 0).into())
+    }
+}
+
+#[derive(Debug)]
+struct AlwaysWritable;
+
+impl UdpPoller for AlwaysWritable {
+    fn poll_writable(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/request/call.rs
@@ -0,0 +1,213 @@
+//! One attempt to run a request at an upstream.
+
+use std::{
+    error::Error as StdError,
+    future::Future,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use admit::{Failure, Progress};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::Body;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{sleep_until, timeout},
+};
+use types::{ReservationId, ServiceId, UpstreamId};
+use wire::ClaimHeader;
+
+use super::Head;
+use crate::version::Peer;
+
+/// Time to open a connection. The upstream is on the same host and a peer a
+/// few milliseconds away; a lost packet is repeated within a second.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// The agent's own upstream.
+    Upstream(SocketAddr),
+    /// A peer that holds a slot.
+    Peer {
+        /// The peer.
+        peer: Peer,
+        /// The peer's identity.
+        upstream: UpstreamId,
+        /// Service of the request.
+        service: ServiceId,
+        /// The slot.
+        reservation: ReservationId,
+    },
+}
+
+impl Target {
+    fn address(&self) -> SocketAddr {
+        match self {
+            Target::Upstream(address) => *address,
+            Target::Peer { peer, .. } => peer.address,
+        }
+    }
+
+    /// Adds the fields that the target needs to the head.
+    fn mark(&self, head: &mut Head) {
+        if let Target::Peer {
+            upstream,
+            service,
+            reservation,
+            ..
+        } = self
+        {
+            head.set(ClaimHeader::RESERVATION, reservation);
+            head.set(ClaimHeader::SERVICE, service);
+            head.set(ClaimHeader::UPSTREAM, upstream);
+        }
+    }
+}
+
+/// An attempt that brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failed {
+    /// How far it came.
+    pub progress: Progress,
+    /// Why it ended.
+    pub failure: Failure,
+}
+
+impl Failed {
+    fn not_started(failure: Failure) -> Self {
+        Failed {
+            progress: Progress::NotStarted,
+            failure,
+        }
+    }
+
+    fn started(failure: Failure) -> Self {
+        Failed {
+            progress: Progress::Started,
+            failure,
+        }
+    }
+}
+
+/// An answer whose head has come. Dropping it closes the connection, which
+/// cancels the request at the upstream.
+#[derive(Debug)]
+pub struct Answer {
+    /// The head and the body, which is still coming in.
+    pub response: Response<Incoming>,
+    /// The task that drives the connection.
+    connection: Connection,
+}
+
+impl Answer {
+    /// Splits the answer; the connection lives as long as its guard.
+    pub fn into_parts(self) -> (http::response::Parts, Incoming, Connection) {
+        let (parts, body) = self.response.into_parts();
+        (parts, body, self.connection)
+    }
+}
+
+/// Ends the task that drives a connection when it is dropped.
+#[derive(Debug)]
+pub struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A request to be sent.
+#[derive(Debug)]
+pub struct Call<B> {
+    /// Where it goes.
+    pub target: Target,
+    /// Method, path and body; header fields come from `head`.
+    pub request: Request<B>,
+    /// Header fields.
+    pub head: Head,
+    /// Instant after which the caller no longer waits.
+    pub deadline: Option<Instant>,
+}
+
+impl<B> Call<B>
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
+{
+    /// Sends the request on a connection of its own and waits for the head of
+    /// the answer.
+    ///
+    /// A connection is never used twice: on one that the other side closes at
+    /// the same time, the request would be lost with an unknown outcome.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was sent, or the answer was lost, as the progress says.
+    pub async fn send(mut self) -> Result<Answer, Failed> {
+        let stream = self.connect().await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) =
+            handshake.map_err(|_| Failed::not_started(Failure::Connect))?;
+        let connection = Connection(actix_rt::spawn(async move {
+            // A broken connection also fails the request, which reports it.
+            let _ = connection.await;
+        }));
+
+        self.head.set_remaining(Instant::now(), self.deadline);
+        self.target.mark(&mut self.head);
+        *self.request.headers_mut() = self.head.headers;
+        let answer = before(self.deadline, sender.send_request(self.request)).await;
+        let answer = answer.ok_or(Failed::started(Failure::Deadline))?;
+        let response = answer.map_err(|_| Failed::started(Failure::Broken))?;
+        self.target.check(Answer {
+            response,
+            connection,
+        })
+    }
+
+    async fn connect(&self) -> Result<TcpStream, Failed> {
+        let connect = timeout(CONNECT, TcpStream::connect(self.target.address()));
+        let connected = before(self.deadline, connect).await;
+        match connected {
+            Some(Ok(Ok(stream))) => Ok(stream),
+            Some(_) => Err(Failed::not_started(Failure::Connect)),
+            None => Err(Failed::not_started(Failure::Deadline)),
+        }
+    }
+}
+
+impl Target {
+    /// Reads the outcome that a peer reports. An upstream's field of that name
+    /// has no meaning here; only agents set it.
+    fn check(&self, answer: Answer) -> Result<Answer, Failed> {
+        let Target::Peer { .. } = self else {
+            return Ok(answer);
+        };
+        let outcome = answer.response.headers().get(ClaimHeader::OUTCOME);
+        match outcome.map(http::HeaderValue::as_bytes) {
+            None => Ok(answer),
+            Some(value) if value == ClaimHeader::NOT_RUN.as_bytes() => {
+                Err(Failed::not_started(Failure::PeerRefused))
+            }
+            Some(_) => Err(Failed::started(Failure::Broken)),
+        }
+    }
+}
+
+/// Waits for a future until the deadline; `None` if it passed.
+async fn before<F: Future>(deadline: Option<Instant>, future: F) -> Option<F::Output> {
+    let Some(deadline) = deadline else {
+        return Some(future.await);
+    };
+    tokio::select! {
+        output = future => Some(output),
+        () = sleep_until(deadline.into()) => None,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/version/mod.rs
@@ -0,0 +1,85 @@
+//! What a version of the configuration and membership tells the agent.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use types::{
+    ClassName, DataCentre, HostName, ServiceName, ServiceState, Slots, Target, UpstreamId,
+};
+use wire::Update;
+
+/// A peer of the same service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Data centre of the peer.
+    pub data_centre: DataCentre,
+    /// Where the peer takes requests.
+    pub address: SocketAddr,
+}
+
+/// The agent's view of one version.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// State of the agent's service; none while it is not configured.
+    pub service: Option<ServiceState>,
+    /// Where the balancers take answers.
+    pub balancers: BTreeSet<SocketAddr>,
+    /// Whether an operator drains the upstream.
+    pub drained: bool,
+}
+
+impl View {
+    /// Takes an update over into the view.
+    pub fn apply(&mut self, update: &Update, name: &ServiceName, host: &HostName) {
+        let known = self.service.as_ref().map(|state| state.service.id);
+        let removed = known.is_some_and(|id| update.removed.contains(&id));
+        if update.snapshot || removed {
+            self.service = None;
+        }
+        if let Some(state) = update.services.iter().find(|s| s.service.name == *name) {
+            self.service = Some(state.clone());
+        }
+        self.balancers = update
+            .balancers
+            .values()
+            .map(|balancer| balancer.return_address)
+            .collect();
+        self.drained = update.drains.contains(host);
+    }
+
+    /// Targets of the service. A class that this upstream does not serve has
+    /// no slots here, so that its requests are handed off.
+    #[must_use]
+    pub fn targets(&self, served: &BTreeSet<ClassName>) -> BTreeMap<ClassName, Target> {
+        let Some(state) = &self.service else {
+            return BTreeMap::new();
+        };
+        let mut targets = state.service.targets.clone();
+        if !served.is_empty() {
+            for (class, target) in &mut targets {
+                if !served.contains(class) {
+                    target.carry = Slots(0);
+                }
+            }
+        }
+        targets
+    }
+
+    /// The other upstreams of the service.
+    #[must_use]
+    pub fn peers(&self, own: UpstreamId) -> BTreeMap<UpstreamId, Peer> {
+        let members = self.service.iter().flat_map(|state| &state.members);
+        members
+            .filter(|(id, _)| **id != own)
+            .map(|(&id, member)| {
+                let peer = Peer {
+                    data_centre: member.data_centre.clone(),
+                    address: member.peer,
+                };
+                (id, peer)
+            })
+            .collect()
+    }
+}
