--- /dev/null
+++ b/crates/config/src/version/mod.rs
@@ -0,0 +1,16 @@
+//! What changes with a version of the configuration.
+
+mod delta;
+mod index;
+mod mark;
+mod snapshot;
+mod state;
+
+pub use delta::{Changes, Delta};
+pub(crate) use index::{Object, Versions};
+pub(crate) use mark::Removed;
+pub use mark::{DrainMark, Keys};
+pub use snapshot::FORMAT;
+pub use state::State;
+
+pub use index::REMOVED_KEPT;
--- /dev/null
+++ b/crates/config/src/version/snapshot.rs
@@ -0,0 +1,45 @@
+//! The state as bytes.
+
+use std::io::{Read, Write};
+
+use super::State;
+use crate::error::{ErrorKind, Result};
+
+/// Format of the snapshots that this build writes and reads.
+pub const FORMAT: u32 = 1;
+
+impl State {
+    /// Writes the whole state. Equal states give equal bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the writer does.
+    ///
+    /// ```
+    /// let state = config::State::default();
+    /// let mut bytes = Vec::new();
+    /// state.encode(&mut bytes)?;
+    /// assert_eq!(config::State::decode(&bytes[..])?, state);
+    /// # Ok::<(), config::Error>(())
+    /// ```
+    pub fn encode<W: Write>(&self, mut w: W) -> Result<()> {
+        rmp_serde::encode::write(&mut w, &FORMAT)?;
+        rmp_serde::encode::write(&mut w, self)?;
+        Ok(())
+    }
+
+    /// Reads a state that [`encode`](State::encode) wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the reader does, when the bytes are no snapshot and when
+    /// their format is not [`FORMAT`].
+    pub fn decode<R: Read>(mut r: R) -> Result<Self> {
+        let found: u32 = rmp_serde::decode::from_read(&mut r)?;
+        if found != FORMAT {
+            let known = FORMAT;
+            return Err(ErrorKind::Format { found, known }.into());
+        }
+        Ok(rmp_serde::decode::from_read(&mut r)?)
+    }
+}
--- /dev/null
+++ b/crates/config/src/version/state.rs
@@ -0,0 +1,140 @@
+//! The state that the log drives.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use types::{HostName, Revision, Service, ServiceId, ServiceName, UnixMillis};
+
+use super::{Changes, Delta, DrainMark, Keys, Object, Versions};
+use crate::request::{AUDIT_KEPT, Answers, Record};
+
+/// The configuration after some entry of the log.
+///
+/// Equal logs give equal states with equal snapshots.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct State {
+    /// Last entry that was applied, whatever its answer.
+    applied: Revision,
+    /// Latest stamp of a leader so far.
+    now: UnixMillis,
+    pub(crate) versions: Versions,
+    pub(crate) answers: Answers,
+    audit: VecDeque<Record>,
+}
+
+impl State {
+    /// Revision of the last accepted change.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.versions.revision()
+    }
+
+    /// Index of the last entry that was applied, whatever its answer.
+    #[must_use]
+    pub fn applied(&self) -> Revision {
+        self.applied
+    }
+
+    /// Time of the log: the latest stamp so far.
+    #[must_use]
+    pub fn now(&self) -> UnixMillis {
+        self.now
+    }
+
+    /// Every service by its id.
+    #[must_use]
+    pub fn services(&self) -> &BTreeMap<ServiceId, Service> {
+        self.versions.services()
+    }
+
+    /// The service of a name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.versions.service(name)
+    }
+
+    /// The keys for connection ids; `None` before the first was added.
+    #[must_use]
+    pub fn keys(&self) -> Option<&Keys> {
+        self.versions.keys()
+    }
+
+    /// Drain marks by host. Marks that were taken back are included, with
+    /// `drain` false, because a later change must name their revision.
+    #[must_use]
+    pub fn drains(&self) -> &BTreeMap<HostName, DrainMark> {
+        self.versions.drains()
+    }
+
+    /// The audit trail, the oldest record first.
+    pub fn audit(&self) -> impl DoubleEndedIterator<Item = &Record> + ExactSizeIterator {
+        self.audit.iter()
+    }
+
+    /// Number of first answers that are kept.
+    #[must_use]
+    pub fn answers_kept(&self) -> usize {
+        self.answers.len()
+    }
+
+    /// What a reader of revision `have` lacks.
+    ///
+    /// The cost is in proportion to what changed. A reader that has more than
+    /// this state gets no changes: this member is behind, and the reader must
+    /// keep what it has.
+    #[must_use]
+    pub fn delta_since(&self, have: Revision) -> Delta {
+        if have == Revision(0) || have < self.versions.floor() {
+            return Delta::SnapshotNeeded;
+        }
+        let mut changes = Changes {
+            revision: self.revision(),
+            removed: self.versions.removed_after(have).collect(),
+            ..Changes::default()
+        };
+        for object in self.versions.changed_after(have) {
+            self.add_object(&mut changes, object);
+        }
+        Delta::Changes(changes)
+    }
+
+    /// Everything that a reader needs that has nothing or too old a revision.
+    /// It replaces what the reader has.
+    #[must_use]
+    pub fn everything(&self) -> Changes {
+        let drains = self.drains().iter().filter(|(_, mark)| mark.drain);
+        Changes {
+            revision: self.revision(),
+            services: self.services().values().cloned().collect(),
+            removed: Vec::new(),
+            keys: self.keys().map(|keys| keys.set.clone()),
+            drains: drains.map(|(host, _)| (host.clone(), true)).collect(),
+        }
+    }
+
+    fn add_object(&self, changes: &mut Changes, object: &Object) {
+        match object {
+            Object::Service(id) => changes.services.extend(self.services().get(id).cloned()),
+            Object::Keys => changes.keys = self.keys().map(|keys| keys.set.clone()),
+            Object::Drain(host) => {
+                let drain = self.drains().get(host).is_some_and(|mark| mark.drain);
+                changes.drains.insert(host.clone(), drain);
+            }
+        }
+    }
+
+    /// Moves on to the entry `index` with the stamp `at`.
+    pub(crate) fn advance(&mut self, index: Revision, at: UnixMillis) {
+        self.applied = index;
+        self.now = self.now.max(at);
+        self.answers.expire(self.now);
+    }
+
+    /// Adds a record to the audit trail.
+    pub(crate) fn record(&mut self, record: Record) {
+        if self.audit.len() == AUDIT_KEPT {
+            self.audit.pop_front();
+        }
+        self.audit.push_back(record);
+    }
+}
--- a/crates/types/src/request/change.rs
+++ b/crates/types/src/request/change.rs
@@ -151,10 +151,17 @@
     /// The id was used before with other contents.
     #[error("change id {0} was used before with other contents")]
     IdReused(ChangeId),
-    /// The id is older than answers are kept.
+    /// The id is older than answers are kept. Nothing was run for this
+    /// request; if the id was sent before, the audit trail has its answer.
     #[error("change id {0} is older than the time for which answers are kept")]
     IdExpired(ChangeId),
     /// A key rotation is out of step.
     #[error("the key cannot be added or activated in the present state of the rotation")]
     KeyRotation,
+    /// The id is dated too far ahead of the control group's clock.
+    #[error("change id {0} is dated in the future; check the clock of the host that drew it")]
+    IdInFuture(ChangeId),
+    /// The change names a revision that its object is not known to have had.
+    #[error("revision {0} is not known for what the change concerns")]
+    UnknownBase(Revision),
 }
--- a/crates/types/src/request/size.rs
+++ b/crates/types/src/request/size.rs
@@ -1,5 +1,7 @@
 //! Counts, ids and instants of requests.
 
+use std::time::Duration;
+
 decimal! {
     /// A number of concurrent requests.
     Slots(u32)
@@ -15,6 +17,15 @@
     UnixMillis(u64)
 }
 
+impl UnixMillis {
+    /// The instant `span` later, or the last one that can be written.
+    #[must_use]
+    pub fn plus(self, span: Duration) -> Self {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        UnixMillis(self.0.saturating_add(millis))
+    }
+}
+
 hexadecimal! {
     /// Identity of a slot that an agent holds for a peer.
     ReservationId
--- a/crates/types/src/version/member.rs
+++ b/crates/types/src/version/member.rs
@@ -1,8 +1,9 @@
 //! Upstreams and balancers as they announce themselves.
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
     ClassName, Connections, DataCentre, HostName, Service, ServiceName, Share, Slots, UpstreamId,
@@ -54,6 +55,7 @@
 pub type Loads = BTreeMap<ClassName, ClassLoad>;
 
 /// What an agent tells the control group of its upstream. Soft state.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Identity of this run of the agent.
@@ -73,6 +75,12 @@
     /// Load of each class of work. The classes served when `classes` was
     /// given, else every class of the service.
     pub loads: Loads,
+    /// Time since a control leader first took an announcement of this run as
+    /// ready; zero until then, and again after the upstream was down. A new
+    /// leader does not ramp an upstream again that was ready before its term.
+    #[serde(default)]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub ready_for: Duration,
 }
 
 /// An upstream within a published membership.
