--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,7 +15,8 @@
 //! let start = Instant::now();
 //! let mut registry = Registry::new(Settings::default(), start, Term(3));
 //! registry.set_service(ServiceId(0), &"badges".parse()?, &BTreeMap::new());
-//! registry.announce(start, &"host-1".parse()?, &Announcement {
+//! let heard = start + Duration::from_secs(1);
+//! registry.announce(heard, &"host-1".parse()?, &Announcement {
 //!     id: UpstreamId(7),
 //!     service: "badges".parse()?,
 //!     data_centre: "dar-1".parse()?,
@@ -27,7 +28,7 @@
 //!     ready_for: Duration::ZERO,
 //! });
 //! // A new leader publishes nothing for one lease.
-//! assert_eq!(registry.tick(start), None);
+//! assert_eq!(registry.tick(heard), None);
 //! let settled = registry.settle_until();
 //! assert!(registry.tick(settled).is_some());
 //! assert_eq!(registry.version(), Some((Term(3), 1)));
