--- /dev/null
+++ b/crates/config/tests/properties.rs
@@ -0,0 +1,203 @@
+//! What holds for every log.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbtest::arbtest;
+use common::{Entry, START, create, delete, drain, id, random_log, set_target, snapshot};
+use config::{Changes, Delta, State};
+use types::{Answer, Change, ChangeRequest, HostName, KeySet, Revision, Service, ServiceId};
+
+/// Number of random logs of each property; the case number is the seed.
+const CASES: u64 = 600;
+
+/// Bytes of random input of each case; the low half of an arbtest seed.
+const INPUT_BYTES: u64 = 2048;
+
+/// Runs `check` on each random log.
+fn for_each_log(mut check: impl FnMut(&[Entry], usize)) {
+    for case in 0..CASES {
+        arbtest(|u| {
+            let cut = u.arbitrary::<usize>()?;
+            let log = random_log(u)?;
+            let cut = cut % (log.len() + 1);
+            check(&log, cut);
+            Ok(())
+        })
+        .seed(case << 32 | INPUT_BYTES);
+    }
+}
+
+fn run<'a>(state: &mut State, log: impl IntoIterator<Item = &'a Entry>) -> Vec<Answer> {
+    log.into_iter()
+        .map(|(index, at, req)| state.apply(*index, *at, req))
+        .collect()
+}
+
+/// What a state tells, without the traces that every entry leaves.
+fn told(state: &State) -> (Revision, Changes, Vec<u64>) {
+    let marks = state.drains().values().map(|m| m.revision.0).collect();
+    (state.revision(), state.everything(), marks)
+}
+
+/// Guards against random logs that reach too little to show anything.
+#[test]
+fn random_logs_reach_every_kind_of_answer() {
+    let mut seen = BTreeMap::<String, u32>::new();
+    for_each_log(|log, _| {
+        let mut state = State::default();
+        run(&mut state, log);
+        for record in state.audit() {
+            let kind = format!("{:?}", record.answer);
+            let kind = kind.split('(').next().unwrap().to_owned();
+            *seen.entry(format!("{kind} {}", record.resend)).or_default() += 1;
+        }
+    });
+    for kind in ["Accepted", "Conflict", "Refused"] {
+        for resend in [false, true] {
+            let times = seen.get(&format!("{kind} {resend}"));
+            assert!(times.is_some_and(|n| *n > 100), "{seen:?}");
+        }
+    }
+}
+
+/// Guards against members of the control group that disagree, before and
+/// after one of them restarts from a snapshot.
+#[test]
+fn a_snapshot_and_the_rest_of_the_log_equal_the_whole_log() {
+    for_each_log(|log, cut| {
+        let (mut whole, mut again) = (State::default(), State::default());
+        let answers = run(&mut whole, log);
+        assert_eq!(run(&mut again, log), answers);
+        assert_eq!(snapshot(&again), snapshot(&whole));
+
+        let mut first = State::default();
+        run(&mut first, &log[..cut]);
+        let mut restored = State::decode(&snapshot(&first)[..]).unwrap();
+        assert_eq!(restored, first);
+        assert_eq!(run(&mut restored, &log[cut..]), answers[cut..]);
+        assert_eq!(snapshot(&restored), snapshot(&whole));
+    });
+}
+
+/// Guards against a change that is made twice because its answer was lost.
+#[test]
+fn a_resend_gets_the_first_answer_and_changes_nothing() {
+    for_each_log(|log, cut| {
+        let mut state = State::default();
+        let answers = run(&mut state, log);
+        let Some((_, _, req)) = log.get(cut) else {
+            return;
+        };
+        // The first request with the id fixed what the id stands for.
+        let first = log.iter().position(|(_, _, r)| r.id == req.id).unwrap();
+        let req = &log[first].2;
+        let before = (told(&state), state.answers_kept());
+        let index = Revision(state.applied().0 + 1);
+        assert_eq!(state.apply(index, state.now(), req), answers[first]);
+        assert_eq!((told(&state), state.answers_kept()), before);
+        assert!(state.audit().last().unwrap().resend);
+    });
+}
+
+/// Guards against two winners, or none, among operators who race from the
+/// same state.
+#[test]
+fn exactly_one_of_the_changes_with_one_base_is_accepted() {
+    for_each_log(|log, cut| {
+        let mut state = State::default();
+        run(&mut state, &log[..cut]);
+        let (name, base) = match state.services().values().next() {
+            Some(service) => (service.name.to_string(), service.revision),
+            None => ("c".to_owned(), Revision(0)),
+        };
+        let changes = if base == Revision(0) {
+            [create(&name, 7), create(&name, 8), create(&name, 9)]
+        } else {
+            [
+                set_target(&name, "x", 3, "/x"),
+                delete(&name),
+                set_target(&name, "y", 4, "/y"),
+            ]
+        };
+        let mark = state.drains().get(&"a".parse().unwrap());
+        let mark = mark.map_or(Revision(0), |m| m.revision);
+        let marks = [drain("a", true), drain("a", false), drain("a", true)];
+        for (base, changes) in [(base, changes), (mark, marks)] {
+            assert_eq!(race(&mut state, base, changes), 1);
+        }
+    });
+}
+
+/// Applies changes with the same base and returns how many are accepted.
+fn race(state: &mut State, base: Revision, changes: [Change; 3]) -> usize {
+    let mut winner = None;
+    for change in changes {
+        let index = Revision(state.applied().0 + 1);
+        let req = ChangeRequest {
+            id: id(state.now().max(START), index.0 + 1_000_000),
+            author: "vera".parse().unwrap(),
+            base,
+            change,
+        };
+        match state.apply(index, START, &req) {
+            Answer::Accepted(revision) => {
+                assert_eq!(winner.replace(revision), None);
+            }
+            Answer::Conflict(conflict) => assert_eq!(Some(conflict.winner), winner),
+            Answer::Refused(refusal) => panic!("{refusal}"),
+        }
+    }
+    usize::from(winner.is_some())
+}
+
+/// A node's copy of the configuration.
+#[derive(Debug, Default, PartialEq)]
+struct Copy {
+    revision: Revision,
+    services: BTreeMap<ServiceId, Service>,
+    drains: BTreeSet<HostName>,
+    keys: Option<KeySet>,
+}
+
+impl Copy {
+    fn update(&mut self, state: &State) {
+        let changes = match state.delta_since(self.revision) {
+            Delta::Changes(changes) => changes,
+            Delta::SnapshotNeeded => {
+                *self = Copy::default();
+                state.everything()
+            }
+        };
+        self.revision = changes.revision;
+        for id in &changes.removed {
+            self.services.remove(id);
+        }
+        self.services
+            .extend(changes.services.into_iter().map(|s| (s.id, s)));
+        for (host, drain) in changes.drains {
+            self.drains.remove(&host);
+            self.drains.extend(drain.then_some(host));
+        }
+        self.keys = changes.keys.or(self.keys.take());
+    }
+}
+
+/// Guards against nodes that keep something that was changed or removed while
+/// they were away.
+#[test]
+fn a_delta_brings_an_old_copy_up_to_date() {
+    for_each_log(|log, cut| {
+        let mut state = State::default();
+        run(&mut state, &log[..cut]);
+        let mut old = Copy::default();
+        old.update(&state);
+        run(&mut state, &log[cut..]);
+        old.update(&state);
+        let mut new = Copy::default();
+        new.update(&state);
+        assert_eq!(old, new);
+        assert_eq!(old.services, *state.services());
+    });
+}
