Measure the admission against its baselines

Cause: the policy must meet its targets by measurement.

Change: bench has an event list with message delays and late counts, and a program that runs this design, the same without hand-off, plain hash, round robin and least reported load in one run.

--- /dev/null
+++ b/crates/bench/src/admission/figures.rs
@@ -0,0 +1,138 @@
+//! Figures of one run.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+
+/// Time that the upstreams spent at each excess over their slots.
+#[derive(Debug, Clone, Default)]
+pub struct Excess(BTreeMap<u32, Duration>);
+
+impl Excess {
+    /// Counts `time` of one upstream at `excess`.
+    pub fn add(&mut self, excess: u32, time: Duration) {
+        *self.0.entry(excess).or_default() += time;
+    }
+
+    fn total(&self) -> f64 {
+        self.0.values().sum::<Duration>().as_secs_f64().max(1e-9)
+    }
+
+    /// Mean over the time of all upstreams.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        let sum: f64 = self
+            .0
+            .iter()
+            .map(|(n, t)| f64::from(*n) * t.as_secs_f64())
+            .sum();
+        sum / self.total()
+    }
+
+    /// Value that is exceeded for 1% of the time.
+    #[must_use]
+    pub fn p99(&self) -> f64 {
+        let mut left = self.total() * 0.01;
+        for (n, time) in self.0.iter().rev() {
+            left -= time.as_secs_f64();
+            if left < 0.0 {
+                return f64::from(*n);
+            }
+        }
+        0.0
+    }
+
+    /// Share of the time with any excess.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        let none = self.0.get(&0).copied().unwrap_or_default();
+        1.0 - none.as_secs_f64() / self.total()
+    }
+}
+
+/// Figures of one run.
+#[derive(Debug, Clone)]
+pub struct Figures {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests answered before their deadline.
+    pub done: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Of those, refused while a slot of a serving upstream was free.
+    pub refused_while_free: u64,
+    /// Requests cut at their deadline, queued at an upstream or running.
+    pub cut: u64,
+    /// Reservations that had lapsed when the request came.
+    pub lapsed: u64,
+    /// Messages between agents.
+    pub messages: u64,
+    /// Requests at an upstream over its slots.
+    pub excess: Excess,
+    /// The same, with the requests that wait at the agent counted in.
+    pub backlog: Excess,
+    /// Microseconds between arrival and start.
+    pub delay: Histogram<u64>,
+    /// Mean service time of the run.
+    pub length: Duration,
+}
+
+impl Figures {
+    /// Empty figures of a run of this length.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds of the histogram are constants in its range.
+    #[must_use]
+    pub fn new(length: Duration) -> Self {
+        Figures {
+            arrived: 0,
+            done: 0,
+            refused: 0,
+            refused_while_free: 0,
+            cut: 0,
+            lapsed: 0,
+            messages: 0,
+            excess: Excess::default(),
+            backlog: Excess::default(),
+            delay: Histogram::new_with_bounds(1, 60_000_000, 3).expect("constant bounds"),
+            length,
+        }
+    }
+
+    /// The figures in the order of [`Figures::NAMES`].
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn values(&self) -> [f64; 11] {
+        let share = |n: u64| 100.0 * n as f64 / self.arrived.max(1) as f64;
+        let millis = |q: f64| self.delay.value_at_quantile(q) as f64 / 1000.0;
+        [
+            share(self.refused_while_free),
+            share(self.refused),
+            share(self.cut),
+            self.excess.mean(),
+            self.excess.p99(),
+            100.0 * self.excess.share(),
+            self.backlog.mean(),
+            millis(0.5),
+            millis(0.99),
+            self.messages as f64 / self.arrived.max(1) as f64,
+            self.done as f64 / self.length.as_secs_f64(),
+        ]
+    }
+
+    /// Names of the figures.
+    pub const NAMES: [&str; 11] = [
+        "refused free %",
+        "refused %",
+        "cut %",
+        "excess",
+        "excess p99",
+        "over %",
+        "backlog",
+        "delay p50 ms",
+        "delay p99 ms",
+        "messages",
+        "goodput /s",
+    ];
+}
--- /dev/null
+++ b/crates/bench/src/bin/admission.rs
@@ -0,0 +1,112 @@
+//! Compares the admission with its baselines over seeded arrivals.
+//!
+//! Prints one row for each case and variant: the median over the seeds and, in
+//! brackets, the least and the greatest value.
+
+use std::time::Duration;
+
+use admit::{QueueOrder, Settings};
+use bench::admission::{Case, Figures, Scenario, Size, Variant, run};
+use clap::Parser;
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+
+#[derive(Debug, Parser)]
+#[command(about = "Compares the admission with its baselines over seeded arrivals")]
+struct Args {
+    /// Number of seeds, from 1 on
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Simulated seconds of each run
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Compare settings of this design instead of the baselines
+    #[arg(long)]
+    tune: bool,
+}
+
+fn main() {
+    let args = Args::parse();
+    let variants = if args.tune { tuned() } else { Variant::all() };
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN);
+    let heads = ["size", "scenario", "load", "variant"];
+    table.set_header(heads.iter().chain(&Figures::NAMES));
+    for size in [Size::GUILD, Size::COOP] {
+        for (scenario, load) in points() {
+            for variant in &variants {
+                let case = Case {
+                    size,
+                    scenario,
+                    load,
+                    length: Duration::from_secs(args.seconds),
+                    seed: 0,
+                };
+                table.add_row(row(&case, variant, args.seeds));
+            }
+        }
+    }
+    println!("{table}");
+}
+
+fn points() -> Vec<(Scenario, f64)> {
+    vec![
+        (Scenario::Steady, 0.5),
+        (Scenario::Steady, 0.8),
+        (Scenario::Steady, 0.95),
+        (Scenario::Feeds, 0.8),
+        (Scenario::Leaving, 0.8),
+        (Scenario::Cold, 0.8),
+        (Scenario::WrongLoad, 0.8),
+        (Scenario::LateNews, 0.8),
+        (Scenario::Steady, 2.0),
+        (Scenario::Steady, 5.0),
+    ]
+}
+
+fn tuned() -> Vec<Variant> {
+    let with = |name: &str, change: fn(&mut Settings)| {
+        let mut settings = Settings::default();
+        change(&mut settings);
+        Variant::admit(name, settings)
+    };
+    vec![
+        with("default", |_| {}),
+        with("never ask again", |s| s.ask_again = None),
+        with("ask again 5 ms", |s| {
+            s.ask_again = Some(Duration::from_millis(5))
+        }),
+        with("ask again 20 ms", |s| {
+            s.ask_again = Some(Duration::from_millis(20))
+        }),
+        with("no pause", |s| s.full_peer_pause = Duration::ZERO),
+        with("pause 10 ms", |s| {
+            s.full_peer_pause = Duration::from_millis(10)
+        }),
+        with("pause 50 ms", |s| {
+            s.full_peer_pause = Duration::from_millis(50)
+        }),
+        with("lifo", |s| s.queue_order = QueueOrder::Lifo),
+        with("adaptive", |s| s.queue_order = QueueOrder::Adaptive),
+        with("queue 2", |s| s.queue_per_slot = 2),
+        with("queue 8", |s| s.queue_per_slot = 8),
+    ]
+}
+
+fn row(case: &Case, variant: &Variant, seeds: u64) -> Vec<String> {
+    let runs: Vec<[f64; 11]> = (1..=seeds)
+        .map(|seed| run(&Case { seed, ..*case }, &variant.kind).values())
+        .collect();
+    let head = [
+        case.size.name.to_owned(),
+        case.scenario.to_string(),
+        format!("{:.2}", case.load),
+        variant.name.clone(),
+    ];
+    let cells = (0..Figures::NAMES.len()).map(|i| {
+        let mut values: Vec<f64> = runs.iter().map(|figures| figures[i]).collect();
+        values.sort_by(f64::total_cmp);
+        let (least, most) = (values[0], values[values.len() - 1]);
+        format!("{:.2} ({least:.2}-{most:.2})", values[values.len() / 2])
+    });
+    head.into_iter().chain(cells).collect()
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! The `bench` crate of limpetplank.
+//! Benchmarks of limpetplank. Each runs its baselines in the same run.
+
+pub mod admission;
