Add the messages of operators

Cause: tools need status, audit trail and the control group's members, with replies that tell a refusal from an unknown outcome.

Change: typed queries and replies; agents report since when they are ready, so that a new leader does not ramp them again.

--- a/crates/agent/src/process/node.rs
+++ b/crates/agent/src/process/node.rs
@@ -42,6 +42,9 @@
     pub leaving: watch::Sender<bool>,
     /// Changes when the process is to stop.
     pub stop: watch::Receiver<bool>,
+    /// When a control leader first took an announcement of this run as ready;
+    /// none until then and while the upstream is down.
+    pub ready_since: Option<Instant>,
 }
 
 impl NodeTask {
@@ -76,7 +79,7 @@
                 () = sleep_until(announce_at.into()) => {}
             }
             announce_at = Instant::now() + ANNOUNCE;
-            self.announce().await;
+            self.announce(view.service.is_some()).await;
         }
     }
 
@@ -121,10 +124,15 @@
     }
 
     /// Tells the sync task what to announce, if it differs from the last time.
-    async fn announce(&self) {
+    async fn announce(&mut self, configured: bool) {
         let Some(summary) = self.admission.ask(AdmissionCommand::Summarise).await else {
             return;
         };
+        if summary.state == UpstreamState::Down {
+            self.ready_since = None;
+        } else if configured {
+            self.ready_since.get_or_insert_with(Instant::now);
+        }
         let upstream = Some(self.announcement_of(summary));
         self.report.send_if_modified(|report| {
             let urgent = state_of(report) != upstream.as_ref().map(|u| u.state);
@@ -146,6 +154,7 @@
             state: summary.state,
             connections: summary.connections,
             loads,
+            ready_for: self.ready_since.map_or(Duration::ZERO, |at| at.elapsed()),
             ..self.announcement.clone()
         }
     }
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -111,6 +111,7 @@
         cids: cid_tx,
         leaving: leaving_tx,
         stop: stop.clone(),
+        ready_since: None,
     };
     let admission_task =
         AdmissionTask::new(&cfg, own, http.clone(), admission.clone(), admission_rx);
@@ -204,6 +205,7 @@
         state: UpstreamState::Ready,
         connections: Connections(0),
         loads: Loads::new(),
+        ready_for: Duration::ZERO,
     })
 }
 
--- a/crates/wire/src/request/mod.rs
+++ b/crates/wire/src/request/mod.rs
@@ -3,5 +3,9 @@
 mod operator;
 mod reserve;
 
-pub use operator::{ChangeReply, Hello, HelloReply};
+pub use operator::{
+    ChangeReply, ClassReport, GroupRefusal, GroupReply, GroupReport, GroupRequest, Hello,
+    HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
+    UpstreamReport,
+};
 pub use reserve::{ClaimHeader, ReserveReply, ReserveRequest};
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -1,9 +1,18 @@
 //! Messages of operators and of the formation of the control group.
 
-use std::net::SocketAddr;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
+use config::{DrainMark, Record};
 use serde::{Deserialize, Serialize};
-use types::{Answer, MemberId};
+use serde_with::{DurationMilliSeconds, serde_as};
+use types::{
+    Answer, ClassName, DataCentre, HostName, KeyGeneration, MemberId, Revision, Role, Service,
+    ServiceName, Slots, Term, UpstreamId, UpstreamState, Version,
+};
 
 /// Reply to a [`types::ChangeRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,10 +32,7 @@
 
 /// Asks a control host whether it can help to form the first group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
-    /// Member that asks.
-    pub from: MemberId,
-}
+pub struct Hello;
 
 /// Reply to [`Hello`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,3 +42,194 @@
     /// Whether it has never been part of a group.
     pub blank: bool,
 }
+
+/// Asks for a change of the control group by one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupRequest {
+    /// Adds a member that receives the log and does not vote.
+    AddLearner(MemberId, SocketAddr),
+    /// Makes a learner that has caught up a voter.
+    Promote(MemberId),
+    /// Removes a member.
+    Remove(MemberId),
+}
+
+/// Reply to a [`GroupRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupReply {
+    /// The change is in force.
+    Done,
+    /// The change was not made.
+    Refused(GroupRefusal),
+    /// The host is not the leader; nothing was done.
+    NotLeader {
+        /// The leader's address, if known.
+        leader: Option<SocketAddr>,
+    },
+    /// The change may or may not take effect.
+    Unknown,
+}
+
+/// Why a change of the group was not made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum GroupRefusal {
+    /// The disk of the leader refuses writes.
+    #[error("the disk of the leader is full, read-only or failing")]
+    DiskFailed,
+    /// Another change of the group has not ended, or the leader is new.
+    #[error("another group change is in progress, or the leader is new; try again")]
+    Busy,
+    /// The learner lacks committed entries or was not heard lately.
+    #[error("the learner has not caught up")]
+    NotCaughtUp,
+    /// The member is already in the group.
+    #[error("already a member of the group")]
+    AlreadyMember,
+    /// The member is not in the group in the part that the change needs.
+    #[error("no such member in the group")]
+    NoSuchMember,
+    /// The group must keep at least one voter.
+    #[error("the last voter cannot be removed")]
+    LastVoter,
+}
+
+/// Asks for state that a majority confirms.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    /// Every service.
+    Services,
+    /// One service.
+    Service(ServiceName),
+    /// The drain mark of a host.
+    Drain(HostName),
+    /// The keys, without their secrets.
+    Keys,
+    /// Records of the audit trail, the newest first.
+    Audit {
+        /// At most this many.
+        limit: usize,
+    },
+    /// Status of everything.
+    Status,
+    /// Nodes that have not yet a revision in force.
+    Lagging(Revision),
+}
+
+/// Reply to a [`Query`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QueryReply {
+    /// The host is not the leader.
+    NotLeader {
+        /// The leader's address, if known.
+        leader: Option<SocketAddr>,
+    },
+    /// To [`Query::Services`].
+    Services(Vec<Service>),
+    /// To [`Query::Service`].
+    Service(Option<Service>),
+    /// To [`Query::Drain`].
+    Drain(Option<DrainMark>),
+    /// To [`Query::Keys`].
+    Keys(Option<KeysReport>),
+    /// To [`Query::Audit`].
+    Audit(Vec<Record>),
+    /// To [`Query::Status`].
+    Status(Box<StatusReport>),
+    /// To [`Query::Lagging`].
+    Lagging(Vec<NodeReport>),
+}
+
+/// The keys of connection ids, without their secrets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeysReport {
+    /// Generation of the key that is in use.
+    pub current: KeyGeneration,
+    /// Generation of a key that waits for its activation.
+    pub pending: Option<KeyGeneration>,
+    /// Revision of the last change of the keys.
+    pub revision: Revision,
+}
+
+/// Status of the whole system.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusReport {
+    /// Version that the leader publishes.
+    pub version: Version,
+    /// The control group.
+    pub group: GroupReport,
+    /// Balancers and agents.
+    pub nodes: Vec<NodeReport>,
+    /// Services.
+    pub services: Vec<ServiceReport>,
+}
+
+/// Status of the control group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupReport {
+    /// The leader.
+    pub leader: MemberId,
+    /// Its term.
+    pub term: Term,
+    /// The voters.
+    pub voters: BTreeMap<MemberId, SocketAddr>,
+    /// Members that do not vote yet.
+    pub learners: BTreeMap<MemberId, SocketAddr>,
+    /// Members that hold every committed entry and were heard lately.
+    pub caught_up: BTreeSet<MemberId>,
+}
+
+/// Status of a balancer or an agent.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Role of the node.
+    pub role: Role,
+    /// Host of the node.
+    pub host: HostName,
+    /// Data centre of the node.
+    pub data_centre: DataCentre,
+    /// Version in force; none while the node has none.
+    pub version: Option<Version>,
+    /// Time since the node was last heard.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub silent_for: Duration,
+}
+
+/// Status of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Load of each class of work.
+    pub classes: BTreeMap<ClassName, ClassReport>,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamReport>,
+    /// Connections that leaving upstreams still hold.
+    pub leaving_connections: u64,
+}
+
+/// Load of a class of work at one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassReport {
+    /// Requests that the ready upstreams should carry by their targets.
+    pub carry: Slots,
+    /// Slots that the ready upstreams offer.
+    pub slots: Slots,
+    /// Requests in progress.
+    pub in_flight: Slots,
+    /// Requests that wait for a slot.
+    pub queued: Slots,
+}
+
+/// Status of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamReport {
+    /// Identity of the upstream.
+    pub id: UpstreamId,
+    /// Host of its agent.
+    pub host: HostName,
+    /// State of the upstream.
+    pub state: UpstreamState,
+    /// Weight in the placement of new flows.
+    pub share: types::Share,
+}
