Add the HTTP/3 caller and the stand-ins

Cause: tests, limpetd local and limpetctl need a caller, a fabric that sprays datagrams, and an upstream.

Change: small libraries for each; the upstream counts how often each claim ran.

--- /dev/null
+++ b/crates/caller/src/connection/mod.rs
@@ -0,0 +1,69 @@
+//! One connection of a caller.
+
+use std::{future::poll_fn, net::SocketAddr};
+
+use bytes::Bytes;
+use h3::client::SendRequest;
+use http::Request;
+use tokio::task::JoinHandle;
+
+use crate::{Answer, Endpoint, Result, error::ErrorKind, request::kind};
+
+/// One connection of a caller. Dropping it closes the connection.
+pub struct Caller {
+    requests: SendRequest<h3_quinn::OpenStreams, Bytes>,
+    connection: quinn::Connection,
+    driver: JoinHandle<()>,
+}
+
+impl Caller {
+    /// Connects to a service.
+    ///
+    /// # Errors
+    ///
+    /// The service does not answer, or its certificate is not accepted.
+    pub async fn connect(endpoint: &Endpoint, server: SocketAddr, name: &str) -> Result<Self> {
+        let connecting = endpoint.quic.connect(server, name)?;
+        let connection = connecting.await.map_err(ErrorKind::Handshake)?;
+        let (mut h3, requests) =
+            h3::client::new(h3_quinn::Connection::new(connection.clone())).await?;
+        let driver = actix_rt::spawn(async move {
+            // How the connection ended shows in its requests.
+            let _ = poll_fn(|cx| h3.poll_close(cx)).await;
+        });
+        Ok(Caller {
+            requests,
+            connection,
+            driver,
+        })
+    }
+
+    /// Sends a request with its whole body and waits for the head of the
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// The request was rejected, or broke off; the category says which.
+    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Answer> {
+        let (parts, body) = request.into_parts();
+        let request = Request::from_parts(parts, ());
+        let mut stream = self.requests.send_request(request).await.map_err(kind)?;
+        if !body.is_empty() {
+            stream.send_data(body).await.map_err(kind)?;
+        }
+        stream.finish().await.map_err(kind)?;
+        Answer::receive(stream).await
+    }
+
+    /// The connection itself, to look at its statistics.
+    #[must_use]
+    pub fn connection(&self) -> &quinn::Connection {
+        &self.connection
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/process/mod.rs
@@ -0,0 +1,9 @@
+//! The stand-ins' tasks.
+
+mod fabric;
+mod register;
+pub mod upstream;
+
+pub use fabric::{Fabric, FabricHandle};
+pub(crate) use register::{Register, RegisterHandle};
+pub use upstream::{Upstream, UpstreamHandle};
--- /dev/null
+++ b/crates/standin/src/process/upstream.rs
@@ -0,0 +1,83 @@
+//! An HTTP/1.1 server that stands in for an upstream.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+};
+
+use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use bytes::Bytes;
+
+use super::{Register, RegisterHandle};
+use crate::{Error, Result, request};
+
+/// A running stand-in upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamHandle {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    register: RegisterHandle,
+    server: ServerHandle,
+}
+
+impl UpstreamHandle {
+    /// How often each claim has run.
+    pub async fn runs(&self) -> BTreeMap<Bytes, u64> {
+        self.register.runs().await
+    }
+
+    /// Stops the server at once.
+    pub async fn stop(&self) {
+        self.server.stop(false).await;
+    }
+}
+
+/// A stand-in upstream.
+#[derive(Debug)]
+pub struct Upstream;
+
+impl Upstream {
+    /// Starts a stand-in upstream that answers with `name`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn start(name: &str, listen: SocketAddr) -> Result<UpstreamHandle> {
+        let bind = |e| Error::Bind(listen, e);
+        let listener = TcpListener::bind(listen).map_err(bind)?;
+        let address = listener.local_addr().map_err(bind)?;
+        let (register, handle) = Register::new();
+        actix_rt::spawn(register.run());
+        let name = request::Name(Bytes::copy_from_slice(name.as_bytes()));
+        let data = handle.clone();
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::new(data.clone()))
+                .app_data(web::Data::new(name.clone()))
+                .app_data(web::PayloadConfig::new(64 << 20))
+                .route("/claim/{id}", web::post().to(request::claim))
+                .route("/feed", web::get().to(request::feed))
+                .route("/slow", web::to(request::slow))
+                .route("/shed", web::to(request::shed))
+                .route("/truncated", web::get().to(request::truncated))
+                .route("/upload", web::post().to(request::upload))
+                .route("/head", web::to(request::head))
+                .default_service(web::to(request::greet))
+        })
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .listen(listener)
+        .map_err(bind)?
+        .run();
+        let server_handle = server.handle();
+        actix_rt::spawn(async move {
+            let _ = server.await;
+        });
+        Ok(UpstreamHandle {
+            address,
+            register: handle,
+            server: server_handle,
+        })
+    }
+}
