Offer slots that become free to peers that were refused

Cause: a request that waits at a full upstream learned of a free slot at a peer only by asking again, while its slot stood idle.

Change: an upstream remembers for 50 ms which peers it refused and offers them a slot that becomes free while it has no queue itself. reserve takes the asking peer; take_offers and offered are new.

Asking again at 10 ms no longer helps, so it runs at 50 ms, for offers that are lost.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -42,7 +42,7 @@
 
 pub use process::{Admission, QueueOrder, RetryBudget, Settings};
 pub use request::{
-    Attempt, Claim, Decision, Failure, Outcome, PeerAnswer, Progress, Reason, RequestInfo, Reserve,
-    Verdict, Wake, verdict,
+    Attempt, Claim, Decision, Failure, Offer, Outcome, PeerAnswer, Progress, Reason, RequestInfo,
+    Reserve, Verdict, Wake, verdict,
 };
 pub use version::Report;
--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -11,7 +11,8 @@
 };
 
 use crate::{
-    Claim, Decision, Outcome, PeerAnswer, Reason, Report, RequestInfo, Reserve, Settings, Wake,
+    Claim, Decision, Offer, Outcome, PeerAnswer, Reason, Report, RequestInfo, Reserve, Settings,
+    Wake,
     process::health::Health,
     request::state::{Reservation, Running, State, Waiting},
     version::{Class, Peers},
@@ -285,12 +286,14 @@
         }
     }
 
-    /// Holds a slot for a request of a peer until `deadline`, at most for
-    /// `reservation_limit`. The same id again gets the same answer.
+    /// Holds a slot for a request of the peer `from` until `deadline`, at most
+    /// for `reservation_limit`. The same id again gets the same answer. A peer
+    /// that is refused may get an [`Offer`] within `offer_within`.
     pub fn reserve(
         &mut self,
         now: Instant,
         id: ReservationId,
+        from: UpstreamId,
         class: &ClassName,
         deadline: Instant,
     ) -> Reserve {
@@ -308,10 +311,48 @@
                 self.reservations.insert(id, Reservation { class, expires });
                 Reserve::Granted { expires }
             }
+            Some(known) if serving => {
+                known.note_asked(from, now + self.settings.offer_within);
+                Reserve::Refused(self.loads())
+            }
             _ => Reserve::Refused(self.loads()),
         }
     }
 
+    /// Slots that became free while no local request was queued, held for
+    /// peers that were refused shortly before. Call it after each input that
+    /// can free a slot, and send each offer to its peer.
+    pub fn take_offers(&mut self, now: Instant) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        if !self.is_serving() {
+            return offers;
+        }
+        let expires = now + self.settings.reservation_limit;
+        for (name, known) in &mut self.classes {
+            while known.has_free_slot()
+                && let Some(peer) = known.take_asker(now)
+            {
+                let id = ReservationId(self.rng.random());
+                known.reserved += 1;
+                let class = name.clone();
+                self.reservations.insert(id, Reservation { class, expires });
+                let class = name.clone();
+                offers.push(Offer { peer, class, id });
+            }
+        }
+        offers
+    }
+
+    /// Notes that `peer` offers a slot. Returns the queued request that is
+    /// passed to it; `None` if the offer is to be released.
+    pub fn offered(&mut self, peer: UpstreamId, class: &ClassName) -> Option<Wake> {
+        let id = self.classes.get(class)?.queued().next()?;
+        self.peers.note_granted(peer, class);
+        self.stop_waiting(id);
+        let decision = Decision::Pass { peer };
+        Some(Wake { id, decision })
+    }
+
     /// Turns a reservation into the request `request` that runs here. An
     /// upstream that began to leave still takes it; one that is down does not.
     pub fn claim(&mut self, now: Instant, id: ReservationId, request: RequestId) -> Claim {
--- a/crates/admit/src/process/settings.rs
+++ b/crates/admit/src/process/settings.rs
@@ -33,6 +33,9 @@
     pub ask_again: Option<Duration>,
     /// Time for which a peer that was full is not asked again.
     pub full_peer_pause: Duration,
+    /// Time after a refusal in which a slot that becomes free is offered to the
+    /// peer that was refused.
+    pub offer_within: Duration,
     /// Longest time that a reservation is held for a peer.
     pub reservation_limit: Duration,
     /// Time after which a report of the upstream is dropped.
@@ -55,8 +58,9 @@
             queue_order: QueueOrder::Fifo,
             max_asking: 256,
             hand_off: true,
-            ask_again: Some(Duration::from_millis(10)),
-            full_peer_pause: Duration::from_millis(20),
+            ask_again: Some(Duration::from_millis(50)),
+            full_peer_pause: Duration::from_millis(30),
+            offer_within: Duration::from_millis(50),
             reservation_limit: Duration::from_millis(200),
             report_limit: Duration::from_secs(2),
             down_after: 3,
--- a/crates/admit/src/request/decision.rs
+++ b/crates/admit/src/request/decision.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use types::{ClassName, Loads, RequestId, UpstreamId};
+use types::{ClassName, Loads, RequestId, ReservationId, UpstreamId};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -139,6 +139,19 @@
     Refused(Loads),
 }
 
+/// A slot held for a peer that was refused before.
+///
+/// The peer passes a queued request against the reservation or releases it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offer {
+    /// Peer to tell.
+    pub peer: UpstreamId,
+    /// Class of the slot.
+    pub class: ClassName,
+    /// The reservation.
+    pub id: ReservationId,
+}
+
 /// Answer to a peer that sends a request against a reservation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Claim {
--- a/crates/admit/src/request/mod.rs
+++ b/crates/admit/src/request/mod.rs
@@ -4,5 +4,7 @@
 mod outcome;
 pub(crate) mod state;
 
-pub use decision::{Claim, Decision, Outcome, PeerAnswer, Reason, RequestInfo, Reserve, Wake};
+pub use decision::{
+    Claim, Decision, Offer, Outcome, PeerAnswer, Reason, RequestInfo, Reserve, Wake,
+};
 pub use outcome::{Attempt, Failure, Progress, Verdict, verdict};
--- a/crates/admit/src/version/class.rs
+++ b/crates/admit/src/version/class.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use types::{ClassLoad, RequestId, Slots};
+use types::{ClassLoad, RequestId, Slots, UpstreamId};
 
 use crate::{QueueOrder, Report, Settings};
 
@@ -33,6 +33,8 @@
     service: Option<Duration>,
     /// When a queued request may ask a peer again.
     pub(crate) ask_at: Instant,
+    /// Peers that were refused, each until when a free slot is offered to it.
+    askers: BTreeMap<UpstreamId, Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -53,6 +55,7 @@
             asking: 0,
             service: None,
             ask_at: now,
+            askers: BTreeMap::new(),
         }
     }
 
@@ -155,6 +158,18 @@
         self.queue.remove(&place);
     }
 
+    pub(crate) fn note_asked(&mut self, peer: UpstreamId, until: Instant) {
+        self.askers.insert(peer, until);
+    }
+
+    /// The peer that asked first among those that may still want a slot.
+    pub(crate) fn take_asker(&mut self, now: Instant) -> Option<UpstreamId> {
+        self.askers.retain(|_, until| now < *until);
+        let (&peer, _) = self.askers.iter().min_by_key(|(_, until)| **until)?;
+        self.askers.remove(&peer);
+        Some(peer)
+    }
+
     /// Queued requests, the oldest first.
     pub(crate) fn queued(&self) -> impl Iterator<Item = RequestId> {
         self.queue.values().map(|queued| queued.id)
--- a/crates/bench/src/admission/case.rs
+++ b/crates/bench/src/admission/case.rs
@@ -77,6 +77,9 @@
     /// Each of the balancers takes the least reported load, plus what it sent
     /// there itself since the report.
     LeastLoad,
+    /// One queue before all slots, without delays: the bound of what any
+    /// placement can reach in the steady scenario.
+    OneQueue,
 }
 
 /// A named way to place requests.
@@ -115,6 +118,7 @@
             plain("plain hash", Kind::Hash),
             plain("round robin", Kind::RoundRobin),
             plain("least load", Kind::LeastLoad),
+            plain("(one queue)", Kind::OneQueue),
         ]
     }
 }
--- a/crates/bench/src/admission/run.rs
+++ b/crates/bench/src/admission/run.rs
@@ -51,6 +51,8 @@
     Answer(usize, usize, ReservationId, Option<(u32, u32, u32)>),
     Pass(usize, usize, ReservationId),
     Release(usize, ReservationId),
+    /// A peer is offered a slot: to whom, by whom.
+    Offer(usize, usize, ReservationId),
     Publish,
     /// Counts of an upstream arrive everywhere.
     News(usize, u32, u32, u32),
@@ -73,6 +75,8 @@
     arrived: Duration,
     deadline: Duration,
     place: Place,
+    /// Service time at an upstream that is warm.
+    work: Duration,
 }
 
 struct Node {
@@ -95,6 +99,9 @@
     kind: &'a Kind,
     base: Instant,
     now: Duration,
+    /// Drives arrivals and service times, the same for every variant.
+    arrivals: SmallRng,
+    /// Drives everything else.
     rng: SmallRng,
     heap: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     sequence: u64,
@@ -164,7 +171,8 @@
             kind,
             base: Instant::now(),
             now: Duration::ZERO,
-            rng: SmallRng::seed_from_u64(case.seed),
+            arrivals: SmallRng::seed_from_u64(case.seed),
+            rng: SmallRng::seed_from_u64(case.seed ^ 0x5eed),
             heap: BinaryHeap::new(),
             sequence: 0,
             nodes: Vec::new(),
@@ -242,18 +250,18 @@
 
     /// Adds the time since the last change to the figures of the upstream.
     fn touch(&mut self, node: usize) {
+        let slots = self.slots(node);
         let at = &mut self.nodes[node];
         let time = self.now - at.touched;
         at.touched = self.now;
         let held = u32::try_from(at.running.len() + at.fifo.len()).unwrap_or(u32::MAX);
-        let slots = self.case.size.slots;
         self.figures.excess.add(held.saturating_sub(slots), time);
         let backlog = (held + at.waiting).saturating_sub(slots);
         self.figures.backlog.add(backlog, time);
     }
 
     fn exponential(&mut self, mean: Duration) -> Duration {
-        mean.mul_f64(-(1.0 - self.rng.random::<f64>()).ln())
+        mean.mul_f64(-(1.0 - self.arrivals.random::<f64>()).ln())
     }
 
     /// Upstream of a new connection: by hash, in proportion to the shares.
@@ -284,6 +292,7 @@
             Event::Answer(node, request, id, full) => self.answer(node, request, id, full),
             Event::Pass(node, request, id) => self.pass(node, request, id),
             Event::Release(node, id) => self.drive(node, |a, now| a.release(now, id)),
+            Event::Offer(node, from, id) => self.offer(node, from, id),
             Event::Publish => self.publish(),
             Event::News(node, slots, in_flight, queued) => {
                 self.news(node, slots, in_flight, queued);
@@ -305,7 +314,8 @@
         let slots = f64::from(size.slots) * (size.upstreams - gone) as f64;
         let gap = self.exponential(SERVICE.div_f64(slots * self.case.load));
         self.schedule(gap, Event::Arrive);
-        let connection = self.rng.random_range(0..self.connections.len());
+        let connection = self.arrivals.random_range(0..self.connections.len());
+        let work = self.exponential(SERVICE);
         let home = self.place(connection);
         let id = self.requests.len();
         self.requests.push(Request {
@@ -313,6 +323,7 @@
             arrived: self.now,
             deadline: self.now + PATIENCE,
             place: Place::Waiting,
+            work,
         });
         self.figures.arrived += 1;
         self.schedule(PATIENCE, Event::GiveUp(id));
@@ -336,6 +347,7 @@
         let count = self.case.size.upstreams;
         match self.kind {
             Kind::Admit(_) | Kind::Hash => self.connections[connection],
+            Kind::OneQueue => 0,
             Kind::RoundRobin => loop {
                 let node = self.turns[balancer] % count;
                 self.turns[balancer] += 1;
@@ -359,7 +371,7 @@
     /// Hands a request to an upstream that takes everything (baselines).
     fn deliver(&mut self, node: usize, request: usize) {
         self.requests[request].place = Place::At(node);
-        let slots = usize::try_from(self.case.size.slots).unwrap_or(usize::MAX);
+        let slots = usize::try_from(self.slots(node)).unwrap_or(usize::MAX);
         if self.nodes[node].running.len() < slots {
             self.serve(node, request);
         } else {
@@ -367,6 +379,18 @@
         }
     }
 
+    fn upstreams(&self) -> u32 {
+        u32::try_from(self.case.size.upstreams).unwrap_or(u32::MAX)
+    }
+
+    fn slots(&self, node: usize) -> u32 {
+        match self.kind {
+            Kind::OneQueue if node == 0 => self.case.size.slots * self.upstreams(),
+            Kind::OneQueue => 0,
+            _ => self.case.size.slots,
+        }
+    }
+
     fn serve(&mut self, node: usize, request: usize) {
         self.requests[request].place = Place::At(node);
         self.nodes[node].running.insert(request);
@@ -374,7 +398,7 @@
         let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
         self.figures.delay.saturating_record(micros.max(1));
         let factor = if self.is_cold(node) { COLD_FACTOR } else { 1.0 };
-        let time = self.exponential(SERVICE).mul_f64(factor);
+        let time = self.requests[request].work.mul_f64(factor);
         self.schedule(time, Event::Done(node, request));
     }
 
@@ -393,7 +417,7 @@
         self.requests[request].place = Place::Ended;
         self.nodes[node].running.remove(&request);
         self.nodes[node].fifo.retain(|queued| *queued != request);
-        let slots = usize::try_from(self.case.size.slots).unwrap_or(usize::MAX);
+        let slots = usize::try_from(self.slots(node)).unwrap_or(usize::MAX);
         if self.nodes[node].running.len() < slots
             && let Some(next) = self.nodes[node].fifo.pop_front()
         {
@@ -422,6 +446,11 @@
             let request = usize::try_from(id.0).unwrap_or_default();
             self.carry_out(node, request, decision);
         }
+        let admission = self.nodes[node].admission.as_mut();
+        for offer in admission.map_or_else(Vec::new, |a| a.take_offers(now)) {
+            let to = node_of(offer.peer);
+            self.send(node, to, Event::Offer(to, node, offer.id));
+        }
         self.schedule_tick(node);
     }
 
@@ -469,9 +498,12 @@
 
     fn ask(&mut self, node: usize, request: usize, id: ReservationId) {
         let deadline = self.base + self.requests[request].deadline;
+        let from = peer_id(self.requests[request].home);
         let mut full = None;
         self.drive(node, |a, now| {
-            if let Reserve::Refused(loads) = a.reserve(now, id, &ClassName::default(), deadline) {
+            if let Reserve::Refused(loads) =
+                a.reserve(now, id, from, &ClassName::default(), deadline)
+            {
                 full = Some(flat(&loads));
             }
             Vec::new()
@@ -511,6 +543,20 @@
         }
     }
 
+    fn offer(&mut self, node: usize, from: usize, id: ReservationId) {
+        let mut passed = None;
+        self.drive(node, |a, _| {
+            let wake = a.offered(peer_id(from), &ClassName::default());
+            passed = wake.map(|wake| usize::try_from(wake.id.0).unwrap_or_default());
+            wake.into_iter().collect()
+        });
+        let event = match passed {
+            Some(request) => Event::Pass(from, request, id),
+            None => Event::Release(from, id),
+        };
+        self.send(node, from, event);
+    }
+
     fn pass(&mut self, node: usize, request: usize, id: ReservationId) {
         let mut claimed = Claim::Lapsed;
         self.drive(node, |a, now| {
