member: tests of shares, versions and random runs

Change: tables for ramps, leaving, failures, load reports, leases, runs of one host and the status; random runs that check every publication; a walk along next_deadline that would show a loop that spins.

--- /dev/null
+++ b/crates/member/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! A leader's registry with one service, driven by milliseconds.
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use member::{Publication, Registry, Settings};
+use types::{
+    Announcement, ClassLoad, Connections, HostName, Loads, Member, ServiceId, Slots, Target, Term,
+    UpstreamId, UpstreamState,
+};
+
+pub const SERVICE: ServiceId = ServiceId(1);
+
+/// Slots of each upstream by its target.
+pub const CARRY: u32 = 8;
+
+pub fn host(n: u64) -> HostName {
+    format!("host-{n}").parse().unwrap()
+}
+
+pub fn loads(slots: u32, in_flight: u32, queued: u32) -> Loads {
+    let load = ClassLoad {
+        slots: Slots(slots),
+        in_flight: Slots(in_flight),
+        queued: Slots(queued),
+    };
+    BTreeMap::from([("default".parse().unwrap(), load)])
+}
+
+/// Announcement of upstream `n`, idle and ready for a minute.
+pub fn ann(n: u64) -> Announcement {
+    let port = u16::try_from(n).unwrap();
+    Announcement {
+        id: UpstreamId(n),
+        service: "badges".parse().unwrap(),
+        data_centre: "dar-1".parse().unwrap(),
+        data: ([127, 0, 0, 1], port).into(),
+        peer: ([127, 0, 0, 2], port).into(),
+        state: UpstreamState::Ready,
+        connections: Connections(0),
+        loads: loads(CARRY, 0, 0),
+        ready_for: Duration::from_mins(1),
+    }
+}
+
+pub fn in_state(n: u64, state: UpstreamState) -> Announcement {
+    Announcement { state, ..ann(n) }
+}
+
+pub fn cold(n: u64) -> Announcement {
+    let ready_for = Duration::ZERO;
+    Announcement {
+        ready_for,
+        ..ann(n)
+    }
+}
+
+pub struct Leader {
+    pub registry: Registry,
+    start: Instant,
+    /// Milliseconds since the start of the leadership.
+    pub now: u64,
+}
+
+impl Leader {
+    pub fn new() -> Self {
+        let start = Instant::now();
+        let mut registry = Registry::new(Settings::default(), start, Term(4));
+        let target = Target {
+            carry: Slots(CARRY),
+            ..Target::default()
+        };
+        let targets = BTreeMap::from([("default".parse().unwrap(), target)]);
+        registry.set_service(SERVICE, &"badges".parse().unwrap(), &targets);
+        Leader {
+            registry,
+            start,
+            now: 0,
+        }
+    }
+
+    /// A leader whose first publication has the upstreams `1..=n`, warm.
+    pub fn with(n: u64) -> Self {
+        let mut leader = Leader::new();
+        leader.run(3000, &(1..=n).map(ann).collect::<Vec<_>>());
+        leader
+    }
+
+    pub fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_millis(millis)
+    }
+
+    pub fn announce(&mut self, ann: &Announcement) {
+        let now = self.at(self.now);
+        self.registry.announce(now, &host(ann.id.0), ann);
+    }
+
+    pub fn tick(&mut self) -> Option<Publication> {
+        self.registry.tick(self.at(self.now))
+    }
+
+    /// Lets time pass in steps of 500 ms with these announcements at each of
+    /// them; returns the versions that were published.
+    pub fn run(&mut self, millis: u64, anns: &[Announcement]) -> Vec<Publication> {
+        let mut published = Vec::new();
+        for _ in 0..millis / 500 {
+            self.now += 500;
+            for ann in anns {
+                self.announce(ann);
+            }
+            published.extend(self.tick());
+        }
+        published
+    }
+
+    pub fn members(&self) -> &BTreeMap<UpstreamId, Member> {
+        self.registry.members(SERVICE)
+    }
+
+    /// Share of upstream `n`; `None` if it is not listed.
+    pub fn share(&self, n: u64) -> Option<u32> {
+        Some(self.members().get(&UpstreamId(n))?.share.0)
+    }
+
+    pub fn shares(&self) -> Vec<u32> {
+        self.members().values().map(|m| m.share.0).collect()
+    }
+}
--- /dev/null
+++ b/crates/member/tests/versions.rs
@@ -0,0 +1,177 @@
+//! Leases, versions and what is published when.
+
+mod common;
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use common::{CARRY, Leader, SERVICE, ann, host, in_state, loads};
+use types::{
+    Announcement, Balancer, Connections, ServiceId, Slots, Term, UpstreamId, UpstreamState::*,
+};
+
+/// Guards against a new leader that takes upstreams for dead which it has not
+/// heard yet.
+#[test]
+fn nothing_is_published_before_the_settle_deadline() {
+    let mut leader = Leader::new();
+    assert_eq!(leader.registry.next_deadline(), Some(leader.at(3000)));
+    leader.announce(&ann(1));
+    for now in [0, 1000, 2999] {
+        leader.now = now;
+        leader.announce(&ann(2));
+        assert_eq!(leader.tick(), None);
+        assert_eq!(leader.registry.version(), None);
+        assert!(leader.members().is_empty());
+    }
+    leader.now = 3000;
+    let first = leader.tick().unwrap();
+    assert_eq!((first.seq, first.services.len()), (1, 1));
+    assert_eq!(leader.registry.version(), Some((Term(4), 1)));
+    // The lease of upstream 1 ended with the settle time.
+    assert_eq!(leader.shares(), [1024]);
+    assert_eq!(leader.registry.changed_since((Term(3), 900)), None);
+}
+
+/// Guards against many versions for changes that come together, and against
+/// readers that miss one.
+#[test]
+fn changes_between_two_ticks_make_one_version() {
+    let mut leader = Leader::with(5);
+    let registry = &mut leader.registry;
+    registry.set_service(ServiceId(2), &"other".parse().unwrap(), &BTreeMap::new());
+    registry.set_drain(&host(1), true);
+    leader.announce(&in_state(2, Leaving));
+    leader.announce(&Announcement {
+        service: "other".parse().unwrap(),
+        ..ann(6)
+    });
+    let publication = leader.tick().unwrap();
+    assert_eq!((publication.seq, publication.services.len()), (2, 2));
+    assert_eq!(leader.tick(), None);
+    let since = |leader: &Leader, seq| leader.registry.changed_since((Term(4), seq)).unwrap();
+    assert_eq!(since(&leader, 1), publication.services);
+    leader.announce(&in_state(3, Leaving));
+    leader.tick();
+    assert!(since(&leader, 2).into_iter().eq([SERVICE]));
+    assert_eq!(since(&leader, 1).len(), 2);
+    assert_eq!(leader.registry.members_version(ServiceId(2)), (Term(4), 2));
+}
+
+/// Guards against flows of a former run that are cut while it may still hold
+/// them, and against a dead one that comes back by a late message.
+#[test]
+fn a_new_run_replaces_the_former_one_at_its_address() {
+    let mut leader = Leader::with(3);
+    let registry = &mut leader.registry;
+    let data: SocketAddr = ([127, 0, 0, 9], 9).into();
+    let now = registry.settle_until();
+    registry.announce(now, &host(1), &Announcement { data, ..ann(8) });
+    leader.tick();
+    assert_eq!(leader.shares(), [1024, 1024, 1024, 0]);
+    leader.announce(&Announcement { data, ..ann(9) });
+    leader.announce(&Announcement { data, ..ann(8) });
+    leader.tick();
+    let ids: Vec<_> = leader.members().keys().map(|id| id.0).collect();
+    assert_eq!(ids, [1, 2, 3, 9]);
+    // An upstream may change its own address.
+    leader.announce(&Announcement { data, ..ann(1) });
+    leader.tick();
+    assert_eq!(leader.members()[&UpstreamId(1)].data, data);
+    assert!(!leader.members().contains_key(&UpstreamId(9)));
+}
+
+/// Guards against a service that inherits the members of a removed one.
+#[test]
+fn a_service_made_again_starts_with_new_members() {
+    let mut leader = Leader::with(2);
+    leader.registry.remove_service(SERVICE);
+    assert_eq!(leader.run(500, &[ann(1), ann(2)]), []);
+    assert!(leader.members().is_empty());
+    let again = ServiceId(2);
+    leader
+        .registry
+        .set_service(again, &"badges".parse().unwrap(), &BTreeMap::new());
+    leader.run(500, &[ann(1), ann(2)]);
+    let shares = |l: &Leader| {
+        l.registry
+            .members(again)
+            .values()
+            .map(|m| m.share.0)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(shares(&leader), [0, 0]);
+    leader.run(2000, &[ann(1), ann(2)]);
+    assert_eq!(shares(&leader), [1024, 1024]);
+}
+
+/// Guards against agents that send answers to balancers that are gone.
+#[test]
+fn balancers_have_leases_too() {
+    let mut leader = Leader::with(1);
+    let return_address = ([127, 0, 0, 1], 5).into();
+    let balancer = Balancer { return_address };
+    let now = leader.at(leader.now);
+    leader.registry.announce_balancer(now, &host(70), balancer);
+    assert!(leader.tick().unwrap().balancers);
+    assert_eq!(leader.registry.balancers_seq(), 2);
+    leader.run(2500, &[ann(1)]);
+    assert_eq!(leader.registry.balancers().len(), 1);
+    assert!(leader.run(500, &[ann(1)])[0].balancers);
+    assert!(leader.registry.balancers().is_empty());
+}
+
+/// Guards against a status that counts the capacity of upstreams that leave.
+#[test]
+fn status_sums_up_a_service() {
+    let mut leader = Leader::with(4);
+    let busy = Announcement {
+        loads: loads(CARRY - 1, 5, 2),
+        connections: Connections(40),
+        ..ann(1)
+    };
+    leader.announce(&busy);
+    leader.announce(&Announcement {
+        state: Leaving,
+        ..busy.clone()
+    });
+    leader.announce(&Announcement {
+        id: UpstreamId(2),
+        data: ann(2).data,
+        ..busy
+    });
+    leader.announce(&in_state(3, Down));
+    let status = leader.registry.status(SERVICE);
+    assert_eq!((status.ready, status.leaving, status.down), (2, 1, 1));
+    assert_eq!(status.leaving_connections, 40);
+    let class = status.classes.values().next().unwrap();
+    assert_eq!(
+        (class.carry, class.slots),
+        (Slots(2 * CARRY), Slots(2 * CARRY - 1))
+    );
+    assert_eq!((class.in_flight, class.queued), (Slots(10), Slots(4)));
+}
+
+/// Guards against a loop that spins or sleeps over what is due.
+#[test]
+fn the_next_deadline_is_ahead_of_a_tick() {
+    let mut leader = Leader::with(4);
+    leader.announce(&Announcement {
+        loads: loads(1, 1, 1),
+        ..ann(1)
+    });
+    leader.announce(&in_state(2, Down));
+    let mut ticks = 0;
+    while let Some(due) = leader.registry.next_deadline() {
+        leader.now = u64::try_from((due - leader.at(0)).as_millis()).unwrap();
+        leader.tick();
+        assert!(
+            leader
+                .registry
+                .next_deadline()
+                .is_none_or(|next| next > due)
+        );
+        ticks += 1;
+    }
+    assert!(leader.members().is_empty());
+    assert!(ticks < 20, "{ticks}");
+}
