--- a/crates/config/src/request/answers.rs
+++ b/crates/config/src/request/answers.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use twox_hash::XxHash64;
 use types::{Answer, ChangeId, ChangeRequest, Refusal, UnixMillis};
 
@@ -41,8 +41,8 @@
 }
 
 /// The first answers that are kept.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(from = "BTreeMap<ChangeId, Kept>", into = "BTreeMap<ChangeId, Kept>")]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
+#[serde(from = "BTreeMap<ChangeId, Kept>")]
 pub(crate) struct Answers {
     by_id: BTreeMap<ChangeId, Kept>,
     /// One entry for each of `by_id`, in the order in which they are dropped.
@@ -56,9 +56,9 @@
     }
 }
 
-impl From<Answers> for BTreeMap<ChangeId, Kept> {
-    fn from(answers: Answers) -> Self {
-        answers.by_id
+impl Serialize for Answers {
+    fn serialize<S: Serializer>(&self, ser: S) -> Result<S::Ok, S::Error> {
+        self.by_id.serialize(ser)
     }
 }
 
--- a/crates/config/src/request/audit.rs
+++ b/crates/config/src/request/audit.rs
@@ -1,6 +1,6 @@
 //! The audit trail.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use types::{
@@ -72,6 +72,30 @@
     ActivateKey,
 }
 
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Summary::CreateService(name, address) => {
+                write!(f, "create service {name} at {address}")
+            }
+            Summary::DeleteService(name) => write!(f, "delete service {name}"),
+            Summary::SetTarget(service, class, target) => write!(
+                f,
+                "set target of {service} {class}: carry {}, connections {}, leave within {:?}, \
+                 path prefix {}",
+                target.carry, target.connections, target.leave_within, target.path_prefix
+            ),
+            Summary::DeleteTarget(service, class) => {
+                write!(f, "delete target of {service} {class}")
+            }
+            Summary::SetDrain(host, true) => write!(f, "drain upstream of {host}"),
+            Summary::SetDrain(host, false) => write!(f, "stop draining upstream of {host}"),
+            Summary::AddKey(generation) => write!(f, "add key of generation {generation}"),
+            Summary::ActivateKey => f.write_str("activate the other key"),
+        }
+    }
+}
+
 impl From<&Change> for Summary {
     fn from(change: &Change) -> Self {
         match change.clone() {
--- a/crates/config/src/version/index.rs
+++ b/crates/config/src/version/index.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
 };
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use types::{HostName, Revision, Service, ServiceId, ServiceName};
 
 use super::mark::{DrainMark, Keys, Removed};
@@ -23,8 +23,8 @@
 }
 
 /// The configured objects.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(from = "Objects", into = "Objects")]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
+#[serde(from = "Objects")]
 pub(crate) struct Versions {
     objects: Objects,
     by_name: BTreeMap<ServiceName, ServiceId>,
@@ -78,9 +78,9 @@
     }
 }
 
-impl From<Versions> for Objects {
-    fn from(versions: Versions) -> Self {
-        versions.objects
+impl Serialize for Versions {
+    fn serialize<S: Serializer>(&self, ser: S) -> Result<S::Ok, S::Error> {
+        self.objects.serialize(ser)
     }
 }
 
