member: keep the share of upstreams that recover in a frozen service

Cause: an upstream that was down while its service was frozen kept its share, but lost it for two seconds and a ramp when it recovered. Its return took away the share of all that had failed and put the work of a whole service onto the few that had not.

Change: an upstream that has a share when it recovers keeps it.

--- a/crates/member/src/process/registry.rs
+++ b/crates/member/src/process/registry.rs
@@ -7,8 +7,8 @@
 };
 
 use types::{
-    Announcement, Balancer, ClassName, HostName, Loads, Member, ServiceId, ServiceName, Target,
-    Term, UpstreamId,
+    Announcement, Balancer, ClassName, HostName, Loads, Member, ServiceId, ServiceName, Share,
+    Target, Term, UpstreamId,
 };
 
 use super::{Settings, balancers::Balancers, group::Group, upstream::Upstream};
@@ -95,13 +95,16 @@
             return;
         }
         self.take_address(now, ann);
+        let group = self.groups.get(&ann.service);
+        let member = group.and_then(|g| g.members.get(&ann.id));
+        let has_share = member.is_some_and(|m| m.share > Share(0));
         let changed = match self.upstreams.get_mut(&ann.id) {
             Some(u) if u.ann.service == ann.service => {
                 if u.host != *host {
                     move_host(&mut self.by_host, u, host, ann.id);
                     u.drained = self.drains.contains(host);
                 }
-                u.renew(now, host, ann, &self.settings)
+                u.renew(now, host, ann, has_share, &self.settings)
             }
             _ => {
                 self.remove_upstream(ann.id);
--- a/crates/member/src/process/upstream.rs
+++ b/crates/member/src/process/upstream.rs
@@ -50,18 +50,23 @@
 
     /// Takes a further announcement. Returns whether the list of members may
     /// change because of it.
+    ///
+    /// `has_share` says that the upstream has a share at present, which it
+    /// keeps when it recovers from a failure in a frozen service: taking it
+    /// away would push the work onto the few that did not fail.
     pub(crate) fn renew(
         &mut self,
         now: Instant,
         host: &HostName,
         ann: &Announcement,
+        has_share: bool,
         settings: &Settings,
     ) -> bool {
         let listed_as = |a: &Announcement| (a.data_centre.clone(), a.data, a.peer, a.state);
         let changed =
             self.is_lapsed(now) || self.host != *host || listed_as(&self.ann) != listed_as(ann);
         let recovers = (self.ann.state, ann.state) == (UpstreamState::Down, UpstreamState::Ready);
-        if recovers && self.ramp.is_some() {
+        if recovers && !has_share && self.ramp.is_some() {
             // Cold again. The wait also bounds the versions that an upstream
             // costs that goes up and down all the time.
             let known_at = now + settings.known_for;
