Add the replicated log as a decision crate

Cause: the control group needs a log of its own, without sockets or files. Change: the API of `consensus` (inputs, outputs, messages, writes) and its implementation: pre-vote, votes, replication, single-step group changes,

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,68 @@
-//! The `consensus` crate of limpetplank.
+//! The replicated log of the control group.
+//!
+//! This crate only decides: it has no sockets, files, clock or tasks. The
+//! caller passes every [`Input`] with the present instant to
+//! [`Consensus::step`] and carries out the [`Output`]:
+//!
+//! 1. [`Output::write`] goes to the disk. At most one write is outstanding;
+//!    the caller reports it with [`Input::Written`] or [`Input::WriteFailed`].
+//!    What arrives meanwhile is collected into the next write.
+//! 2. [`Output::messages`] may be sent at once. Messages that speak of a term,
+//!    a vote or an entry are held inside until the write that holds it is
+//!    reported as synced.
+//! 3. [`Output::installed`], then [`Output::committed`], go to the state
+//!    machine, in this order.
+//! 4. [`Output::events`] answer proposals, group changes and reads. A read is
+//!    answered from the state after step 3.
+//!
+//! [`Consensus::next_deadline`] tells when [`Input::Tick`] is due.
+//!
+//! ```
+//! use consensus::{Consensus, Event, Group, Identity, Input, Restored, Settings, Token};
+//! use std::time::Instant;
+//! use types::MemberId;
+//!
+//! let mut now = Instant::now();
+//! let address = "127.0.0.1:7000".parse().unwrap();
+//! let me = Identity { id: MemberId(1), address };
+//! let mut member = Consensus::new(Settings::default(), me, Restored::default(), 7, now);
+//!
+//! // A group of one member elects itself once its term is on disk.
+//! let mut out = member.step(now, Input::Form(Group::of([(me.id, address)])));
+//! while !member.status().is_leader() {
+//!     let input = match out.write {
+//!         Some(write) => Input::Written(write.id),
+//!         None => Input::Tick,
+//!     };
+//!     now = now.max(member.next_deadline());
+//!     out = member.step(now, input);
+//! }
+//!
+//! // A proposal is accepted once the entry is synced on a majority.
+//! let token = Token(1);
+//! let mut events = Vec::new();
+//! let mut next = Some(Input::Propose { token, command: "open".into() });
+//! while let Some(input) = next {
+//!     events.extend(out.events);
+//!     if let Some(write) = out.write {
+//!         out = member.step(now, Input::Written(write.id));
+//!         next = Some(input);
+//!     } else {
+//!         out = member.step(now, input);
+//!         next = out.write.take().map(|write| Input::Written(write.id));
+//!     }
+//! }
+//! events.extend(out.events);
+//! assert!(matches!(events[..], [Event::Accepted { token: Token(1), .. }]));
+//! ```
+
+pub mod process;
+pub mod request;
+pub mod version;
+
+pub use process::{
+    Body, Consensus, Envelope, Identity, Input, Message, Outcome, Output, Restored, Role, Settings,
+    Status, Write, WriteId,
+};
+pub use request::{Event, GroupChange, Rejection, Token};
+pub use version::{Entry, Group, Payload, Position, Snapshot};
--- /dev/null
+++ b/crates/consensus/src/request/change.rs
@@ -0,0 +1,52 @@
+//! Changes of the group.
+
+use crate::request::Rejection;
+use crate::version::Group;
+use std::net::SocketAddr;
+use types::MemberId;
+
+/// A change of the group by one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GroupChange {
+    /// Adds a member that receives the log and does not vote.
+    AddLearner(MemberId, SocketAddr),
+    /// Makes a learner that has caught up a voter.
+    Promote(MemberId),
+    /// Removes a voter or learner.
+    Remove(MemberId),
+}
+
+impl GroupChange {
+    /// The group after this change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the change does not fit the group.
+    pub fn apply(self, group: &Group) -> Result<Group, Rejection> {
+        let mut group = group.clone();
+        match self {
+            GroupChange::AddLearner(id, address) => {
+                if group.contains(id) {
+                    return Err(Rejection::AlreadyMember);
+                }
+                group.learners.insert(id, address);
+            }
+            GroupChange::Promote(id) => {
+                let address = group.learners.remove(&id);
+                let address = address.ok_or(Rejection::NoSuchMember)?;
+                group.voters.insert(id, address);
+            }
+            GroupChange::Remove(id) => {
+                if !group.contains(id) {
+                    return Err(Rejection::NoSuchMember);
+                }
+                group.learners.remove(&id);
+                group.voters.remove(&id);
+                if group.voters.is_empty() {
+                    return Err(Rejection::LastVoter);
+                }
+            }
+        }
+        Ok(group)
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/request/event.rs
@@ -0,0 +1,84 @@
+//! Answers to proposals, group changes and reads.
+
+use std::fmt;
+use std::net::SocketAddr;
+use types::{MemberId, Revision};
+
+/// Names a proposal, group change or read towards the caller, who chooses it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The answer to a proposal, a group change or a read. Each token gets exactly
+/// one, unless the process ends first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// The entry is committed at `index`; it is in [`committed`] of this output
+    /// or of an earlier one.
+    ///
+    /// [`committed`]: crate::Output::committed
+    Accepted {
+        /// The proposal or group change.
+        token: Token,
+        /// Where the log holds it.
+        index: Revision,
+    },
+    /// Not accepted and never will be.
+    Rejected {
+        /// The proposal, group change or read.
+        token: Token,
+        /// Why.
+        reason: Rejection,
+    },
+    /// Leadership ended before the commit: the outcome is unknown.
+    Lost {
+        /// The proposal or group change.
+        token: Token,
+    },
+    /// This member was the leader after the read was asked for. The state after
+    /// `index` is fresh, and all entries up to it have been handed out.
+    ReadConfirmed {
+        /// The read.
+        token: Token,
+        /// The commit index.
+        index: Revision,
+    },
+}
+
+/// Why something was not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
+    /// Another member leads, or none does.
+    #[error("this member is not the leader")]
+    NotLeader {
+        /// The leader and its address, if known.
+        leader: Option<(MemberId, SocketAddr)>,
+    },
+    /// The disk refuses writes.
+    #[error("the disk of the leader is full, read-only or failing")]
+    DiskFailed,
+    /// The leader has not yet committed an entry of its own term.
+    #[error("the new leader has not yet committed an entry")]
+    LeaderNotReady,
+    /// Another group change is not committed yet.
+    #[error("another group change is in progress")]
+    ChangePending,
+    /// The learner lacks committed entries or was not heard lately.
+    #[error("the learner has not caught up")]
+    NotCaughtUp,
+    /// The member to be added is already in the group.
+    #[error("already a member of the group")]
+    AlreadyMember,
+    /// The member to be promoted is not a learner, or the one to be removed is
+    /// not in the group.
+    #[error("no such member in the group")]
+    NoSuchMember,
+    /// The group must keep at least one voter.
+    #[error("the last voter cannot be removed")]
+    LastVoter,
+}
--- /dev/null
+++ b/crates/consensus/src/request/mod.rs
@@ -0,0 +1,9 @@
+//! What lasts for one proposal, group change or read.
+
+mod change;
+mod event;
+mod read;
+
+pub use change::GroupChange;
+pub use event::{Event, Rejection, Token};
+pub(crate) use read::Reads;
--- /dev/null
+++ b/crates/consensus/src/version/snapshot.rs
@@ -0,0 +1,20 @@
+//! The state that replaces a prefix of the log.
+
+use super::{Group, Position};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// The state of the state machine after a prefix of the log.
+///
+/// The snapshot at index 0 holds the first group and an empty state: it is
+/// what [`Input::Form`](crate::Input::Form) writes, and the state machine
+/// starts empty from it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry that the snapshot covers.
+    pub position: Position,
+    /// The group in force at that entry.
+    pub group: Group,
+    /// The state, opaque to this crate.
+    pub state: Bytes,
+}
