--- /dev/null
+++ b/crates/route/tests/placement.rs
@@ -0,0 +1,119 @@
+//! Placement of buckets: quotas, determinism and moves.
+
+use std::collections::BTreeMap;
+
+use arbtest::arbtest;
+use route::Owners;
+use types::{Share, UpstreamId};
+
+/// Number of random cases; the case number is the seed.
+const CASES: u64 = 64;
+
+/// Bytes of random input of each case; the low half of an arbtest seed.
+const INPUT_BYTES: u64 = 512;
+
+fn counts(owners: &Owners) -> BTreeMap<UpstreamId, u64> {
+    owners.iter().fold(BTreeMap::new(), |mut counts, owner| {
+        *counts.entry(owner).or_default() += 1;
+        counts
+    })
+}
+
+fn equal(ids: std::ops::Range<u64>) -> BTreeMap<UpstreamId, Share> {
+    ids.map(|id| (UpstreamId(id), Share::FULL)).collect()
+}
+
+/// Guards against an upstream that gets a bucket more or less than its part
+/// rounded, or any without a share.
+#[test]
+fn quotas_are_exact() {
+    for case in 0..CASES {
+        arbtest(|u| {
+            let shares: BTreeMap<UpstreamId, Share> = (0..u.int_in_range(0..=24)?)
+                .map(|_| Ok((UpstreamId(u.arbitrary()?), Share(u.int_in_range(0..=1024)?))))
+                .collect::<arbtest::arbitrary::Result<_>>()?;
+            let owners = Owners::new(&shares);
+            let counts = counts(&owners);
+            let total: u64 = shares.values().map(|share| u64::from(share.0)).sum();
+            assert_eq!(counts.values().sum::<u64>(), owners.buckets() as u64);
+            assert_eq!(owners.buckets() == 0, total == 0);
+            let mut remainders = [(0, 0); 2];
+            for (id, share) in &shares {
+                let count = counts.get(id).copied().unwrap_or_default();
+                let exact = u64::from(share.0) * owners.buckets() as u64;
+                let (floor, remainder) = (exact / total.max(1), exact % total.max(1));
+                assert!(
+                    count == floor || count == floor + 1,
+                    "{id}: {count} of {exact}/{total}"
+                );
+                assert!(share.0 > 0 || count == 0);
+                let [down, up] = &mut remainders;
+                if count == floor {
+                    *down = (*down).max((remainder, 1));
+                } else if up.1 == 0 || remainder < up.0 {
+                    *up = (remainder, 1);
+                }
+            }
+            let [down, up] = remainders;
+            assert!(
+                up.1 == 0 || down.0 <= up.0,
+                "rounded up {up:?}, down {down:?}"
+            );
+            Ok(())
+        })
+        .seed(case << 32 | INPUT_BYTES);
+    }
+}
+
+/// Guards against a change of the hash or of the order: hosts of two releases
+/// would place flows differently.
+#[test]
+fn placement_is_fixed() {
+    let owners: Vec<u64> = Owners::new(&equal(0..7)).iter().map(|id| id.0).collect();
+    assert_eq!(
+        owners[..16],
+        [1, 2, 4, 3, 5, 4, 2, 5, 6, 0, 2, 2, 4, 6, 1, 6]
+    );
+}
+
+/// Guards against a change that moves more buckets than the target of 1.5
+/// times the least possible number at the median, at today's sizes.
+#[test]
+fn few_buckets_move() {
+    for n in [3, 7, 14] {
+        let mut ratios: Vec<f64> = (0..21)
+            .flat_map(|trial| {
+                let ids = trial * 100..trial * 100 + n;
+                let full = equal(ids.clone());
+                let ramp = |share| {
+                    let mut shares = full.clone();
+                    shares.insert(UpstreamId(ids.end), Share(share));
+                    shares
+                };
+                let left = equal(ids.start + 1..ids.end);
+                [
+                    (full.clone(), left),
+                    (full.clone(), ramp(128)),
+                    (ramp(512), ramp(640)),
+                ]
+            })
+            .map(|(before, after)| ratio(&before, &after))
+            .collect();
+        ratios.sort_by(f64::total_cmp);
+        assert!(ratios[ratios.len() / 2] <= 1.5, "{n}: {ratios:?}");
+    }
+}
+
+/// Moved buckets over the least number that exact quotas need.
+fn ratio(before: &BTreeMap<UpstreamId, Share>, after: &BTreeMap<UpstreamId, Share>) -> f64 {
+    let (before, after) = (Owners::new(before), Owners::new(after));
+    let moved = before
+        .iter()
+        .zip(after.iter())
+        .filter(|(a, b)| a != b)
+        .count();
+    let old = counts(&before);
+    let gain = |(id, n): (&UpstreamId, &u64)| n.saturating_sub(*old.get(id).unwrap_or(&0));
+    let least: u64 = counts(&after).iter().map(gain).sum();
+    f64::from(u32::try_from(moved).unwrap()) / f64::from(u32::try_from(least).unwrap())
+}
