--- /dev/null
+++ b/crates/admit/tests/admission.rs
@@ -0,0 +1,432 @@
+//! Decisions about requests, one behaviour at a time.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use admit::{
+    Admission, Claim, Decision, Outcome, PeerAnswer, QueueOrder, Reason, Report, RequestInfo,
+    Reserve, Settings, Wake,
+};
+use types::{
+    ClassLoad, ClassName, Connections, Loads, RequestId, ReservationId, Slots, Target, UpstreamId,
+    UpstreamState,
+};
+
+const FIRST: UpstreamId = UpstreamId(1);
+const SECOND: UpstreamId = UpstreamId(2);
+
+fn class() -> ClassName {
+    ClassName::default()
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn targets(slots: u32) -> BTreeMap<ClassName, Target> {
+    let target = Target {
+        carry: Slots(slots),
+        connections: Connections(2),
+        ..Target::default()
+    };
+    BTreeMap::from([(class(), target)])
+}
+
+/// An admission with `slots` slots and peers in the given data centres; the
+/// own one is `a`.
+fn admission(now: Instant, slots: u32, peers: &[(UpstreamId, &str)]) -> Admission {
+    with(now, slots, peers, Settings::default())
+}
+
+fn with(now: Instant, slots: u32, peers: &[(UpstreamId, &str)], settings: Settings) -> Admission {
+    let mut a = Admission::new(settings, 7);
+    a.set_targets(now, &targets(slots));
+    let peers = peers.iter().map(|(id, dc)| (*id, dc.parse().unwrap()));
+    a.set_peers(&"a".parse().unwrap(), &peers.collect());
+    a
+}
+
+fn request(n: u64) -> RequestInfo {
+    RequestInfo::new(RequestId(n), class())
+}
+
+fn loads(slots: u32, in_flight: u32) -> Loads {
+    let load = ClassLoad {
+        slots: Slots(slots),
+        in_flight: Slots(in_flight),
+        queued: Slots(0),
+    };
+    BTreeMap::from([(class(), load)])
+}
+
+fn refused() -> PeerAnswer {
+    PeerAnswer::Refused(loads(1, 1))
+}
+
+fn run(n: u64) -> Wake {
+    let id = RequestId(n);
+    Wake {
+        id,
+        decision: Decision::Run,
+    }
+}
+
+fn refuse(n: u64, reason: Reason) -> Wake {
+    let id = RequestId(n);
+    Wake {
+        id,
+        decision: Decision::Refuse(reason),
+    }
+}
+
+/// Guards against peers that are asked out of order: own data centre first,
+/// then by free slots, each once, and then the queue.
+#[test]
+fn peers_are_asked_near_first_then_by_free_slots() {
+    let now = Instant::now();
+    let third = UpstreamId(3);
+    let mut a = admission(now, 1, &[(FIRST, "b"), (SECOND, "b"), (third, "a")]);
+    a.note_peer_load(now, FIRST, &loads(4, 3));
+    a.note_peer_load(now, SECOND, &loads(4, 1));
+    a.note_peer_load(now, third, &loads(4, 4));
+    assert_eq!(a.arrive(now, request(1)), Decision::Run);
+    let mut decision = Some(a.arrive(now, request(2)));
+    for peer in [third, SECOND, FIRST] {
+        assert_eq!(decision, Some(Decision::HandOff { peer }));
+        decision = a.peer_answer(now, RequestId(2), peer, refused());
+    }
+    let until = now + Settings::default().queue_limit;
+    assert_eq!(decision, Some(Decision::Queue { until }));
+}
+
+/// Guards against a large service in which each request asks every upstream.
+#[test]
+fn beyond_sixteen_peers_only_a_few_are_asked() {
+    let now = Instant::now();
+    let peers: Vec<_> = (1..=40).map(|n| (UpstreamId(n), "b")).collect();
+    let mut a = admission(now, 1, &peers);
+    a.arrive(now, request(1));
+    let mut decision = Some(a.arrive(now, request(2)));
+    let mut asked = Vec::new();
+    while let Some(Decision::HandOff { peer }) = decision {
+        assert!(!asked.contains(&peer));
+        asked.push(peer);
+        decision = a.peer_answer(now, RequestId(2), peer, PeerAnswer::Unreachable);
+    }
+    assert_eq!(asked.len(), 4);
+}
+
+/// Guards against a request that is run here and passed to a peer as well.
+#[test]
+fn a_grant_after_a_local_start_is_released() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[(FIRST, "b")]);
+    a.arrive(now, request(1));
+    let peer = FIRST;
+    assert_eq!(a.arrive(now, request(2)), Decision::HandOff { peer });
+    assert_eq!(a.finish(now, RequestId(1), Outcome::Completed), [run(2)]);
+    let late = a.peer_answer(now, RequestId(2), peer, PeerAnswer::Granted);
+    assert_eq!(late, Some(Decision::Release { peer }));
+    assert_eq!(a.peer_answer(now, RequestId(2), peer, refused()), None);
+}
+
+/// Guards against a handed-off request that goes round among agents, and
+/// against one that waits at a second agent.
+#[test]
+fn a_handed_off_request_runs_at_once_or_is_refused() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[(FIRST, "b")]);
+    let handed_off = |n| RequestInfo {
+        handed_off: true,
+        ..request(n)
+    };
+    assert_eq!(a.arrive(now, handed_off(1)), Decision::Run);
+    assert_eq!(a.arrive(now, handed_off(2)), Decision::Refuse(Reason::Full));
+    a.set_leaving(now, true);
+    let refusal = Decision::Refuse(Reason::NotServing);
+    assert_eq!(a.arrive(now, handed_off(3)), refusal);
+}
+
+/// Guards against a retry that runs again where it failed.
+#[test]
+fn a_retry_runs_elsewhere_or_not_at_all() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[(FIRST, "b")]);
+    let elsewhere = RequestInfo {
+        elsewhere: true,
+        ..request(1)
+    };
+    let peer = FIRST;
+    assert_eq!(a.arrive(now, elsewhere), Decision::HandOff { peer });
+    let refusal = Some(Decision::Refuse(Reason::NotServing));
+    assert_eq!(a.peer_answer(now, RequestId(1), peer, refused()), refusal);
+}
+
+/// Guards against an unbounded queue, and against waiting without an end.
+#[test]
+fn the_queue_is_bounded_in_length_and_time() {
+    let now = Instant::now();
+    let settings = Settings {
+        queue_per_slot: 2,
+        ..Settings::default()
+    };
+    let mut a = with(now, 1, &[], settings);
+    a.arrive(now, request(1));
+    let until = now + Settings::default().queue_limit;
+    for n in 2..=3 {
+        assert_eq!(a.arrive(now, request(n)), Decision::Queue { until });
+    }
+    let full = Decision::Refuse(Reason::QueueFull);
+    assert_eq!(a.arrive(now, request(4)), full);
+    assert_eq!(a.next_deadline(), Some(until));
+    let timeouts = [2, 3].map(|n| refuse(n, Reason::QueueTimeout));
+    assert_eq!(a.tick(until), timeouts);
+}
+
+/// Guards against slots spent on requests that are too late to be of use.
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_early() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    a.arrive(now, request(1));
+    a.finish(now + ms(100), RequestId(1), Outcome::Completed);
+    let now = now + ms(100);
+    let due = |n, at| RequestInfo {
+        deadline: Some(at),
+        ..request(n)
+    };
+    let refusal = Decision::Refuse(Reason::Deadline);
+    assert_eq!(a.arrive(now, due(2, now)), refusal);
+    a.arrive(now, request(3));
+    // A wait of 100 ms and half of a service time of 100 ms do not fit.
+    assert_eq!(a.arrive(now, due(4, now + ms(140))), refusal);
+    let until = now + ms(160);
+    assert_eq!(a.arrive(now, due(5, until)), Decision::Queue { until });
+    let finished = a.finish(now + ms(130), RequestId(3), Outcome::Failed);
+    assert_eq!(finished, [refuse(5, Reason::Deadline)]);
+}
+
+/// Guards against an order of the queue other than the one that is set.
+#[test]
+fn queued_requests_start_in_the_set_order() {
+    let cases = [
+        (QueueOrder::Fifo, ms(0), 2),
+        (QueueOrder::Lifo, ms(0), 3),
+        (QueueOrder::Adaptive, ms(0), 2),
+        (QueueOrder::Adaptive, ms(300), 3),
+    ];
+    for (queue_order, wait, next) in cases {
+        let now = Instant::now();
+        let settings = Settings {
+            queue_order,
+            ..Settings::default()
+        };
+        let mut a = with(now, 1, &[], settings);
+        for n in 1..=3 {
+            a.arrive(now, request(n));
+        }
+        let wakes = a.finish(now + wait, RequestId(1), Outcome::Completed);
+        assert_eq!(wakes, [run(next)], "{queue_order:?}");
+    }
+}
+
+/// Guards against a slot that stays held for a peer that never comes, and
+/// against a claim after the slot was given to another request.
+#[test]
+fn a_reservation_lapses_at_its_deadline() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    let expires = now + ms(50);
+    let granted = Reserve::Granted { expires };
+    let id = ReservationId(9);
+    for _ in 0..2 {
+        assert_eq!(a.reserve(now, id, FIRST, &class(), expires), granted);
+    }
+    let other = a.reserve(now, ReservationId(8), FIRST, &class(), expires);
+    assert_eq!(other, Reserve::Refused(loads(1, 1)));
+    assert!(matches!(a.arrive(now, request(1)), Decision::Queue { .. }));
+    assert_eq!(a.claim(expires, id, RequestId(2)), Claim::Lapsed);
+    assert_eq!(a.tick(expires), [run(1)]);
+    assert_eq!(a.claim(expires, id, RequestId(2)), Claim::Lapsed);
+}
+
+/// Guards against a reserved slot that is counted twice or given away.
+#[test]
+fn a_claim_turns_a_reservation_into_a_request() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(50));
+    a.set_leaving(now, true);
+    assert_eq!(a.claim(now, ReservationId(9), RequestId(1)), Claim::Run);
+    a.set_leaving(now, false);
+    assert_eq!(a.loads(), loads(1, 1));
+    a.finish(now, RequestId(1), Outcome::Completed);
+    assert_eq!(a.loads(), loads(1, 0));
+}
+
+/// Guards against a slot that stands idle while a request waits at a peer, and
+/// against offers that pass over the local queue.
+#[test]
+fn a_free_slot_is_offered_to_a_refused_peer_after_the_local_queue() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    a.arrive(now, request(1));
+    a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(50));
+    a.arrive(now, request(2));
+    a.finish(now, RequestId(1), Outcome::Completed);
+    assert_eq!(a.take_offers(now), []);
+    a.finish(now, RequestId(2), Outcome::Completed);
+    let offers = a.take_offers(now);
+    assert_eq!(offers.len(), 1);
+    assert_eq!(offers[0].peer, FIRST);
+    assert_eq!(a.loads(), loads(1, 1));
+    assert_eq!(a.claim(now, offers[0].id, RequestId(3)), Claim::Run);
+    a.finish(now, RequestId(3), Outcome::Completed);
+    assert_eq!(a.take_offers(now), []);
+}
+
+/// Guards against an offer that takes no request or more than one.
+#[test]
+fn an_offer_takes_the_oldest_queued_request() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    for n in 1..=2 {
+        a.arrive(now, request(n));
+    }
+    let wake = Wake {
+        id: RequestId(2),
+        decision: Decision::Pass { peer: FIRST },
+    };
+    assert_eq!(a.offered(FIRST, &class()), Some(wake));
+    assert_eq!(a.offered(FIRST, &class()), None);
+}
+
+/// Guards against new work at a leaving upstream, against a cut of what runs
+/// there, and against queued requests that are left behind.
+#[test]
+fn a_leaving_upstream_hands_off_and_finishes() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[(FIRST, "b")]);
+    a.arrive(now, request(1));
+    a.arrive(now, request(2));
+    a.peer_answer(now, RequestId(2), FIRST, refused());
+    let now = now + ms(100);
+    let decision = Decision::HandOff { peer: FIRST };
+    let asked = Wake {
+        id: RequestId(2),
+        decision,
+    };
+    assert_eq!(a.set_leaving(now, true), [asked]);
+    assert_eq!(a.state(), UpstreamState::Leaving);
+    assert_eq!(a.arrive(now, request(3)), decision);
+    assert!(!a.may_accept_connection());
+    assert_eq!(a.loads()[&class()].free(), Slots(0));
+    let reserved = a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(50));
+    assert!(matches!(reserved, Reserve::Refused(_)));
+    assert_eq!(a.loads()[&class()].in_flight, Slots(1));
+    assert_eq!(a.finish(now, RequestId(1), Outcome::Completed), []);
+}
+
+/// Guards against work for an upstream that refuses connections, and against
+/// one that is never tried again.
+#[test]
+fn an_upstream_is_down_after_failed_connects_until_a_probe_succeeds() {
+    let mut now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    for _ in 0..2 {
+        a.connect_failed(now);
+    }
+    a.connect_succeeded(now);
+    for _ in 0..3 {
+        assert_eq!(a.state(), UpstreamState::Ready);
+        a.connect_failed(now);
+    }
+    assert_eq!(a.state(), UpstreamState::Down);
+    assert!(matches!(a.arrive(now, request(1)), Decision::Queue { .. }));
+    for delay in [100, 200, 400, 800, 1600, 2000, 2000] {
+        assert!(!a.probe_due(now + ms(delay - 1)));
+        now += ms(delay);
+        assert!(a.probe_due(now));
+        assert!(!a.probe_due(now));
+        a.connect_failed(now);
+    }
+    assert_eq!(a.connect_succeeded(now), [run(1)]);
+    assert_eq!(a.state(), UpstreamState::Ready);
+}
+
+/// Guards against a target that cuts requests or lets in more than its slots.
+#[test]
+fn in_flight_sinks_under_a_lowered_target() {
+    let now = Instant::now();
+    let mut a = admission(now, 3, &[]);
+    for n in 1..=4 {
+        a.arrive(now, request(n));
+    }
+    assert_eq!(a.set_targets(now, &targets(1)), []);
+    assert_eq!(a.loads()[&class()].in_flight, Slots(3));
+    for n in 1..=2 {
+        assert_eq!(a.finish(now, RequestId(n), Outcome::Completed), []);
+    }
+    assert_eq!(a.finish(now, RequestId(3), Outcome::Completed), [run(4)]);
+    assert!(matches!(a.arrive(now, request(5)), Decision::Queue { .. }));
+    assert_eq!(a.set_targets(now, &targets(2)), [run(5)]);
+    a.arrive(now, request(6));
+    let removed = a.set_targets(now, &BTreeMap::new());
+    assert_eq!(removed, [refuse(6, Reason::UnknownClass)]);
+}
+
+/// Guards against a report that raises the slots, one that contradicts what
+/// the agent sees, and one that is believed for ever.
+#[test]
+fn a_report_only_lowers_and_is_dropped_when_old() {
+    let now = Instant::now();
+    let limit = Settings::default().report_limit;
+    let report = |slots, in_flight| Report {
+        slots: Slots(slots),
+        in_flight: Slots(in_flight),
+    };
+    let cases = [
+        (report(9, 1), ms(0), 4),
+        (report(2, 1), ms(0), 2),
+        (report(0, 1), ms(0), 0),
+        (report(2, 0), ms(0), 4),
+        (report(2, 1), limit, 4),
+    ];
+    for (report, age, slots) in cases {
+        let mut a = admission(now, 4, &[]);
+        a.arrive(now, request(1));
+        a.note_report(now, &class(), report);
+        a.tick(now + age);
+        assert_eq!(a.loads()[&class()].slots, Slots(slots), "{report:?}");
+    }
+}
+
+/// Guards against load that is sent on to an upstream that sheds it.
+#[test]
+fn shed_load_lowers_the_slots_for_a_while() {
+    let now = Instant::now();
+    let mut a = admission(now, 4, &[]);
+    for n in 1..=4 {
+        a.arrive(now, request(n));
+    }
+    a.finish(now, RequestId(1), Outcome::Shed);
+    assert_eq!(a.loads()[&class()].slots, Slots(3));
+    a.tick(now + Settings::default().report_limit);
+    assert_eq!(a.loads()[&class()].slots, Slots(4));
+}
+
+/// Guards against connections over the target.
+#[test]
+fn connections_are_bounded() {
+    let now = Instant::now();
+    let mut a = admission(now, 1, &[]);
+    for _ in 0..2 {
+        assert!(a.may_accept_connection());
+        a.connection_opened();
+    }
+    assert!(!a.may_accept_connection());
+    a.connection_closed();
+    assert!(a.may_accept_connection());
+}
--- /dev/null
+++ b/crates/admit/tests/outcome.rs
@@ -0,0 +1,128 @@
+//! What a caller is told after a failed attempt, and when it is tried again.
+
+use std::time::{Duration, Instant};
+
+use admit::{Attempt, Failure, Progress, RetryBudget, Verdict, verdict};
+
+use Verdict::{Done, NotRun, PassThrough, Reset, Retry, Unknown};
+
+const FAILURES: [Failure; 6] = [
+    Failure::Connect,
+    Failure::PeerRefused,
+    Failure::Broken,
+    Failure::Deadline,
+    Failure::Cancelled,
+    Failure::Shed,
+];
+
+/// Verdicts in the order of `FAILURES`, with budget and time left: once for
+/// idempotent methods and once for the others.
+const TABLE: [(Progress, [Verdict; 6], [Verdict; 6]); 5] = [
+    (
+        Progress::NotStarted,
+        [Retry, Retry, Retry, NotRun, Done, Retry],
+        [Retry, Retry, Retry, NotRun, Done, Retry],
+    ),
+    (
+        Progress::Started,
+        [Retry, Retry, Retry, Unknown, Done, PassThrough],
+        [Unknown, Unknown, Unknown, Unknown, Done, PassThrough],
+    ),
+    (
+        Progress::Answered,
+        [Reset, Reset, Reset, Reset, Done, PassThrough],
+        [Reset, Reset, Reset, Reset, Done, PassThrough],
+    ),
+    (Progress::Complete, [Done; 6], [Done; 6]),
+    (
+        Progress::Failed,
+        [Reset, Reset, Reset, Reset, Done, Reset],
+        [Reset, Reset, Reset, Reset, Done, Reset],
+    ),
+];
+
+fn empty_budget() -> RetryBudget {
+    let mut budget = RetryBudget::new();
+    while budget.take() {}
+    budget
+}
+
+/// What is left of a verdict when no retry is possible.
+fn without_retry(verdict: Verdict, progress: Progress) -> Verdict {
+    match (verdict, progress) {
+        (Retry, Progress::NotStarted) => NotRun,
+        (Retry, _) => Unknown,
+        (other, _) => other,
+    }
+}
+
+/// Guards against a non-idempotent request that runs twice, and against "not
+/// run" after the first byte went out: every progress, failure and method,
+/// with and without budget and time.
+#[test]
+fn every_progress_and_failure_has_its_verdict() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(1);
+    for (progress, idempotent_row, other_row) in TABLE {
+        for (i, failure) in FAILURES.into_iter().enumerate() {
+            for (idempotent, expected) in [(true, idempotent_row[i]), (false, other_row[i])] {
+                let barred = without_retry(expected, progress);
+                let cases = [
+                    (RetryBudget::new(), Some(later), expected),
+                    (RetryBudget::new(), None, expected),
+                    (RetryBudget::new(), Some(now), barred),
+                    (empty_budget(), Some(later), barred),
+                ];
+                for (mut budget, deadline, expected) in cases {
+                    let attempt = Attempt {
+                        progress,
+                        failure,
+                        idempotent,
+                        deadline,
+                    };
+                    let got = verdict(now, &attempt, &mut budget);
+                    assert_eq!(got, expected, "{attempt:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against retries that multiply the load of a failing service: over a
+/// long run they are a tenth of the requests, plus the few at the start.
+#[test]
+fn retries_stay_a_tenth_of_the_requests() {
+    let mut budget = RetryBudget::new();
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.earn();
+        retries += u32::from(budget.take());
+    }
+    assert_eq!(retries, 103);
+}
+
+/// Guards against a burst of retries after a long run without failures.
+#[test]
+fn a_quiet_run_saves_a_bounded_number_of_retries() {
+    let mut budget = RetryBudget::new();
+    for _ in 0..100_000 {
+        budget.earn();
+    }
+    let burst = std::iter::from_fn(|| budget.take().then_some(())).count();
+    assert_eq!(burst, 20);
+}
+
+/// Guards against a retry that is not paid for when nothing is retried.
+#[test]
+fn only_a_retry_takes_a_token() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new();
+    let attempt = Attempt {
+        progress: Progress::Started,
+        failure: Failure::Broken,
+        idempotent: false,
+        deadline: None,
+    };
+    assert_eq!(verdict(now, &attempt, &mut budget), Unknown);
+    assert_eq!(budget, RetryBudget::new());
+}
--- a/crates/bench/src/admission/run.rs
+++ b/crates/bench/src/admission/run.rs
@@ -37,7 +37,7 @@
 /// Feeds held for each upstream on average.
 const FEEDS: f64 = 20.0;
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
     /// The request at this upstream is served.
@@ -252,7 +252,7 @@
     fn touch(&mut self, node: usize) {
         let slots = self.slots(node);
         let at = &mut self.nodes[node];
-        let time = self.now - at.touched;
+        let time = self.now.saturating_sub(at.touched);
         at.touched = self.now;
         let held = u32::try_from(at.running.len() + at.fifo.len()).unwrap_or(u32::MAX);
         self.figures.excess.add(held.saturating_sub(slots), time);
@@ -394,7 +394,7 @@
     fn serve(&mut self, node: usize, request: usize) {
         self.requests[request].place = Place::At(node);
         self.nodes[node].running.insert(request);
-        let delay = self.now - self.requests[request].arrived;
+        let delay = self.now.saturating_sub(self.requests[request].arrived);
         let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
         self.figures.delay.saturating_record(micros.max(1));
         let factor = if self.is_cold(node) { COLD_FACTOR } else { 1.0 };
--- a/crates/bench/src/bin/admission.rs
+++ b/crates/bench/src/bin/admission.rs
@@ -71,32 +71,46 @@
     };
     vec![
         with("default", |_| {}),
-        with("no offers", |s| s.offer_within = Duration::ZERO),
+        with("no offers", |s| {
+            s.offer_within = Duration::ZERO;
+        }),
         with("no offers, no asking again", |s| {
             s.offer_within = Duration::ZERO;
             s.ask_again = None;
         }),
-        with("never ask again", |s| s.ask_again = None),
+        with("never ask again", |s| {
+            s.ask_again = None;
+        }),
         with("ask again 50 ms", |s| {
-            s.ask_again = Some(Duration::from_millis(50))
+            s.ask_again = Some(Duration::from_millis(50));
         }),
         with("offers 50 ms", |s| {
-            s.offer_within = Duration::from_millis(50)
+            s.offer_within = Duration::from_millis(50);
         }),
         with("offers 200 ms", |s| {
-            s.offer_within = Duration::from_millis(200)
+            s.offer_within = Duration::from_millis(200);
         }),
         with("pause 50 ms", |s| {
-            s.full_peer_pause = Duration::from_millis(50)
+            s.full_peer_pause = Duration::from_millis(50);
         }),
         with("pause 10 ms", |s| {
-            s.full_peer_pause = Duration::from_millis(10)
+            s.full_peer_pause = Duration::from_millis(10);
+        }),
+        with("pause 0 ms", |s| {
+            s.full_peer_pause = Duration::ZERO;
+        }),
+        with("lifo", |s| {
+            s.queue_order = QueueOrder::Lifo;
+        }),
+        with("adaptive", |s| {
+            s.queue_order = QueueOrder::Adaptive;
+        }),
+        with("queue 2", |s| {
+            s.queue_per_slot = 2;
+        }),
+        with("queue 8", |s| {
+            s.queue_per_slot = 8;
         }),
-        with("pause 0 ms", |s| s.full_peer_pause = Duration::ZERO),
-        with("lifo", |s| s.queue_order = QueueOrder::Lifo),
-        with("adaptive", |s| s.queue_order = QueueOrder::Adaptive),
-        with("queue 2", |s| s.queue_per_slot = 2),
-        with("queue 8", |s| s.queue_per_slot = 8),
     ]
 }
 
