--- a/crates/member/tests/shares.rs
+++ b/crates/member/tests/shares.rs
@@ -37,7 +37,6 @@
         }
     };
     let mut leader = Leader::new();
-    // The age grows by the time since the announcement, here none.
     leader.run(3000, &[aged(1, 60), aged(2, 6), aged(3, 1), cold(4)]);
     assert_eq!(leader.shares(), [1024, 256, 0, 0]);
     assert!(leader.members().values().all(|m| m.former_share == m.share));
@@ -182,7 +181,6 @@
     for n in 0..2000u32 {
         leader.now += 10;
         for id in 1..=7 {
-            // Swings from idle to twice the slots.
             let load = (n * 7 + u32::try_from(id).unwrap() * 3) % (2 * CARRY + 1);
             leader.announce(&busy(id, CARRY, load, 0));
         }
