--- a/crates/bench/src/bin/route.rs
+++ b/crates/bench/src/bin/route.rs
@@ -2,7 +2,7 @@
 //! rendezvous, and times rebuilds and decisions.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     hint::black_box,
     net::{Ipv4Addr, SocketAddr},
     time::Instant,
@@ -12,7 +12,7 @@
 use route::{Decision, Owners, Table, flow_key};
 use twox_hash::XxHash64;
 use types::{
-    FlowPhase, Member, Revision, Service, ServiceId, ServiceState, Share, UpstreamId,
+    FlowKey, FlowPhase, Member, Revision, Service, ServiceId, ServiceState, Share, UpstreamId,
     UpstreamState, Version,
 };
 
@@ -20,9 +20,7 @@
 type Place = fn(&Shares, usize) -> Vec<UpstreamId>;
 
 const SCHEMES: [(&str, Place); 3] = [
-    ("limpetplank", |shares, _| {
-        Owners::new(shares).iter().collect()
-    }),
+    ("limpetplank", owners),
     ("modulo", modulo),
     ("rendezvous", rendezvous),
 ];
@@ -33,6 +31,7 @@
 fn main() {
     rebuild();
     decide();
+    resize();
     movement();
 }
 
@@ -48,6 +47,12 @@
     UpstreamId(hash([trial, n as u64, 0]))
 }
 
+/// The owners, spread over `buckets` where they have fewer.
+fn owners(shares: &Shares, buckets: usize) -> Vec<UpstreamId> {
+    let owners: Vec<UpstreamId> = Owners::new(shares).iter().collect();
+    owners.iter().copied().cycle().take(buckets).collect()
+}
+
 /// Hash of the bucket modulo the number of upstreams that have a share.
 fn modulo(shares: &Shares, buckets: usize) -> Vec<UpstreamId> {
     let ids: Vec<UpstreamId> = shares.keys().copied().collect();
@@ -135,9 +140,10 @@
             let changes = changes(trial, n);
             names = changes.iter().map(|change| change.0).collect();
             for (row, (_, before, after)) in changes.iter().enumerate() {
-                let buckets = Owners::new(before).buckets();
-                let exact = Owners::new(before).iter().collect::<Vec<_>>();
-                let least = least(&exact, &Owners::new(after).iter().collect::<Vec<_>>());
+                let buckets = Owners::new(before)
+                    .buckets()
+                    .max(Owners::new(after).buckets());
+                let least = least(&owners(before, buckets), &owners(after, buckets));
                 for (column, (_, place)) in SCHEMES.iter().enumerate() {
                     let (from, to) = (place(before, buckets), place(after, buckets));
                     let moved = from.iter().zip(&to).filter(|(a, b)| a != b).count();
@@ -199,6 +205,23 @@
     }
 }
 
+/// Flows that change their owner where the number of buckets changes.
+fn resize() {
+    let flows = || (0..100_000_u64).map(|n| flow_key(ServiceId(1), &n.to_le_bytes()));
+    for n in [1, 15, 16, 1024] {
+        let of = |n| (0..n).map(|at| (id(0, at), Share::FULL)).collect();
+        let (before, after) = (Owners::new(&of(n)), Owners::new(&of(n + 1)));
+        let owner = |owners: &Owners, flow| owners.owner(ServiceId(1), flow);
+        let moved = flows()
+            .filter(|flow| owner(&before, *flow) != owner(&after, *flow))
+            .count();
+        let (from, to) = (before.buckets(), after.buckets());
+        println!(
+            "{n} upstreams and one more, {from} to {to} buckets: {moved} of 100000 flows move"
+        );
+    }
+}
+
 fn state(n: u32, upstreams: u32) -> ServiceState {
     let ip = Ipv4Addr::from(0x0a00_0000 + n);
     let member = |at: u32| Member {
@@ -233,18 +256,16 @@
     number.unwrap_or(0)
 }
 
-/// 52,000 services with 89,000 upstreams: 37,000 of two and 15,000 of one;
-/// and 52,000 of two for the cost of a service.
+/// 52,000 services of two upstreams, and 37,000 of two with 15,000 of one. The second reuses memory of the first, so only the
+/// first line of memory counts.
 fn decide() {
     for (name, two) in [
-        ("52,000 services of 2", 52_000),
-        ("89,000 upstreams", 37_000),
+        ("52,000 services, 104,000 upstreams", 52_000),
+        ("52,000 services, 89,000 upstreams", 37_000),
     ] {
         let states: Vec<ServiceState> = (0..52_000)
             .map(|n| state(n, if n < two { 2 } else { 1 }))
             .collect();
-        let known: BTreeSet<_> = states.iter().map(|s| s.service.address).collect();
-        assert_eq!(known.len(), states.len());
         let (before, start) = (resident_kib(), Instant::now());
         let mut table = Table::default();
         table.apply(states.iter().cloned(), []);
@@ -253,40 +274,49 @@
             "{name}: built in {time:.2?}, {memory} KiB, {} B a service",
             memory * 1024 / 52_000
         );
-        for named in [false, true] {
-            lookup(&table, &states, named);
+        let plain: BTreeMap<ServiceId, u64> = states
+            .iter()
+            .map(|s| (s.service.id, u64::from(s.service.id.0)))
+            .collect();
+        for services in [100, states.len()] {
+            let asked = &states[..services];
+            let map = lookup(asked, |service, _| assert!(plain.contains_key(&service)));
+            let placed = lookup(asked, |service, _| forwards(&table, service, None));
+            let named = lookup(asked, |service, id| forwards(&table, service, Some(id)));
+            println!("  flows of {services} services, median (p99) of means over {BATCH}, ns:");
+            println!("    plain map lookup {map}, decide by placement {placed}, by id {named}");
         }
     }
 }
 
-/// Times decisions on services in random order, in batches because one
-/// decision takes about as long as reading the clock.
-fn lookup(table: &Table, states: &[ServiceState], named: bool) {
-    const BATCH: u64 = 100;
+/// Decisions that are timed together, because one takes about as long as
+/// reading the clock.
+const BATCH: u64 = 100;
+
+fn forwards(table: &Table, service: ServiceId, upstream: Option<UpstreamId>) {
+    let flow = FlowKey(0x9e37_79b9_7f4a_7c15);
+    let decision = table.decide(service, flow, FlowPhase::Opens, upstream);
+    assert!(matches!(black_box(decision), Decision::Forward(_)));
+}
+
+/// Times `ask` on services in random order.
+fn lookup(states: &[ServiceState], ask: impl Fn(ServiceId, UpstreamId)) -> String {
     let mut times = Histogram::<u64>::new(3).unwrap();
     for batch in 0..20_000 {
         let asked: Vec<_> = (0..BATCH)
             .map(|n| {
                 let at = usize::try_from(hash([batch, n, 5])).unwrap() % states.len();
-                let service = states[at].service.id;
-                let upstream = states[at].members.keys().next().copied();
-                (
-                    service,
-                    flow_key(service, &n.to_le_bytes()),
-                    upstream.filter(|_| named),
-                )
+                let upstream = *states[at].members.keys().next().unwrap();
+                (states[at].service.id, upstream)
             })
             .collect();
         let start = Instant::now();
-        for (service, flow, upstream) in asked {
-            let decision = table.decide(service, flow, FlowPhase::Opens, upstream);
-            assert!(matches!(black_box(decision), Decision::Forward(_)));
+        for (service, upstream) in asked {
+            ask(service, upstream);
         }
-        times
-            .record(u64::try_from(start.elapsed().as_nanos()).unwrap() / BATCH)
-            .unwrap();
+        let mean = u64::try_from(start.elapsed().as_nanos()).unwrap() / BATCH;
+        times.record(mean).unwrap();
     }
-    let by = if named { "by id" } else { "by placement" };
     let (median, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
-    println!("decide {by}: median {median} ns, p99 {p99} ns (means over {BATCH})");
+    format!("{median} ({p99})")
 }
--- a/crates/route/src/version/assign.rs
+++ b/crates/route/src/version/assign.rs
@@ -23,7 +23,10 @@
 /// upstreams, which 52,000 services can afford.
 const SMALL_BUCKETS: usize = 1 << 12;
 
-/// Buckets of a service with more upstreams.
+/// Buckets of a service with more upstreams: a rebuild takes about 7 ms. A
+/// change of one of 1,000 upstreams then moves 4 to 5 times the least possible
+/// number; fewer moves need more buckets in proportion to the upstreams'
+/// square.
 const LARGE_BUCKETS: usize = 1 << 16;
 
 /// Least number of buckets for an upstream, so that rounding a quota changes
@@ -35,7 +38,8 @@
 
 /// Number of buckets for a number of upstreams.
 ///
-/// A step to the next size moves nearly every bucket, so the steps are few.
+/// A step from one size to another moves nearly every flow that is about to
+/// open (94% from 16 to 17 upstreams), so the steps are few.
 fn bucket_count(upstreams: usize) -> usize {
     match upstreams {
         // A lone upstream needs no choice.
--- a/crates/route/src/version/owners.rs
+++ b/crates/route/src/version/owners.rs
@@ -65,11 +65,16 @@
     /// Owner of the bucket of a flow.
     #[must_use]
     pub fn owner(&self, service: ServiceId, flow: FlowKey) -> Option<UpstreamId> {
+        Some(self.shares[self.position(service, flow)?].0)
+    }
+
+    /// Position in `shares` of the owner of the bucket of a flow.
+    pub(crate) fn position(&self, service: ServiceId, flow: FlowKey) -> Option<usize> {
         let mask = self.buckets.len().checked_sub(1)?;
         let hash = hash(u64::from(service.0), &flow.0.to_le_bytes());
         #[allow(clippy::cast_possible_truncation)] // Only the low bits count.
         let bucket = hash as usize & mask;
-        Some(self.shares[self.buckets.get(bucket)].0)
+        Some(self.buckets.get(bucket))
     }
 
     /// Owner of each bucket.
--- a/crates/route/src/version/table.rs
+++ b/crates/route/src/version/table.rs
@@ -32,7 +32,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Entry {
     address: SocketAddr,
-    /// In ascending order of the upstreams' ids.
+    /// The upstreams of `present`, in its order, then the others in ascending
+    /// order of their ids. A position in the one is a position in the other,
+    /// which saves a search and a read of memory that is seldom in the cache.
     members: Box<[Hop]>,
     /// Owners by the present shares.
     present: Owners,
@@ -106,7 +108,7 @@
         let hop = match upstream {
             Some(id) => entry.hop(id).ok_or_else(|| self.reason(id)),
             None => entry
-                .hop_of_owner(&entry.present, service, flow)
+                .present_hop(service, flow)
                 .ok_or(DropReason::NoUpstream),
         };
         hop.map_or_else(Decision::Drop, Decision::Forward)
@@ -139,11 +141,11 @@
         if arrival == Arrival::PassedOn {
             return Decision::Drop(DropReason::PassedOnTwice);
         }
-        let present = entry.hop_of_owner(&entry.present, service, flow);
+        let present = entry.present_hop(service, flow);
         let owns = present.is_some_and(|hop| hop.upstream == own);
         let hop = match phase {
             FlowPhase::Opens if entry.present.has(own) => None,
-            FlowPhase::Continues if owns => entry.hop_of_owner(entry.former(), service, flow),
+            FlowPhase::Continues if owns => entry.former_hop(service, flow),
             _ if present.is_none() => return Decision::Drop(DropReason::NoUpstream),
             _ => present,
         };
@@ -180,31 +182,36 @@
             let same = old.iter().find(|owners| owners.shares() == &*shares);
             same.cloned().unwrap_or_else(|| Owners::from_list(shares))
         };
+        let (first, rest): (Vec<Hop>, Vec<Hop>) = state
+            .members
+            .iter()
+            .map(|(id, member)| Hop {
+                upstream: *id,
+                address: member.data,
+            })
+            .partition(|hop| state.members[&hop.upstream].share.0 > 0);
         Entry {
             address: state.service.address,
-            members: state.members.iter().map(hop).collect(),
+            members: first.into_iter().chain(rest).collect(),
             former: (present != former).then(|| place(former)),
             present: place(present),
         }
     }
 
-    fn former(&self) -> &Owners {
-        self.former.as_ref().unwrap_or(&self.present)
-    }
-
     fn hop(&self, id: UpstreamId) -> Option<Hop> {
-        let at = self.members.binary_search_by_key(&id, |hop| hop.upstream);
-        at.ok().map(|at| self.members[at])
+        let (first, rest) = self.members.split_at(self.present.shares().len());
+        [first, rest].into_iter().find_map(|part| {
+            let at = part.binary_search_by_key(&id, |hop| hop.upstream);
+            at.ok().map(|at| part[at])
+        })
     }
 
-    fn hop_of_owner(&self, owners: &Owners, service: ServiceId, flow: FlowKey) -> Option<Hop> {
-        self.hop(owners.owner(service, flow)?)
+    fn present_hop(&self, service: ServiceId, flow: FlowKey) -> Option<Hop> {
+        Some(self.members[self.present.position(service, flow)?])
     }
-}
 
-fn hop((id, member): (&UpstreamId, &Member)) -> Hop {
-    Hop {
-        upstream: *id,
-        address: member.data,
+    fn former_hop(&self, service: ServiceId, flow: FlowKey) -> Option<Hop> {
+        let former = self.former.as_ref().unwrap_or(&self.present);
+        self.hop(former.owner(service, flow)?)
     }
 }
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -81,26 +81,32 @@
 #[test]
 fn few_buckets_move() {
     for n in [3, 7, 14] {
-        let mut ratios: Vec<f64> = (0..21)
-            .flat_map(|trial| {
-                let ids = trial * 100..trial * 100 + n;
-                let full = equal(ids.clone());
-                let ramp = |share| {
-                    let mut shares = full.clone();
-                    shares.insert(UpstreamId(ids.end), Share(share));
-                    shares
-                };
-                let left = equal(ids.start + 1..ids.end);
-                [
-                    (full.clone(), left),
-                    (full.clone(), ramp(128)),
-                    (ramp(512), ramp(640)),
-                ]
-            })
-            .map(|(before, after)| ratio(&before, &after))
-            .collect();
-        ratios.sort_by(f64::total_cmp);
-        assert!(ratios[ratios.len() / 2] <= 1.5, "{n}: {ratios:?}");
+        let mut ratios: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        for trial in 0..21 {
+            let ids = trial * 100..trial * 100 + n;
+            let with = |share| {
+                let mut shares = equal(ids.clone());
+                shares.insert(UpstreamId(ids.end), Share(share));
+                shares
+            };
+            let lowered = [(UpstreamId(ids.start), Share(512))];
+            let lowered = equal(ids.clone()).into_iter().chain(lowered).collect();
+            let cases = [
+                ("leaves", with(1024), with(0)),
+                ("joins", with(0), with(128)),
+                ("ramp step", with(512), with(640)),
+                ("load report", with(0), lowered),
+            ];
+            for (name, before, after) in cases {
+                let ratio = ratio(&before, &after);
+                ratios.entry(name).or_default().push(ratio);
+            }
+        }
+        for (name, mut ratios) in ratios {
+            ratios.sort_by(f64::total_cmp);
+            let median = ratios[ratios.len() / 2];
+            assert!(median <= 1.5, "{n} {name}: {ratios:?}");
+        }
     }
 }
 
