Check the invariants of the admission after random inputs

Cause: slots, queue bound, deadlines and one final decision must hold for any sequence of inputs, not only for those of the tables.

Change: 512 seeded cases drive one Admission with arrivals, answers, ends, reservations, offers, reports, changed targets, leaving and failed connects. They found that a class whose target has no slots was forgotten as if it had been deleted; that is fixed, and a deleted class that still has requests in progress takes no new ones.

--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -72,13 +72,13 @@
         let largest = targets.values().map(|target| target.connections.0).max();
         self.max_connections = largest.unwrap_or(0).min(self.settings.max_connections);
         for class in self.classes.values_mut() {
-            class.set_target(0);
+            class.set_target(None);
         }
         for (name, target) in targets {
             let class = self.classes.entry(name.clone());
             class
                 .or_insert_with(|| Class::new(now))
-                .set_target(target.carry.0);
+                .set_target(Some(target.carry.0));
         }
         let mut wakes = Vec::new();
         let names: Vec<ClassName> = self.classes.keys().cloned().collect();
@@ -195,7 +195,8 @@
         if request.deadline.is_some_and(|at| at <= now) {
             return Decision::Refuse(Reason::Deadline);
         }
-        let Some(class) = self.classes.get_mut(&request.class) else {
+        let class = self.classes.get(&request.class);
+        let Some(class) = class.filter(|class| class.has_target()) else {
             return Decision::Refuse(Reason::UnknownClass);
         };
         if serving && !request.elsewhere && class.has_free_slot() {
--- a/crates/admit/src/version/class.rs
+++ b/crates/admit/src/version/class.rs
@@ -15,8 +15,8 @@
 /// Slots and queue of one class of work.
 #[derive(Debug, Clone)]
 pub(crate) struct Class {
-    /// Slots by the target; 0 after the class was deleted.
-    target: u32,
+    /// Slots by the target; `None` after the class was deleted.
+    target: Option<u32>,
     /// Slots that the upstream offers, until the instant passes.
     limit: Option<(u32, Instant)>,
     /// Requests that run here.
@@ -46,7 +46,7 @@
 impl Class {
     pub(crate) fn new(now: Instant) -> Self {
         Class {
-            target: 0,
+            target: None,
             limit: None,
             in_flight: 0,
             reserved: 0,
@@ -59,23 +59,27 @@
         }
     }
 
-    pub(crate) fn set_target(&mut self, slots: u32) {
+    pub(crate) fn set_target(&mut self, slots: Option<u32>) {
         self.target = slots;
     }
 
     /// Slots in use now: a limit lowers the target and never raises it.
     pub(crate) fn slots(&self) -> u32 {
         let limit = self.limit.map_or(u32::MAX, |(slots, _)| slots);
-        self.target.min(limit)
+        self.target.unwrap_or(0).min(limit)
     }
 
     pub(crate) fn has_free_slot(&self) -> bool {
         self.in_flight + self.reserved < self.slots()
     }
 
+    pub(crate) fn has_target(&self) -> bool {
+        self.target.is_some()
+    }
+
     /// Whether the class was deleted and nothing of it is left.
     pub(crate) fn is_gone(&self) -> bool {
-        self.target == 0
+        self.target.is_none()
             && self.in_flight + self.reserved + self.asking == 0
             && self.queue.is_empty()
     }
@@ -139,7 +143,10 @@
     }
 
     pub(crate) fn has_queue_room(&self, settings: &Settings) -> bool {
-        let bound = self.target.saturating_mul(settings.queue_per_slot);
+        let bound = self
+            .target
+            .unwrap_or(0)
+            .saturating_mul(settings.queue_per_slot);
         self.queue.len() < usize::try_from(bound).unwrap_or(usize::MAX)
     }
 
--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -375,6 +375,8 @@
     a.arrive(now, request(6));
     let removed = a.set_targets(now, &BTreeMap::new());
     assert_eq!(removed, [refuse(6, Reason::UnknownClass)]);
+    let unknown = Decision::Refuse(Reason::UnknownClass);
+    assert_eq!(a.arrive(now, request(7)), unknown);
 }
 
 /// Guards against a report that raises the slots, one that contradicts what
--- /dev/null
+++ b/crates/admit/tests/invariants.rs
@@ -0,0 +1,291 @@
+//! What holds after any sequence of inputs.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use admit::{
+    Admission, Claim, Decision, Outcome, PeerAnswer, QueueOrder, Report, RequestInfo, Reserve,
+    Settings, Wake,
+};
+use arbtest::{arbitrary::Unstructured, arbtest};
+use types::{ClassName, RequestId, ReservationId, Slots, Target, UpstreamId};
+
+/// Number of random cases; the case number is the seed.
+const CASES: u64 = 512;
+
+/// Bytes of random input of each case; the low half of an arbtest seed.
+const INPUT_BYTES: u64 = 2048;
+
+/// An admission and what the agent around it knows.
+struct Agent {
+    admission: Admission,
+    settings: Settings,
+    now: Instant,
+    slots: u32,
+    next_id: u64,
+    /// Requests without a final decision, each with its latest end.
+    waiting: BTreeMap<RequestId, (Instant, Option<Instant>)>,
+    running: BTreeSet<RequestId>,
+    questions: Vec<(RequestId, UpstreamId)>,
+    reservations: Vec<ReservationId>,
+    /// In flight and queued after the last input.
+    last: (u32, u32),
+}
+
+fn class() -> ClassName {
+    ClassName::default()
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+impl Agent {
+    fn new(u: &mut Unstructured<'_>) -> Self {
+        let orders = [QueueOrder::Fifo, QueueOrder::Lifo, QueueOrder::Adaptive];
+        let settings = Settings {
+            queue_order: orders[u.choose_index(3).unwrap_or(0)],
+            queue_per_slot: 2,
+            max_asking: 3,
+            ..Settings::default()
+        };
+        let now = Instant::now();
+        let mut admission = Admission::new(settings.clone(), 3);
+        let peers = (1..=3).map(|n| (UpstreamId(n), "a".parse().unwrap()));
+        admission.set_peers(&"a".parse().unwrap(), &peers.collect());
+        let mut agent = Agent {
+            admission,
+            settings,
+            now,
+            slots: 0,
+            next_id: 0,
+            waiting: BTreeMap::new(),
+            running: BTreeSet::new(),
+            questions: Vec::new(),
+            reservations: Vec::new(),
+            last: (0, 0),
+        };
+        agent.set_slots(2);
+        agent
+    }
+
+    fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+        let target = Target {
+            carry: Slots(slots),
+            ..Target::default()
+        };
+        let targets = BTreeMap::from([(class(), target)]);
+        let wakes = self.admission.set_targets(self.now, &targets);
+        self.obey(wakes);
+    }
+
+    fn obey(&mut self, wakes: impl IntoIterator<Item = Wake>) {
+        for Wake { id, decision } in wakes {
+            self.decide(id, decision);
+        }
+    }
+
+    /// Takes a decision over, which must be for a request that has none yet.
+    fn decide(&mut self, id: RequestId, decision: Decision) {
+        let (until, deadline) = self.waiting[&id];
+        if decision.is_final() {
+            self.waiting.remove(&id);
+        }
+        match decision {
+            Decision::Run => {
+                assert!(deadline.is_none_or(|at| self.now < at), "too late");
+                assert!(self.running.insert(id));
+            }
+            Decision::HandOff { peer } => self.questions.push((id, peer)),
+            Decision::Queue { until: at } => assert!(at <= until),
+            Decision::Release { .. } => panic!("release of a slot of a waiting request"),
+            Decision::Pass { .. } | Decision::Refuse(_) => {}
+        }
+    }
+
+    fn arrive(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        self.next_id += 1;
+        let id = RequestId(self.next_id);
+        let allowed = u.int_in_range(0..=400)?;
+        let deadline = u.ratio(1, 2)?.then(|| self.now + ms(allowed));
+        let limit = self.now + self.settings.queue_limit;
+        let until = deadline.map_or(limit, |at| at.min(limit));
+        self.waiting.insert(id, (until, deadline));
+        let mut info = RequestInfo::new(id, class());
+        info.deadline = deadline;
+        info.handed_off = u.ratio(1, 8)?;
+        info.elsewhere = u.ratio(1, 8)?;
+        let handed_off = info.handed_off;
+        let decision = self.admission.arrive(self.now, info);
+        assert!(!handed_off || decision.is_final(), "handed on");
+        self.decide(id, decision);
+        Ok(())
+    }
+
+    fn answer(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        if self.questions.is_empty() {
+            return Ok(());
+        }
+        let question = u.choose_index(self.questions.len())?;
+        let (id, peer) = self.questions.swap_remove(question);
+        let granted = u.ratio(1, 4)?;
+        let answer = if granted {
+            PeerAnswer::Granted
+        } else if u.ratio(1, 4)? {
+            PeerAnswer::Unreachable
+        } else {
+            PeerAnswer::Refused(self.admission.loads())
+        };
+        let decision = self.admission.peer_answer(self.now, id, peer, answer);
+        if self.waiting.contains_key(&id) {
+            self.decide(id, decision.expect("the request waits for this answer"));
+        } else {
+            let late = granted.then_some(Decision::Release { peer });
+            assert_eq!(decision, late);
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        let ids: Vec<RequestId> = self.running.iter().copied().collect();
+        if ids.is_empty() {
+            return Ok(());
+        }
+        let id = *u.choose(&ids)?;
+        self.running.remove(&id);
+        let outcomes = [Outcome::Completed, Outcome::Failed, Outcome::Shed];
+        let outcome = *u.choose(&outcomes)?;
+        let wakes = if u.ratio(1, 4)? {
+            self.admission.cancel(self.now, id)
+        } else {
+            self.admission.finish(self.now, id, outcome)
+        };
+        self.obey(wakes);
+        Ok(())
+    }
+
+    fn serve_peer(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        self.next_id += 1;
+        let until = self.now + ms(u.int_in_range(1..=100)?);
+        let id = ReservationId(self.next_id);
+        let request = RequestId(self.next_id);
+        let known = self.reservations.pop();
+        match (u.int_in_range(0..=2)?, known) {
+            (0, Some(known)) => {
+                if self.admission.claim(self.now, known, request) == Claim::Run {
+                    self.running.insert(request);
+                }
+            }
+            (1, Some(known)) => {
+                let wakes = self.admission.release(self.now, known);
+                self.obey(wakes);
+            }
+            (_, known) => {
+                self.reservations.extend(known);
+                let peer = UpstreamId(u.int_in_range(1..=3)?);
+                let answer = self.admission.reserve(self.now, id, peer, &class(), until);
+                if matches!(answer, Reserve::Granted { .. }) {
+                    self.reservations.push(id);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        self.now += ms(u.int_in_range(0..=30)?);
+        match u.int_in_range(0..=15)? {
+            0..=4 => self.arrive(u)?,
+            5..=6 => self.answer(u)?,
+            7..=8 => self.end(u)?,
+            9..=10 => self.serve_peer(u)?,
+            11 => self.set_slots(u.int_in_range(0..=4)?),
+            12 => {
+                let leaving = u.arbitrary()?;
+                let wakes = self.admission.set_leaving(self.now, leaving);
+                self.obey(wakes);
+            }
+            13 => {
+                let wakes = if u.ratio(3, 4)? {
+                    self.admission.connect_failed(self.now)
+                } else {
+                    self.admission.connect_succeeded(self.now)
+                };
+                self.obey(wakes);
+            }
+            14 => {
+                let report = Report {
+                    slots: Slots(u.int_in_range(0..=6)?),
+                    in_flight: Slots(u.int_in_range(0..=6)?),
+                };
+                let wakes = self.admission.note_report(self.now, &class(), report);
+                self.obey(wakes);
+            }
+            _ => {
+                let wake = self.admission.offered(UpstreamId(1), &class());
+                self.obey(wake);
+            }
+        }
+        let wakes = self.admission.tick(self.now);
+        self.obey(wakes);
+        for offer in self.admission.take_offers(self.now) {
+            self.reservations.push(offer.id);
+        }
+        self.check();
+        Ok(())
+    }
+
+    fn check(&mut self) {
+        let load = self.admission.loads()[&class()];
+        let (in_flight, queued) = (load.in_flight.0, load.queued.0);
+        let running = u32::try_from(self.running.len()).unwrap();
+        assert!(running <= in_flight, "a running request holds no slot");
+        let (former_in_flight, former_queued) = self.last;
+        assert!(
+            in_flight <= self.slots.max(former_in_flight),
+            "over the slots"
+        );
+        let bound = self.slots * self.settings.queue_per_slot;
+        assert!(queued <= bound.max(former_queued), "over the queue's bound");
+        let overdue = self.waiting.values().find(|(until, _)| *until <= self.now);
+        assert_eq!(overdue, None, "a request waits past its end");
+        if let Some((first, _)) = self.waiting.values().min() {
+            assert!(
+                self.admission
+                    .next_deadline()
+                    .is_some_and(|at| at <= *first)
+            );
+        }
+        self.last = (in_flight, queued);
+    }
+}
+
+/// Guards against an upstream over its slots, a queue over its bound, a request
+/// that is lost, decided twice, run twice or started past its deadline, and a
+/// handed-off request that is handed on or queued.
+#[test]
+fn invariants_hold_after_any_inputs() {
+    for case in 0..CASES {
+        arbtest(|u| {
+            let mut agent = Agent::new(u);
+            while !u.is_empty() {
+                agent.step(u)?;
+            }
+            agent.now += agent.settings.queue_limit + agent.settings.reservation_limit;
+            let wakes = agent.admission.tick(agent.now);
+            agent.obey(wakes);
+            assert!(agent.waiting.is_empty(), "a request got no final decision");
+            for id in std::mem::take(&mut agent.running) {
+                let wakes = agent.admission.cancel(agent.now, id);
+                agent.obey(wakes);
+            }
+            let load = agent.admission.loads().get(&class()).copied();
+            assert_eq!(load.unwrap_or_default().in_flight, Slots(0), "a slot leaks");
+            Ok(())
+        })
+        .seed(case << 32 | INPUT_BYTES);
+    }
+}
--- a/crates/bench/src/admission/case.rs
+++ b/crates/bench/src/admission/case.rs
@@ -32,6 +32,13 @@
         slots: 2,
         far: Duration::from_millis(5),
     };
+    /// A service with more peers than are all asked.
+    pub const WIDE: Size = Size {
+        name: "64x7 3ms",
+        upstreams: 64,
+        slots: 7,
+        far: Duration::from_millis(3),
+    };
 }
 
 /// What goes wrong during a run.
--- a/crates/bench/src/bin/admission.rs
+++ b/crates/bench/src/bin/admission.rs
@@ -22,6 +22,9 @@
     /// Compare settings of this design instead of the baselines
     #[arg(long)]
     tune: bool,
+    /// Run the size with more peers than are all asked
+    #[arg(long)]
+    wide: bool,
 }
 
 fn main() {
@@ -31,7 +34,12 @@
     table.load_preset(ASCII_MARKDOWN);
     let heads = ["size", "scenario", "load", "variant"];
     table.set_header(heads.iter().chain(&Figures::NAMES));
-    for size in [Size::GUILD, Size::COOP] {
+    let sizes = if args.wide {
+        vec![Size::WIDE]
+    } else {
+        vec![Size::GUILD, Size::COOP]
+    };
+    for size in sizes {
         for (scenario, load) in points() {
             for variant in &variants {
                 let case = Case {
@@ -81,14 +89,14 @@
         with("never ask again", |s| {
             s.ask_again = None;
         }),
-        with("ask again 50 ms", |s| {
-            s.ask_again = Some(Duration::from_millis(50));
+        with("ask again 10 ms", |s| {
+            s.ask_again = Some(Duration::from_millis(10));
         }),
-        with("offers 50 ms", |s| {
-            s.offer_within = Duration::from_millis(50);
+        with("offers 25 ms", |s| {
+            s.offer_within = Duration::from_millis(25);
         }),
-        with("offers 200 ms", |s| {
-            s.offer_within = Duration::from_millis(200);
+        with("offers 100 ms", |s| {
+            s.offer_within = Duration::from_millis(100);
         }),
         with("pause 50 ms", |s| {
             s.full_peer_pause = Duration::from_millis(50);
