Add the data folder and a fault matrix for the log

Cause: writes must survive crashes, full disks and failed syncs, and the log must keep what it accepted through any one or two faults.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -22,37 +22,32 @@
 //! use std::time::Instant;
 //! use types::MemberId;
 //!
-//! let mut now = Instant::now();
+//! /// Takes one step, with a disk that syncs every write at once.
+//! fn run(member: &mut Consensus, now: Instant, input: Input) -> Vec<Event> {
+//!     let mut events = Vec::new();
+//!     let mut next = Some(input);
+//!     while let Some(input) = next {
+//!         let out = member.step(now, input);
+//!         events.extend(out.events);
+//!         next = out.write.map(|write| Input::Written(write.id));
+//!     }
+//!     events
+//! }
+//!
 //! let address = "127.0.0.1:7000".parse().unwrap();
 //! let me = Identity { id: MemberId(1), address };
-//! let mut member = Consensus::new(Settings::default(), me, Restored::default(), 7, now);
+//! let start = Instant::now();
+//! let mut member = Consensus::new(Settings::default(), me, Restored::default(), 7, start);
 //!
-//! // A group of one member elects itself once its term is on disk.
-//! let mut out = member.step(now, Input::Form(Group::of([(me.id, address)])));
-//! while !member.status().is_leader() {
-//!     let input = match out.write {
-//!         Some(write) => Input::Written(write.id),
-//!         None => Input::Tick,
-//!     };
-//!     now = now.max(member.next_deadline());
-//!     out = member.step(now, input);
-//! }
+//! // A group of one member elects itself at its first deadline.
+//! run(&mut member, start, Input::Form(Group::of([(me.id, address)])));
+//! let now = member.next_deadline();
+//! run(&mut member, now, Input::Tick);
+//! assert!(member.status().is_leader());
 //!
 //! // A proposal is accepted once the entry is synced on a majority.
-//! let token = Token(1);
-//! let mut events = Vec::new();
-//! let mut next = Some(Input::Propose { token, command: "open".into() });
-//! while let Some(input) = next {
-//!     events.extend(out.events);
-//!     if let Some(write) = out.write {
-//!         out = member.step(now, Input::Written(write.id));
-//!         next = Some(input);
-//!     } else {
-//!         out = member.step(now, input);
-//!         next = out.write.take().map(|write| Input::Written(write.id));
-//!     }
-//! }
-//! events.extend(out.events);
+//! let (token, command) = (Token(1), "open".into());
+//! let events = run(&mut member, now, Input::Propose { token, command });
 //! assert!(matches!(events[..], [Event::Accepted { token: Token(1), .. }]));
 //! ```
 
--- a/crates/consensus/src/process/disk.rs
+++ b/crates/consensus/src/process/disk.rs
@@ -73,6 +73,7 @@
         self.disk.vote_durable = version;
         self.disk.failed = false;
         self.log.written();
+        self.count_own_vote();
     }
 
     pub(super) fn write_failed(&mut self, id: WriteId) {
--- a/crates/consensus/src/process/mod.rs
+++ b/crates/consensus/src/process/mod.rs
@@ -222,8 +222,6 @@
     fn settle(&mut self) {
         if matches!(self.part, Part::Leader(_)) {
             self.settle_leader();
-        } else {
-            self.count_own_vote();
         }
         self.acknowledge();
         self.issue_write();
--- /dev/null
+++ b/crates/store/src/version/replay.rs
@@ -0,0 +1,47 @@
+//! Replay of the records into what a member had on disk.
+
+use super::Item;
+use consensus::{Entry, Restored, Snapshot};
+use std::collections::BTreeMap;
+use types::{MemberId, Revision, Term};
+
+/// What the records add up to.
+#[derive(Debug, Default)]
+pub(crate) struct Replay {
+    pub term: Term,
+    pub vote: Option<MemberId>,
+    entries: BTreeMap<Revision, Entry>,
+}
+
+impl Replay {
+    pub fn take(&mut self, item: Item) {
+        match item {
+            Item::Vote(term, vote) => (self.term, self.vote) = (term, vote),
+            Item::Truncate(from) => {
+                self.entries.split_off(&from);
+            }
+            Item::Entry(entry) => {
+                self.entries.split_off(&entry.index);
+                self.entries.insert(entry.index, entry);
+            }
+        }
+    }
+
+    /// What is on disk, unless an entry after the snapshot is missing.
+    pub fn finish(mut self, snapshot: Option<Snapshot>) -> Option<Restored> {
+        let base = snapshot
+            .as_ref()
+            .map_or(Revision(0), |snapshot| snapshot.position.index);
+        let entries = self.entries.split_off(&Revision(base.0 + 1));
+        let consecutive = entries
+            .keys()
+            .zip(base.0 + 1..)
+            .all(|(index, expected)| index.0 == expected);
+        consecutive.then(|| Restored {
+            term: self.term,
+            vote: self.vote,
+            snapshot,
+            entries: entries.into_values().collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,436 @@
+//! The data folder keeps what was synced, through faults and restarts.
+
+use arbtest::arbtest;
+use consensus::{Entry, Group, Payload, Position, Snapshot, Write, WriteId};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use store::{Category, Dir, Disk, Found, Store, open};
+use types::{MemberId, Revision, Term};
+
+/// Number of random cases; the case number is the seed.
+const CASES: u64 = 128;
+
+/// Bytes of random input of each case; the low half of an arbtest seed.
+const INPUT_BYTES: u64 = 128;
+
+/// What the fake disk does next.
+#[derive(Default, Clone, Copy, PartialEq)]
+enum Fault {
+    #[default]
+    None,
+    /// Appends half of the bytes, then fails.
+    Full,
+    ReadOnly,
+    /// Appends, then fails to sync.
+    Sync,
+}
+
+#[derive(Default)]
+struct State {
+    /// Each with the content and the length that is synced.
+    files: BTreeMap<String, (Vec<u8>, usize)>,
+    fault: Fault,
+}
+
+/// A folder in memory. Renaming and removing are durable at once.
+#[derive(Default, Clone)]
+struct Memory(Arc<Mutex<State>>);
+
+impl Memory {
+    fn set(&self, fault: Fault) {
+        self.0.lock().unwrap().fault = fault;
+    }
+
+    /// Ends the process: of what is not synced, `keep` bytes of each file stay.
+    fn crash(&self, keep: usize) -> Memory {
+        let files = self.0.lock().unwrap().files.clone();
+        let cut = |(data, synced): (Vec<u8>, usize)| {
+            let len = data.len().min(synced + keep);
+            (data[..len].to_vec(), len)
+        };
+        let files = files.into_iter().map(|(name, file)| (name, cut(file)));
+        Memory(Arc::new(Mutex::new(State {
+            files: files.collect(),
+            fault: Fault::None,
+        })))
+    }
+
+    /// Changes the content of the last segment.
+    fn edit(&self, change: impl FnOnce(&mut Vec<u8>)) {
+        let mut state = self.0.lock().unwrap();
+        let logs = state.files.range_mut("log-".to_owned()..);
+        let (data, synced) = logs
+            .filter(|(n, _)| n.starts_with("log-"))
+            .last()
+            .unwrap()
+            .1;
+        change(data);
+        *synced = data.len();
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> io::Result<T>) -> io::Result<T> {
+        let mut state = self.0.lock().unwrap();
+        if state.fault == Fault::ReadOnly {
+            return Err(io::ErrorKind::ReadOnlyFilesystem.into());
+        }
+        f(&mut state)
+    }
+}
+
+impl Disk for Memory {
+    type File = String;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.with(|state| Ok(state.files.keys().cloned().collect()))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.with(|state| Ok(state.files[name].0.clone()))
+    }
+
+    fn open(&self, name: &str) -> io::Result<String> {
+        self.with(|state| {
+            state.files.entry(name.to_owned()).or_default();
+            Ok(name.trim_end_matches(".tmp").to_owned())
+        })
+    }
+
+    fn append(&self, file: &mut String, bytes: &[u8]) -> io::Result<()> {
+        self.with(|state| {
+            let full = state.fault == Fault::Full;
+            let len = if full { bytes.len() / 2 } else { bytes.len() };
+            state.at(file).0.extend_from_slice(&bytes[..len]);
+            if full {
+                Err(io::ErrorKind::StorageFull.into())
+            } else {
+                Ok(())
+            }
+        })
+    }
+
+    fn cut(&self, file: &mut String, len: u64) -> io::Result<()> {
+        self.with(|state| {
+            state.at(file).0.truncate(usize::try_from(len).unwrap());
+            Ok(())
+        })
+    }
+
+    fn sync(&self, file: &mut String) -> io::Result<()> {
+        self.with(|state| {
+            if state.fault == Fault::Sync {
+                return Err(io::Error::other("sync failed"));
+            }
+            let (data, synced) = state.at(file);
+            *synced = data.len();
+            Ok(())
+        })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.with(|state| {
+            let file = state.files.remove(from).unwrap();
+            state.files.insert(to.to_owned(), file);
+            Ok(())
+        })
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let missing = || io::Error::from(io::ErrorKind::NotFound);
+        self.with(|state| state.files.remove(name).map(drop).ok_or_else(missing))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        self.with(|_| Ok(()))
+    }
+}
+
+impl State {
+    /// An open file follows its rename.
+    fn at(&mut self, name: &str) -> &mut (Vec<u8>, usize) {
+        let temporary = format!("{name}.tmp");
+        let name = if self.files.contains_key(&temporary) {
+            &temporary
+        } else {
+            name
+        };
+        self.files.get_mut(name).unwrap()
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index: Revision(index),
+        term: Term(term),
+        payload: Payload::Command(vec![u8::try_from(index % 251).unwrap(); 40].into()),
+    }
+}
+
+fn append(from: u64, count: u64, term: u64) -> Write {
+    Write {
+        id: WriteId(from),
+        vote: Some((Term(term), None)),
+        from: Some(Revision(from)),
+        snapshot: None,
+        entries: (from..from + count)
+            .map(|index| entry(index, term))
+            .collect(),
+    }
+}
+
+fn snapshot(index: u64, term: u64) -> Write {
+    Write {
+        vote: None,
+        from: None,
+        snapshot: Some(Snapshot {
+            position: Position {
+                term: Term(term),
+                index: Revision(index),
+            },
+            group: Group::default(),
+            state: vec![7; 100].into(),
+        }),
+        entries: Vec::new(),
+        ..append(index, 0, term)
+    }
+}
+
+fn reopen(disk: &Memory) -> (Store<Memory>, Found) {
+    open(disk.crash(0)).unwrap()
+}
+
+fn indexes(found: &Found) -> Vec<u64> {
+    found.restored.entries.iter().map(|e| e.index.0).collect()
+}
+
+/// Guards against a restart that loses or reorders synced writes.
+#[test]
+fn synced_writes_are_there_after_a_crash() {
+    let disk = Memory::default();
+    let (mut store, first) = open(disk.clone()).unwrap();
+    store.apply(&[append(1, 5, 1)]).unwrap();
+    let before = store.syncs();
+    store.apply(&[append(4, 1, 2), append(5, 2, 2)]).unwrap();
+    assert_eq!(store.syncs(), before + 1, "queued writes share a sync");
+    let (mut store, found) = reopen(&disk);
+    assert_eq!(found.member, first.member);
+    assert_eq!(indexes(&found), [1, 2, 3, 4, 5, 6]);
+    assert_eq!(found.restored.entries[3].term, Term(2));
+    assert_eq!(found.restored.term, Term(2));
+    let gap = store.apply(&[append(9, 1, 2)]).unwrap_err();
+    assert_eq!(gap.category(), Category::Gap);
+}
+
+/// Guards against a failed write that leaves a torn or unsynced record before
+/// later ones, or that loses what was synced earlier.
+#[test]
+fn writes_go_on_after_a_failed_one() {
+    for fault in [Fault::Full, Fault::ReadOnly, Fault::Sync] {
+        for keep in [0, 3, 1000] {
+            let disk = Memory::default();
+            let (mut store, _) = open(disk.clone()).unwrap();
+            store.apply(&[append(1, 3, 1)]).unwrap();
+            disk.set(fault);
+            for _ in 0..2 {
+                let failed = store.apply(&[append(4, 2, 1)]).unwrap_err();
+                assert_eq!(failed.category(), Category::Io);
+            }
+            let crashed = open(disk.crash(keep)).unwrap().1;
+            assert_eq!(indexes(&crashed)[..3], [1, 2, 3]);
+            disk.set(Fault::None);
+            store.apply(&[append(4, 1, 2)]).unwrap();
+            let found = reopen(&disk).1;
+            assert_eq!(indexes(&found), [1, 2, 3, 4]);
+            assert_eq!(found.restored.entries[3].term, Term(2));
+        }
+    }
+}
+
+/// Guards against a half-written record that stops a host after a crash.
+#[test]
+fn a_torn_tail_is_cut_off() {
+    let cases: [fn(&mut Vec<u8>); 4] = [
+        |data| data.truncate(data.len() - 1),
+        |data| *data.last_mut().unwrap() ^= 1,
+        |data| data.extend([0; 64]),
+        |data| data.extend([9, 0, 0]),
+    ];
+    for (i, tear) in cases.into_iter().enumerate() {
+        let disk = Memory::default();
+        let (mut store, _) = open(disk.clone()).unwrap();
+        store.apply(&[append(1, 2, 1)]).unwrap();
+        store.apply(&[append(3, 1, 1)]).unwrap();
+        disk.edit(tear);
+        let torn = disk.crash(0);
+        let (mut store, found) = open(torn.clone()).unwrap();
+        let kept = if i < 2 { 2 } else { 3 };
+        assert_eq!(indexes(&found), (1..=kept).collect::<Vec<_>>(), "case {i}");
+        store.apply(&[append(kept + 1, 1, 2)]).unwrap();
+        assert_eq!(indexes(&reopen(&torn).1).len() as u64, kept + 1);
+    }
+}
+
+/// Guards against silently dropping synced entries that stand after a damaged
+/// record, and against an error that does not help.
+#[test]
+fn damage_before_valid_records_is_an_error() {
+    let cases: [fn(&mut Vec<u8>); 3] = [
+        |data| data[20] ^= 1,
+        |data| data[0] ^= 0x40,
+        |data| data[..8].fill(0xff),
+    ];
+    for damage in cases {
+        let disk = Memory::default();
+        let (mut store, _) = open(disk.clone()).unwrap();
+        store.apply(&[append(1, 2, 1)]).unwrap();
+        store.apply(&[append(3, 1, 1)]).unwrap();
+        disk.edit(damage);
+        let e = open(disk.crash(0)).map(drop).unwrap_err();
+        assert_eq!(e.category(), Category::Damaged);
+        let text = e.to_string();
+        assert!(
+            text.contains("log-0000000000000001 is damaged at offset 0"),
+            "{text}"
+        );
+        assert!(text.contains("limpetctl control replace"), "{text}");
+    }
+}
+
+/// Guards against a host that votes under its id after it lost its log.
+#[test]
+fn missing_files_are_an_error() {
+    for missing in ["log-", "member", "snapshot-"] {
+        let disk = Memory::default();
+        let (mut store, _) = open(disk.clone()).unwrap();
+        store.apply(&[append(1, 4, 1)]).unwrap();
+        store.apply(&[snapshot(4, 1)]).unwrap();
+        store.apply(&[append(5, 1, 1)]).unwrap();
+        disk.0
+            .lock()
+            .unwrap()
+            .files
+            .retain(|name, _| !name.starts_with(missing));
+        let found = open(disk.crash(0));
+        // The segment still holds all entries if only the snapshot is gone.
+        match missing {
+            "snapshot-" => assert_eq!(indexes(&found.unwrap().1).len(), 5),
+            _ => assert_eq!(found.map(drop).unwrap_err().category(), Category::Damaged),
+        }
+    }
+}
+
+/// Guards against a log that grows without end, and against a vote that is
+/// removed with the segment that held it.
+#[test]
+fn snapshots_replace_old_segments() {
+    let disk = Memory::default();
+    let (mut store, _) = open(disk.clone()).unwrap();
+    let mut large = append(1, 2, 3);
+    large.entries[0].payload = Payload::Command(vec![1; 5 << 20].into());
+    large.vote = Some((Term(3), Some(MemberId(8))));
+    store.apply(&[large]).unwrap();
+    let mut plain = append(3, 1, 3);
+    plain.vote = None;
+    store.apply(&[plain]).unwrap();
+    store.apply(&[snapshot(2, 3)]).unwrap();
+    let names: Vec<String> = disk.0.lock().unwrap().files.keys().cloned().collect();
+    let expected = [
+        "layout",
+        "log-0000000000000002",
+        "member",
+        "snapshot-0000000000000002",
+    ];
+    assert_eq!(names, expected);
+    let found = reopen(&disk).1;
+    assert_eq!(indexes(&found), [3]);
+    assert_eq!(found.restored.vote, Some(MemberId(8)));
+    assert_eq!(found.restored.snapshot.unwrap().position.index, Revision(2));
+}
+
+/// Guards against an installed snapshot that is followed by entries which
+/// contradict it.
+#[test]
+fn an_installed_snapshot_drops_the_old_log() {
+    let disk = Memory::default();
+    let (mut store, _) = open(disk.clone()).unwrap();
+    store.apply(&[append(1, 12, 1)]).unwrap();
+    let install = Write {
+        from: Some(Revision(11)),
+        ..snapshot(10, 4)
+    };
+    let entries = vec![entry(11, 4)];
+    store.apply(&[Write { entries, ..install }]).unwrap();
+    let found = reopen(&disk).1;
+    assert_eq!(indexes(&found), [11]);
+    assert_eq!(found.restored.entries[0].term, Term(4));
+}
+
+/// Guards against any order of writes, faults and crashes that loses a write
+/// reported as synced.
+#[test]
+fn reported_writes_survive_random_faults() {
+    for case in 0..CASES {
+        arbtest(|u| {
+            let mut disk = Memory::default();
+            let (mut store, _) = open(disk.clone()).unwrap();
+            let (mut last, mut term) = (0, 1);
+            while !u.is_empty() {
+                let fault: u8 = u.int_in_range(0..=7)?;
+                let faults = [Fault::Full, Fault::ReadOnly, Fault::Sync];
+                disk.set(faults.get(usize::from(fault)).copied().unwrap_or_default());
+                let from = u.int_in_range(last.max(3) - 2..=last + 1)?.min(last + 1);
+                term += 1;
+                if store.apply(&[append(from, 2, term)]).is_ok() {
+                    last = from + 1;
+                    let found = reopen(&disk).1;
+                    assert_eq!(indexes(&found).len() as u64, last);
+                    assert_eq!(found.restored.term, Term(term));
+                } else if u.arbitrary()? {
+                    disk = disk.crash(u.int_in_range(0..=200)?);
+                    let (opened, found) = open(disk.clone()).unwrap();
+                    store = opened;
+                    last = indexes(&found).len() as u64;
+                }
+            }
+            Ok(())
+        })
+        .seed(case << 32 | INPUT_BYTES);
+    }
+}
+
+/// Guards against two processes on one folder, and against an id that changes.
+#[test]
+fn a_folder_is_locked_and_keeps_its_id() {
+    let dir = tempfile::tempdir().unwrap();
+    let (store, found) = open(Dir::new(dir.path()).unwrap()).unwrap();
+    assert_eq!(
+        Dir::new(dir.path()).unwrap_err().category(),
+        Category::Locked
+    );
+    drop(store);
+    let again = open(Dir::new(dir.path()).unwrap()).unwrap().1;
+    assert_eq!(again.member, found.member);
+    std::fs::write(dir.path().join("layout"), "2").unwrap();
+    let e = open(Dir::new(dir.path()).unwrap()).map(drop).unwrap_err();
+    assert_eq!(e.category(), Category::Layout);
+}
+
+/// Guards against a write that is never reported, or reported out of order.
+#[test]
+fn the_thread_reports_every_write() {
+    let dir = tempfile::tempdir().unwrap();
+    let (store, _) = open(Dir::new(dir.path()).unwrap()).unwrap();
+    let mut handle = store::start(store).unwrap();
+    for index in 1..=20 {
+        handle.writes.blocking_send(append(index, 1, 1)).unwrap();
+    }
+    for index in 1..=20 {
+        let report = handle.reports.blocking_recv().unwrap();
+        assert_eq!((report.id, report.synced), (WriteId(index), true));
+        assert!(report.syncs <= index, "more syncs than writes");
+    }
+    drop(handle.writes);
+    handle.thread.join().unwrap();
+    let found = open(Dir::new(dir.path()).unwrap()).unwrap().1;
+    assert_eq!(indexes(&found).len(), 20);
+}
