Take offers of slots and load reports in the agent

Cause: the admission offers slots that become free to peers that were refused, and upstreams report their load.

Change: a message for offers between agents, and a task that reads the upstream's load endpoint in JSON.

--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -2,15 +2,17 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use admit::{
-    Admission, Attempt, Claim, Decision, Outcome, PeerAnswer, Reason, RequestInfo, Reserve,
-    RetryBudget, Verdict, Wake, verdict,
+    Admission, Attempt, Claim, Decision, Offer, Outcome, PeerAnswer, Reason, Report, RequestInfo,
+    Reserve, RetryBudget, Verdict, Wake, verdict,
 };
 use client::Http;
 use rand::Rng;
+use serde::Serialize;
 use tokio::{
     net::TcpStream,
     sync::{mpsc, oneshot},
@@ -20,9 +22,9 @@
     ClassName, Connections, DataCentre, Loads, RequestId, ReservationId, ServiceId, Target,
     UpstreamId, UpstreamState,
 };
-use wire::{ReserveReply, ReserveRequest};
+use wire::{OfferRequest, ReserveReply, ReserveRequest};
 
-use super::peer::{RELEASE_PATH, RESERVE_PATH};
+use super::peer::{OFFER_PATH, RELEASE_PATH, RESERVE_PATH};
 use crate::version::Peer;
 
 /// Time for a peer to answer, after which it counts as unreachable. Several
@@ -98,10 +100,14 @@
     Claim(ReservationId, RequestId, oneshot::Sender<Claim>),
     /// A peer no longer needs its reservation.
     Release(ReservationId),
+    /// A peer that had refused a slot offers one.
+    Offer(OfferRequest),
     /// Whether one more connection may be accepted; counts it if so.
     OpenConnection(oneshot::Sender<bool>),
     /// A connection was closed.
     CloseConnection,
+    /// The upstream reports its load of a class.
+    Report(ClassName, Report),
     /// A connection to the upstream was opened or could not be.
     Connected(bool),
     /// A new version is in force.
@@ -154,7 +160,7 @@
     budget: RetryBudget,
     own: UpstreamId,
     data_centre: DataCentre,
-    upstream: std::net::SocketAddr,
+    upstream: SocketAddr,
     service: Option<ServiceId>,
     peers: BTreeMap<UpstreamId, Peer>,
     /// Requests without a grant: the class, and whoever waits.
@@ -208,6 +214,7 @@
                 Some(command) => self.handle_command(Instant::now(), command),
                 None => self.tick(Instant::now()),
             }
+            self.send_offers(Instant::now());
         }
     }
 
@@ -245,6 +252,7 @@
                 let wakes = self.admission.release(now, reservation);
                 self.wake(wakes);
             }
+            C::Offer(offer) => self.offered(&offer),
             C::OpenConnection(tx) => {
                 let may = self.admission.may_accept_connection();
                 if may {
@@ -257,6 +265,10 @@
                 self.admission.connection_closed();
                 self.connections.0 = self.connections.0.saturating_sub(1);
             }
+            C::Report(class, report) => {
+                let wakes = self.admission.note_report(now, &class, report);
+                self.wake(wakes);
+            }
             C::Connected(ok) => self.connected(now, ok),
             C::View(view) => self.apply(now, view),
             C::PeerLoads(loads) => {
@@ -350,6 +362,7 @@
             id: reservation,
             service,
             upstream,
+            from: self.own,
             class,
             hold: HOLD,
         };
@@ -374,15 +387,50 @@
     /// Returns a slot to a peer. If the message is lost, the reservation
     /// lapses at its deadline.
     fn release(&self, peer: UpstreamId, reservation: ReservationId) {
-        let Some(peer) = self.peers.get(&peer).cloned() else {
+        if let Some(peer) = self.peers.get(&peer) {
+            self.tell(peer.address, RELEASE_PATH, reservation);
+        }
+    }
+
+    /// Passes a queued request against an offered slot, or returns the slot.
+    fn offered(&mut self, offer: &OfferRequest) {
+        if offer.upstream != self.own || Some(offer.service) != self.service {
+            return;
+        }
+        match self.admission.offered(offer.from, &offer.class) {
+            Some(Wake { id, decision }) => self.decide(id, decision, Some(offer.id)),
+            None => self.release(offer.from, offer.id),
+        }
+    }
+
+    /// Offers slots that became free to peers that were refused. If an offer
+    /// is lost, its reservation lapses at its deadline.
+    fn send_offers(&mut self, now: Instant) {
+        let Some(service) = self.service else {
             return;
         };
+        for Offer { peer, class, id } in self.admission.take_offers(now) {
+            let Some(known) = self.peers.get(&peer) else {
+                self.handle.send(AdmissionCommand::Release(id));
+                continue;
+            };
+            let offer = OfferRequest {
+                id,
+                service,
+                upstream: peer,
+                from: self.own,
+                class,
+            };
+            self.tell(known.address, OFFER_PATH, offer);
+        }
+    }
+
+    /// Sends a message to a peer that may be lost.
+    fn tell<T: Serialize + 'static>(&self, address: SocketAddr, path: &'static str, message: T) {
         let http = self.http.clone();
         actix_rt::spawn(async move {
             let deadline = Instant::now() + PEER_ANSWER;
-            let _: Result<(), _> = http
-                .post(peer.address, RELEASE_PATH, &reservation, deadline)
-                .await;
+            let _: client::Result<()> = http.post(address, path, &message, deadline).await;
         });
     }
 
@@ -391,7 +439,10 @@
             return ReserveReply::Misdirected;
         }
         let deadline = now + req.hold;
-        match self.admission.reserve(now, req.id, &req.class, deadline) {
+        match self
+            .admission
+            .reserve(now, req.id, req.from, &req.class, deadline)
+        {
             Reserve::Granted { .. } => ReserveReply::Granted,
             Reserve::Refused(loads) => ReserveReply::Refused { loads },
         }
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod balancers;
 mod datagram;
 mod identity;
+mod load;
 mod metrics;
 mod node;
 mod openers;
--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -19,7 +19,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use types::{ReservationId, UpstreamId};
-use wire::{ClaimHeader, ReserveReply, ReserveRequest};
+use wire::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
 
 use super::{AdmissionCommand, AdmissionHandle};
 use crate::{
@@ -36,6 +36,9 @@
 /// Path on which a reservation is returned.
 pub const RELEASE_PATH: &str = "/v1/release";
 
+/// Path of offers of a slot.
+pub const OFFER_PATH: &str = "/v1/offer";
+
 /// Answer to a request without a valid reservation.
 const NOT_CLAIMED: (StatusCode, &str) = (StatusCode::SERVICE_UNAVAILABLE, ClaimHeader::NOT_RUN);
 
@@ -74,6 +77,7 @@
         App::new()
             .app_data(web::Data::new(cx.clone()))
             .route(RESERVE_PATH, web::post().to(reserve))
+            .route(OFFER_PATH, web::post().to(offer))
             .route(RELEASE_PATH, web::post().to(release))
             .default_service(web::to(run_claimed))
     };
@@ -106,6 +110,14 @@
     message(&())
 }
 
+async fn offer(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
+    let Ok(offer) = wire::decode::<OfferRequest>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    cx.admission.send(AdmissionCommand::Offer(offer));
+    message(&())
+}
+
 fn message<T: Serialize>(reply: &T) -> HttpResponse {
     match wire::encode(reply) {
         Ok(body) => HttpResponse::Ok()
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -27,7 +27,7 @@
 
 use super::{
     AdmissionHandle, Identity, Metrics, Settings, admission::AdmissionTask, datagram::DatagramTask,
-    node::NodeTask, peer, port::Port,
+    load::LoadTask, node::NodeTask, peer, port::Port,
 };
 use crate::{
     Error, Result,
@@ -127,6 +127,11 @@
         }),
     ];
 
+    let load_task = cfg.load_path.as_ref().map(|path| {
+        let task = LoadTask::new(cfg.upstream, &path.to_string(), admission.clone());
+        actix_rt::spawn(task.run())
+    });
+
     let cx = RequestContext {
         admission,
         ids,
@@ -149,7 +154,7 @@
     };
     actix_rt::time::sleep(FAREWELL).await;
     peers_handle.stop(false).await;
-    for task in tasks {
+    for task in tasks.into_iter().chain(load_task) {
         task.abort();
     }
     log::info!(event = "agent_stopped"; "agent stopped");
--- a/crates/agent/src/process/settings.rs
+++ b/crates/agent/src/process/settings.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use types::{ClassName, DataCentre, HostName, ServiceName};
+use types::{ClassName, DataCentre, HostName, PathPrefix, ServiceName};
 
 /// Settings of an agent.
 #[derive(Debug, Clone)]
@@ -27,6 +27,8 @@
     pub data_listen: SocketAddr,
     /// Where peers send requests; announced, so not a wildcard address.
     pub peer_listen: SocketAddr,
+    /// Path of the upstream's load endpoint; none if it reports no load.
+    pub load_path: Option<PathPrefix>,
     /// Longest time that a leaving agent stays for requests in progress.
     pub stay_at_most: Duration,
     /// Settings of the admission.
@@ -52,6 +54,7 @@
             upstream,
             data_listen: (Ipv4Addr::LOCALHOST, 0).into(),
             peer_listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            load_path: None,
             stay_at_most: Duration::from_hours(1),
             admission: admit::Settings::default(),
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -38,5 +38,5 @@
 };
 pub use error::{Category, Error, Result};
 pub use process::{CONTENT_TYPE, MAX_MESSAGE, decode, encode};
-pub use request::{ClaimHeader, ReserveReply, ReserveRequest};
+pub use request::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
 pub use version::{Subset, SyncReply, SyncRequest, Update};
--- a/crates/wire/src/request/mod.rs
+++ b/crates/wire/src/request/mod.rs
@@ -8,4 +8,4 @@
     HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
     UpstreamReport,
 };
-pub use reserve::{ClaimHeader, ReserveReply, ReserveRequest};
+pub use reserve::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
--- a/crates/wire/src/request/reserve.rs
+++ b/crates/wire/src/request/reserve.rs
@@ -16,6 +16,8 @@
     pub service: ServiceId,
     /// Upstream that is meant; another incarnation refuses.
     pub upstream: UpstreamId,
+    /// Upstream whose agent asks.
+    pub from: UpstreamId,
     /// Class of work of the request.
     pub class: ClassName,
     /// Time that the reservation is held if it is not claimed.
@@ -23,6 +25,23 @@
     pub hold: Duration,
 }
 
+/// Offers a slot to a peer that was refused one before.
+///
+/// The peer passes a request against the reservation or releases it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferRequest {
+    /// Identity of the reservation.
+    pub id: ReservationId,
+    /// Service of the slot.
+    pub service: ServiceId,
+    /// Upstream that is meant; another incarnation ignores the offer.
+    pub upstream: UpstreamId,
+    /// Upstream that holds the slot.
+    pub from: UpstreamId,
+    /// Class of work of the slot.
+    pub class: ClassName,
+}
+
 /// Reply to a [`ReserveRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReserveReply {
