Add the control host

Cause: the decisions of log, configuration and membership need a process that owns disk and sockets.

Change: one group task drives the consensus, applies the log, keeps the leader's membership and answers nodes and operators; nothing is answered before a majority has confirmed the read. A host that cannot read a log entry stops rather than skip it.

--- a/crates/client/src/request/mod.rs
+++ b/crates/client/src/request/mod.rs
@@ -128,3 +128,16 @@
         self.http.post(host, path, message, deadline).await
     }
 }
+
+impl Redirect for wire::request::QueryReply {
+    fn declined(&self) -> bool {
+        matches!(self, Self::NotLeader { .. })
+    }
+
+    fn leader(&self) -> Option<SocketAddr> {
+        match self {
+            Self::NotLeader { leader } => *leader,
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/group.rs
@@ -0,0 +1,549 @@
+//! The task that owns the decisions of a control host.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use config::State;
+use consensus::{
+    Consensus, Entry, Event, Group, Input, Message, Output, Payload, Snapshot, Status, Token,
+};
+use member::Registry;
+use rand::Rng;
+use store::Report;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::sleep_until,
+};
+use types::{
+    Answer, Change, ChangeId, ChangeRequest, CidKey, KeyGeneration, Revision, Term, UnixMillis,
+};
+use wire::{
+    SyncReply, SyncRequest,
+    request::{ChangeReply, GroupReply, GroupRequest, HelloReply, Query, QueryReply},
+};
+
+use super::{Settings, metrics::Metrics, nodes::Nodes, peers::Peers, waiters::Waiters};
+use crate::{
+    Error, Result,
+    request::{Command, Pending, Waiter, group_change},
+    version::View,
+};
+
+/// Shortest time between two published memberships, so that many changes at
+/// once are one switch of version.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Applied entries after which the log is replaced by a snapshot.
+const COMPACT_AFTER: u64 = 4096;
+
+/// Author of the changes that the leader makes itself.
+const SYSTEM: &str = "limpetd";
+
+/// A message to the task.
+#[derive(Debug)]
+pub enum GroupCommand {
+    /// A message of another member.
+    Message(Message),
+    /// Another member looks for a group to form.
+    Hello(oneshot::Sender<HelloReply>),
+    /// All hosts of the first group are blank: form it.
+    Form(Group),
+    /// An operator's change.
+    Change(Box<ChangeRequest>, oneshot::Sender<ChangeReply>),
+    /// An operator's query.
+    Query(Query, oneshot::Sender<QueryReply>),
+    /// An operator's change of the group.
+    ChangeGroup(GroupRequest, oneshot::Sender<GroupReply>),
+    /// A node's request to be brought up to date.
+    Sync(Box<SyncRequest>, oneshot::Sender<SyncReply>),
+}
+
+/// What the leader keeps besides the log. Soft state: a new leader starts
+/// without it.
+struct Leadership {
+    term: Term,
+    registry: Registry,
+    nodes: Nodes,
+    /// Nodes that wait for something newer.
+    waiters: Waiters,
+    /// No membership is published before this instant.
+    publish_at: Instant,
+    /// Revision up to which the registry knows the configuration.
+    known: Revision,
+}
+
+/// The task that owns the decisions of a control host.
+pub struct GroupTask {
+    cfg: Settings,
+    consensus: Consensus,
+    state: State,
+    leadership: Option<Leadership>,
+    pending: BTreeMap<Token, Pending>,
+    next_token: u64,
+    /// Answers to entries of this leadership, until their proposals are
+    /// reported as accepted.
+    answers: BTreeMap<Revision, Answer>,
+    /// Last entry that is covered by a snapshot.
+    compacted: Revision,
+    disk: store::Handle,
+    peers: Peers,
+    metrics: Metrics,
+    commands: mpsc::Receiver<GroupCommand>,
+}
+
+impl GroupTask {
+    /// Creates the task with the state in `snapshot`, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// The snapshot cannot be read.
+    pub fn new(
+        cfg: Settings,
+        consensus: Consensus,
+        snapshot: Option<&Snapshot>,
+        disk: store::Handle,
+        peers: Peers,
+        metrics: Metrics,
+        commands: mpsc::Receiver<GroupCommand>,
+    ) -> Result<Self> {
+        let mut task = GroupTask {
+            cfg,
+            consensus,
+            state: State::default(),
+            leadership: None,
+            pending: BTreeMap::new(),
+            next_token: 0,
+            answers: BTreeMap::new(),
+            compacted: Revision(0),
+            disk,
+            peers,
+            metrics,
+            commands,
+        };
+        if let Some(snapshot) = snapshot {
+            task.load(snapshot)?;
+        }
+        Ok(task)
+    }
+
+    /// Runs until `stop` changes.
+    ///
+    /// # Errors
+    ///
+    /// A snapshot of the leader cannot be read.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) -> Result<()> {
+        loop {
+            let deadline = self.next_deadline();
+            tokio::select! {
+                _ = stop.changed() => return Ok(()),
+                report = self.disk.reports.recv() => match report {
+                    Some(report) => self.note_write(report)?,
+                    None => return Err(Error::DiskEnded),
+                },
+                command = self.commands.recv() => match command {
+                    Some(command) => self.handle(command)?,
+                    None => return Ok(()),
+                },
+                () = sleep_until(deadline.into()) => self.step(Input::Tick)?,
+            }
+            self.review(Instant::now())?;
+        }
+    }
+
+    fn next_deadline(&self) -> Instant {
+        let mut deadline = self.consensus.next_deadline();
+        if let Some(leadership) = &self.leadership {
+            deadline = deadline.min(leadership.next_deadline());
+        }
+        deadline
+    }
+
+    fn handle(&mut self, command: GroupCommand) -> Result<()> {
+        match command {
+            GroupCommand::Message(message) => self.step(Input::Message(message)),
+            GroupCommand::Form(group) => self.step(Input::Form(group)),
+            GroupCommand::Hello(tx) => {
+                let status = self.consensus.status();
+                // Whoever asked may be gone.
+                let _ = tx.send(HelloReply {
+                    id: status.id,
+                    blank: status.is_blank(),
+                });
+                Ok(())
+            }
+            GroupCommand::Change(req, tx) => self.propose(*req, Pending::Change(tx)),
+            GroupCommand::Query(query, tx) => {
+                let token = self.expect(Pending::Query(query, tx));
+                self.step(Input::ConfirmRead { token })
+            }
+            GroupCommand::ChangeGroup(req, tx) => {
+                log::info!(event = "group_change_asked", change:? = req; "group change asked");
+                let change = group_change(req);
+                let token = self.expect(Pending::Group(tx));
+                self.step(Input::ChangeGroup { token, change })
+            }
+            GroupCommand::Sync(req, tx) => {
+                self.sync(Instant::now(), *req, tx);
+                Ok(())
+            }
+        }
+    }
+
+    fn note_write(&mut self, report: Report) -> Result<()> {
+        self.metrics.syncs.set(gauge(report.syncs));
+        self.metrics.disk_failed.set(i64::from(!report.synced));
+        self.step(if report.synced {
+            Input::Written(report.id)
+        } else {
+            Input::WriteFailed(report.id)
+        })
+    }
+
+    fn expect(&mut self, pending: Pending) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.pending.insert(token, pending);
+        token
+    }
+
+    fn propose(&mut self, req: ChangeRequest, pending: Pending) -> Result<()> {
+        let command = Command {
+            at: unix_now(),
+            req,
+        };
+        let Ok(command) = wire::encode(&command) else {
+            // A change that came in by the same encoding can be encoded.
+            pending.reject(consensus::Rejection::DiskFailed);
+            return Ok(());
+        };
+        let token = self.expect(pending);
+        let command = Bytes::from(command);
+        self.step(Input::Propose { token, command })
+    }
+
+    /// Takes a node's request in. It is answered from [`Self::review`].
+    fn sync(&mut self, now: Instant, req: SyncRequest, tx: oneshot::Sender<SyncReply>) {
+        let Some(leadership) = &mut self.leadership else {
+            let leader = self.consensus.status().leader.map(|(_, address)| address);
+            // The node may be gone.
+            let _ = tx.send(SyncReply::NotLeader { leader });
+            return;
+        };
+        leadership.nodes.note(now, &req);
+        if let Some(upstream) = &req.upstream {
+            leadership.registry.announce(now, &req.host, upstream);
+        }
+        if let Some(balancer) = req.balancer {
+            leadership
+                .registry
+                .announce_balancer(now, &req.host, balancer);
+        }
+        let until = now + req.hold;
+        leadership.waiters.push(Waiter { req, tx, until });
+    }
+
+    /// Gives the consensus an input and carries out what it decides.
+    fn step(&mut self, input: Input) -> Result<()> {
+        let output = self.consensus.step(Instant::now(), input);
+        let status = self.consensus.status();
+        self.note_leadership(&status);
+        self.carry_out(output)?;
+        self.compact(status.commit)
+    }
+
+    fn carry_out(&mut self, output: Output) -> Result<()> {
+        if let Some(write) = output.write {
+            // At most one write is outstanding, so the queue has room.
+            self.disk
+                .writes
+                .try_send(write)
+                .map_err(|_| Error::DiskEnded)?;
+        }
+        for envelope in output.messages {
+            self.peers.send(envelope);
+        }
+        if let Some(snapshot) = &output.installed {
+            self.load(snapshot)?;
+        }
+        for entry in output.committed {
+            self.apply(&entry)?;
+        }
+        self.inform_registry();
+        for event in output.events {
+            self.resolve(&event);
+        }
+        Ok(())
+    }
+
+    /// Starts or ends the leader's soft state.
+    fn note_leadership(&mut self, status: &Status) {
+        self.metrics.leader.set(i64::from(status.is_leader()));
+        self.metrics.term.set(gauge(status.term.0));
+        self.metrics.commit.set(gauge(status.commit.0));
+        let term = self.leadership.as_ref().map(|l| l.term);
+        if status.is_leader() && term != Some(status.term) {
+            log::info!(event = "leader", term:% = status.term; "leads the control group");
+            self.end_leadership(status);
+            self.leadership = Some(Leadership::new(&self.cfg, status.term, Instant::now()));
+        } else if !status.is_leader() && term.is_some() {
+            log::info!(event = "leadership_ended", term:% = status.term; "no longer leads the control group");
+            self.end_leadership(status);
+        }
+    }
+
+    fn end_leadership(&mut self, status: &Status) {
+        let leader = status.leader.map(|(_, address)| address);
+        if let Some(mut ended) = self.leadership.take() {
+            for waiter in ended.waiters.take_all() {
+                // The node may be gone.
+                let _ = waiter.tx.send(SyncReply::NotLeader { leader });
+            }
+        }
+        self.answers.clear();
+    }
+
+    fn load(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.state = if snapshot.state.is_empty() {
+            State::default()
+        } else {
+            State::decode(&snapshot.state[..])?
+        };
+        self.compacted = snapshot.position.index;
+        Ok(())
+    }
+
+    /// Applies an entry. One that cannot be read ends the process: to skip it
+    /// would make this host's configuration differ from the others'.
+    fn apply(&mut self, entry: &Entry) -> Result<()> {
+        let Payload::Command(command) = &entry.payload else {
+            return Ok(());
+        };
+        let Command { at, req } =
+            wire::decode(command).map_err(|e| Error::Entry(entry.index, e))?;
+        let answer = self.state.apply(entry.index, at, &req);
+        let label = answer_label(&answer);
+        self.metrics.changes.with_label_values(&[label]).inc();
+        log::info!(
+            event = "change", index:% = entry.index, id:% = req.id, author:% = req.author,
+            base:% = req.base, answer = label; "change applied"
+        );
+        if self.leadership.is_some() {
+            self.answers.insert(entry.index, answer);
+        }
+        Ok(())
+    }
+
+    /// Tells the registry what changed in the configuration.
+    fn inform_registry(&mut self) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        leadership.learn(&self.state);
+    }
+
+    fn resolve(&mut self, event: &Event) {
+        match *event {
+            Event::Accepted { token, index } => {
+                let answer = self.answers.remove(&index);
+                match (self.pending.remove(&token), answer) {
+                    (Some(Pending::Change(tx)), Some(answer)) => {
+                        // Whoever asked may be gone.
+                        let _ = tx.send(ChangeReply::Final(answer));
+                    }
+                    (Some(Pending::Group(tx)), _) => drop(tx.send(GroupReply::Done)),
+                    (Some(pending), _) => pending.lose(),
+                    (None, _) => {}
+                }
+            }
+            Event::Rejected { token, reason } => {
+                if let Some(pending) = self.pending.remove(&token) {
+                    pending.reject(reason);
+                }
+            }
+            Event::Lost { token } => {
+                if let Some(pending) = self.pending.remove(&token) {
+                    pending.lose();
+                }
+            }
+            Event::ReadConfirmed { token, .. } => self.answer_read(token),
+        }
+    }
+
+    /// Answers a read that a majority has confirmed.
+    fn answer_read(&mut self, token: Token) {
+        let Some(pending) = self.pending.remove(&token) else {
+            return;
+        };
+        let Some(leadership) = &self.leadership else {
+            return pending.reject(consensus::Rejection::NotLeader { leader: None });
+        };
+        let view = View {
+            state: &self.state,
+            registry: &leadership.registry,
+        };
+        match pending {
+            Pending::Sync(waiter) => {
+                let reply = view.reply(&waiter.req);
+                let label = match &reply {
+                    SyncReply::Current { .. } => "current",
+                    SyncReply::Update(update) if update.snapshot => "snapshot",
+                    _ => "delta",
+                };
+                self.metrics.replies.with_label_values(&[label]).inc();
+                // The node may be gone.
+                let _ = waiter.tx.send(reply);
+            }
+            Pending::Query(query, tx) => {
+                let status = self.consensus.status();
+                let reply = super::report::answer(&query, view, &leadership.nodes, &status);
+                let _ = tx.send(reply);
+            }
+            other => other.lose(),
+        }
+    }
+
+    /// Does what is due at the leader: publishes, and answers nodes.
+    fn review(&mut self, now: Instant) -> Result<()> {
+        let Some(leadership) = &mut self.leadership else {
+            return Ok(());
+        };
+        if leadership.publish(now) {
+            self.metrics.publications.inc();
+        }
+        self.metrics.nodes.set(gauge(leadership.nodes.len() as u64));
+        let due = leadership.take_due(now, &self.state);
+        for waiter in due {
+            let token = self.expect(Pending::Sync(Box::new(waiter)));
+            self.step(Input::ConfirmRead { token })?;
+        }
+        if self.state.keys().is_none() && self.is_settled() {
+            self.propose_first_key()?;
+        }
+        Ok(())
+    }
+
+    fn is_settled(&self) -> bool {
+        let own = self.pending.values().any(|p| matches!(p, Pending::Own));
+        self.leadership.is_some() && !own
+    }
+
+    /// Makes the first key of connection ids.
+    fn propose_first_key(&mut self) -> Result<()> {
+        let Ok(author) = SYSTEM.parse() else {
+            return Ok(());
+        };
+        let req = ChangeRequest {
+            id: ChangeId::generate(),
+            author,
+            base: Revision(0),
+            change: Change::AddKey {
+                key: CidKey {
+                    generation: KeyGeneration(0),
+                    secret: rand::rng().random(),
+                },
+            },
+        };
+        self.propose(req, Pending::Own)
+    }
+
+    /// Replaces the applied log by a snapshot when it has grown long.
+    fn compact(&mut self, commit: Revision) -> Result<()> {
+        let through = self.state.applied().min(commit);
+        if through.0 < self.compacted.0 + COMPACT_AFTER {
+            return Ok(());
+        }
+        let mut state = Vec::new();
+        self.state.encode(&mut state)?;
+        self.compacted = through;
+        let state = Bytes::from(state);
+        let output = self
+            .consensus
+            .step(Instant::now(), Input::Compact { through, state });
+        self.carry_out(output)
+    }
+}
+
+impl Leadership {
+    fn new(cfg: &Settings, term: Term, now: Instant) -> Self {
+        Leadership {
+            term,
+            registry: Registry::new(cfg.member.clone(), now, term),
+            nodes: Nodes::default(),
+            waiters: Waiters::default(),
+            publish_at: now,
+            known: Revision(0),
+        }
+    }
+
+    /// Takes the configuration after `self.known` over into the registry.
+    fn learn(&mut self, state: &State) {
+        if self.known == state.revision() && self.known != Revision(0) {
+            return;
+        }
+        let changes = match state.delta_since(self.known) {
+            config::Delta::Changes(changes) => changes,
+            config::Delta::SnapshotNeeded => state.everything(),
+        };
+        for id in changes.removed {
+            self.registry.remove_service(id);
+        }
+        for service in changes.services {
+            self.registry
+                .set_service(service.id, &service.name, &service.targets);
+        }
+        for (host, drain) in changes.drains {
+            self.registry.set_drain(&host, drain);
+        }
+        self.known = state.revision();
+    }
+
+    fn next_deadline(&self) -> Instant {
+        let publish = self.registry.next_deadline();
+        let publish = publish.map(|at| at.max(self.publish_at));
+        let hold = self.waiters.next_deadline();
+        let far = Instant::now() + Duration::from_secs(1);
+        publish.into_iter().chain(hold).min().unwrap_or(far)
+    }
+
+    /// Publishes a membership if one is due; returns whether it did.
+    fn publish(&mut self, now: Instant) -> bool {
+        let due = self.registry.next_deadline();
+        if now < self.publish_at || due.is_none_or(|due| now < due) {
+            return false;
+        }
+        self.publish_at = now + PUBLISH_INTERVAL;
+        self.nodes.expire(now);
+        self.registry.tick(now).is_some()
+    }
+
+    /// Takes the nodes that are to be answered now.
+    fn take_due(&mut self, now: Instant, state: &State) -> Vec<Waiter> {
+        let view = View {
+            state,
+            registry: &self.registry,
+        };
+        self.waiters.take_due(now, view)
+    }
+}
+
+fn answer_label(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Accepted(_) => "accepted",
+        Answer::Conflict(_) => "conflict",
+        Answer::Refused(_) => "refused",
+    }
+}
+
+fn unix_now() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    UnixMillis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// A gauge's value; gauges are signed.
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/process/http.rs
@@ -0,0 +1,142 @@
+//! The HTTP server.
+
+use std::net::TcpListener;
+
+use actix_web::{App, HttpResponse, HttpServer, dev::Server, web};
+use bytes::Bytes;
+use consensus::Message;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::{mpsc, oneshot};
+use types::ChangeRequest;
+use wire::{
+    SyncRequest,
+    request::{ChangeReply, GroupReply, GroupRequest, Hello, Query, QueryReply},
+};
+
+use super::{CONSENSUS_PATH, GroupCommand, HELLO_PATH, Settings};
+use crate::{Error, Result};
+
+/// Threads that read and write messages; the decisions are in one task.
+const WORKERS: usize = 2;
+
+type Tx = web::Data<mpsc::Sender<GroupCommand>>;
+
+/// Starts the server on `listener`.
+///
+/// # Errors
+///
+/// The listener cannot be used.
+pub fn serve(
+    cfg: &Settings,
+    listener: TcpListener,
+    tx: mpsc::Sender<GroupCommand>,
+) -> Result<Server> {
+    let tx = web::Data::new(tx);
+    let factory = move || {
+        App::new()
+            .app_data(tx.clone())
+            .app_data(web::PayloadConfig::new(wire::MAX_MESSAGE))
+            .route(CONSENSUS_PATH, web::post().to(consensus))
+            .route(HELLO_PATH, web::post().to(hello))
+            .route("/v1/change", web::post().to(change))
+            .route("/v1/query", web::post().to(query))
+            .route("/v1/group", web::post().to(group))
+            .route("/v1/sync", web::post().to(sync))
+    };
+    let server = HttpServer::new(factory)
+        .workers(WORKERS)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .listen(listener)
+        .map_err(|e| Error::Bind(cfg.listen, e))?;
+    Ok(server.run())
+}
+
+async fn consensus(tx: Tx, body: Bytes) -> HttpResponse {
+    let Ok(messages) = wire::decode::<Vec<Message>>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    for message in messages {
+        if tx.send(GroupCommand::Message(message)).await.is_err() {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+    }
+    reply(&())
+}
+
+async fn hello(tx: Tx, body: Bytes) -> HttpResponse {
+    ask(&tx, &body, |_: Hello, tx| GroupCommand::Hello(tx), None).await
+}
+
+async fn change(tx: Tx, body: Bytes) -> HttpResponse {
+    let lost = Some(ChangeReply::Unknown);
+    ask(
+        &tx,
+        &body,
+        |req: ChangeRequest, tx| GroupCommand::Change(Box::new(req), tx),
+        lost,
+    )
+    .await
+}
+
+async fn query(tx: Tx, body: Bytes) -> HttpResponse {
+    let lost = Some(QueryReply::NotLeader { leader: None });
+    ask(
+        &tx,
+        &body,
+        |req: Query, tx| GroupCommand::Query(req, tx),
+        lost,
+    )
+    .await
+}
+
+async fn group(tx: Tx, body: Bytes) -> HttpResponse {
+    let lost = Some(GroupReply::Unknown);
+    ask(
+        &tx,
+        &body,
+        |req: GroupRequest, tx| GroupCommand::ChangeGroup(req, tx),
+        lost,
+    )
+    .await
+}
+
+async fn sync(tx: Tx, body: Bytes) -> HttpResponse {
+    ask(
+        &tx,
+        &body,
+        |req: SyncRequest, tx| GroupCommand::Sync(Box::new(req), tx),
+        None,
+    )
+    .await
+}
+
+/// Passes a request to the group task. `lost` is the reply if the task ends
+/// before it answers.
+async fn ask<Req: DeserializeOwned, Reply: Serialize>(
+    tx: &mpsc::Sender<GroupCommand>,
+    body: &[u8],
+    command: impl FnOnce(Req, oneshot::Sender<Reply>) -> GroupCommand,
+    lost: Option<Reply>,
+) -> HttpResponse {
+    let Ok(req) = wire::decode::<Req>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let (reply_tx, reply_rx) = oneshot::channel();
+    if tx.send(command(req, reply_tx)).await.is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match (reply_rx.await, lost) {
+        (Ok(message), _) | (Err(_), Some(message)) => reply(&message),
+        (Err(_), None) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn reply<T: Serialize>(message: &T) -> HttpResponse {
+    match wire::encode(message) {
+        Ok(body) => HttpResponse::Ok()
+            .content_type(wire::CONTENT_TYPE)
+            .body(body),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/mod.rs
@@ -0,0 +1,21 @@
+//! What lives as long as the control host.
+
+mod group;
+mod http;
+mod metrics;
+mod nodes;
+mod peers;
+mod report;
+mod run;
+mod settings;
+mod waiters;
+
+pub use group::GroupCommand;
+pub use run::run;
+pub use settings::Settings;
+
+/// Path of messages between members.
+pub(crate) const CONSENSUS_PATH: &str = "/v1/consensus";
+
+/// Path on which members find each other before the first group.
+pub(crate) const HELLO_PATH: &str = "/v1/hello";
--- /dev/null
+++ b/crates/control/src/process/nodes.rs
@@ -0,0 +1,72 @@
+//! Which node has which version in force.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use types::{DataCentre, HostName, Revision, Role, Version};
+use wire::{SyncRequest, request::NodeReport};
+
+use crate::version::View;
+
+/// Time after which a silent node no longer counts as live.
+const LEASE: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+struct Node {
+    data_centre: DataCentre,
+    version: Option<Version>,
+    heard_at: Instant,
+    live_until: Instant,
+}
+
+/// The nodes that were heard, at the leader.
+#[derive(Debug, Default)]
+pub struct Nodes {
+    nodes: BTreeMap<(Role, HostName), Node>,
+}
+
+impl Nodes {
+    /// Notes the request of a node.
+    pub fn note(&mut self, now: Instant, req: &SyncRequest) {
+        let node = Node {
+            data_centre: req.data_centre.clone(),
+            version: req.have,
+            heard_at: now,
+            live_until: now + LEASE,
+        };
+        self.nodes.insert((req.role, req.host.clone()), node);
+    }
+
+    /// Forgets nodes that were silent for long.
+    pub fn expire(&mut self, now: Instant) {
+        self.nodes.retain(|_, node| now < node.live_until);
+    }
+
+    /// Every live node.
+    pub fn report(&self, now: Instant) -> impl Iterator<Item = NodeReport> {
+        self.nodes
+            .iter()
+            .map(move |((role, host), node)| NodeReport {
+                role: *role,
+                host: host.clone(),
+                data_centre: node.data_centre.clone(),
+                version: node.version,
+                silent_for: now.saturating_duration_since(node.heard_at),
+            })
+    }
+
+    /// Live nodes that have not yet a revision in force.
+    pub fn lagging(&self, now: Instant, revision: Revision) -> Vec<NodeReport> {
+        self.report(now)
+            .filter(|node| !View::in_force(node.version, revision))
+            .collect()
+    }
+
+    /// Number of live nodes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/peers.rs
@@ -0,0 +1,74 @@
+//! The tasks that send messages to the other members.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use client::Http;
+use consensus::{Envelope, Message};
+use tokio::{sync::mpsc, task::JoinHandle};
+
+use super::CONSENSUS_PATH;
+
+/// Messages that may wait for a member. The consensus repeats what is lost.
+const QUEUE: usize = 1024;
+
+/// Messages in one request.
+const BATCH: usize = 64;
+
+/// Time for a member to take messages. Below an election timeout, so that a
+/// member that is cut off does not hold back newer messages for long.
+const SEND: Duration = Duration::from_millis(300);
+
+struct Peer {
+    tx: mpsc::Sender<Message>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends messages to the other members, each in a task of its own.
+pub struct Peers {
+    http: Http,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// Creates the sender.
+    #[must_use]
+    pub fn new(http: Http) -> Self {
+        Peers {
+            http,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Sends a message, or drops it when the member does not keep up.
+    pub fn send(&mut self, envelope: Envelope) {
+        let Envelope { address, message } = envelope;
+        let peer = self.peers.entry(address).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(QUEUE);
+            let task = actix_rt::spawn(deliver(self.http.clone(), address, rx));
+            Peer { tx, task }
+        });
+        let _ = peer.tx.try_send(message);
+    }
+}
+
+async fn deliver(http: Http, address: SocketAddr, mut rx: mpsc::Receiver<Message>) {
+    let mut batch = Vec::new();
+    while rx.recv_many(&mut batch, BATCH).await > 0 {
+        let deadline = Instant::now() + SEND;
+        let sent: client::Result<()> = http.post(address, CONSENSUS_PATH, &batch, deadline).await;
+        if let Err(e) = sent {
+            log::debug!(event = "member_unreachable", member:% = address, error:% = e; "messages lost");
+        }
+        batch.clear();
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/report.rs
@@ -0,0 +1,85 @@
+//! Answers to operators' queries.
+
+use std::time::Instant;
+
+use consensus::Status;
+use types::Service;
+use wire::request::{
+    ClassReport, GroupReport, KeysReport, Query, QueryReply, ServiceReport, StatusReport,
+    UpstreamReport,
+};
+
+use super::nodes::Nodes;
+use crate::version::View;
+
+/// Answers a query that a majority has confirmed.
+pub fn answer(query: &Query, view: View<'_>, nodes: &Nodes, status: &Status) -> QueryReply {
+    let now = Instant::now();
+    let state = view.state;
+    match query {
+        Query::Services => QueryReply::Services(state.services().values().cloned().collect()),
+        Query::Service(name) => QueryReply::Service(state.service(name).cloned()),
+        Query::Drain(host) => QueryReply::Drain(state.drains().get(host).cloned()),
+        Query::Keys => QueryReply::Keys(keys(view)),
+        Query::Audit { limit } => {
+            QueryReply::Audit(state.audit().rev().take(*limit).cloned().collect())
+        }
+        Query::Lagging(revision) => QueryReply::Lagging(nodes.lagging(now, *revision)),
+        Query::Status => QueryReply::Status(Box::new(StatusReport {
+            version: view.version().unwrap_or_default(),
+            group: group(status),
+            nodes: nodes.report(now).collect(),
+            services: state
+                .services()
+                .values()
+                .map(|s| service(view, s))
+                .collect(),
+        })),
+    }
+}
+
+fn keys(view: View<'_>) -> Option<KeysReport> {
+    let keys = view.state.keys()?;
+    Some(KeysReport {
+        current: keys.set.current.generation,
+        pending: keys.pending().map(|key| key.generation),
+        revision: keys.revision,
+    })
+}
+
+fn group(status: &Status) -> GroupReport {
+    let group = status.group.clone().unwrap_or_default();
+    GroupReport {
+        leader: status.id,
+        term: status.term,
+        voters: group.voters,
+        learners: group.learners,
+        caught_up: status.caught_up.clone(),
+    }
+}
+
+fn service(view: View<'_>, service: &Service) -> ServiceReport {
+    let status = view.registry.status(service.id);
+    let classes = status.classes.iter().map(|(name, class)| {
+        let report = ClassReport {
+            carry: class.carry,
+            slots: class.slots,
+            in_flight: class.in_flight,
+            queued: class.queued,
+        };
+        (name.clone(), report)
+    });
+    let members = view.registry.members(service.id);
+    let upstreams = members.iter().map(|(&id, member)| UpstreamReport {
+        id,
+        host: member.host.clone(),
+        state: member.state,
+        share: member.share,
+    });
+    ServiceReport {
+        name: service.name.clone(),
+        classes: classes.collect(),
+        upstreams: upstreams.collect(),
+        leaving_connections: status.leaving_connections,
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/settings.rs
@@ -0,0 +1,36 @@
+//! Settings of a control host.
+
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+};
+
+/// Settings of a control host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Where nodes, operators and other members send requests; announced, so
+    /// not a wildcard address.
+    pub listen: SocketAddr,
+    /// Folder for the state that must survive.
+    pub data_dir: PathBuf,
+    /// The hosts that form the first group, this one included. Not used once
+    /// the host belongs to a group.
+    pub group: BTreeSet<SocketAddr>,
+    /// Times of the consensus.
+    pub consensus: consensus::Settings,
+    /// Times of the membership.
+    pub member: member::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            data_dir: PathBuf::from("data"),
+            group: BTreeSet::new(),
+            consensus: consensus::Settings::default(),
+            member: member::Settings::default(),
+        }
+    }
+}
