Compute each bucket of a walk once

Cause: a walk computed the same bucket when it looked for a free one and again when it claimed it.

Change: the walk keeps the bucket of its present step.

--- a/crates/route/src/version/assign.rs
+++ b/crates/route/src/version/assign.rs
@@ -68,7 +68,7 @@
     while let Some(mut earliest) = next.peek_mut() {
         let at = earliest.0.1;
         let walk = &mut walks[at as usize];
-        let owner = &mut owners[walk.bucket()];
+        let owner = &mut owners[walk.bucket];
         if *owner == FREE {
             *owner = at;
             walk.quota -= 1;
@@ -113,27 +113,32 @@
     quota: u64,
     /// Steps taken.
     step: u64,
+    /// The bucket at the present step.
+    bucket: usize,
     /// Number of buckets less 1.
     mask: u64,
 }
 
 impl Walk {
     fn new(id: UpstreamId, share: Share, quota: u64, buckets: usize) -> Self {
-        Walk {
+        let mut walk = Walk {
             seed: hash(1, &id.0.to_le_bytes()),
             share,
             quota,
             step: 0,
+            bucket: 0,
             mask: buckets as u64 - 1,
-        }
+        };
+        walk.bucket = walk.bucket_at(0);
+        walk
     }
 
-    /// The bucket at the present step. Each of the operations is a bijection
+    /// The bucket at a step. Each of the operations is a bijection
     /// of the numbers up to the mask, so the walk visits every bucket once.
     #[allow(clippy::cast_possible_truncation)] // Buckets fit in memory.
-    fn bucket(&self) -> usize {
+    fn bucket_at(&self, step: u64) -> usize {
         let half = (self.mask.count_ones() / 2).max(1);
-        let mut x = self.step;
+        let mut x = step;
         for (factor, offset) in [(0, 32), (16, 48)] {
             x = x.wrapping_mul((self.seed >> factor) | 1);
             x = x.wrapping_add(self.seed >> offset) & self.mask;
@@ -144,6 +149,8 @@
 
     /// Time of the present step. A step takes 1 over the share, so a smaller
     /// share makes every pair of the upstream later and no other.
+    ///
+    /// The number has room for 2^24 buckets, so for 260,000 upstreams.
     fn time(&self) -> u64 {
         let jitter = (self.step ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
         ((self.step << 16 | jitter) << 24) / u64::from(self.share.0)
@@ -152,9 +159,12 @@
     /// Goes on to the next free bucket. There is one while a quota is open,
     /// because the quotas add up to the number of buckets.
     fn skip_to_free(&mut self, owners: &[u32]) {
-        self.step += 1;
-        while owners[self.bucket()] != FREE {
+        loop {
             self.step += 1;
+            self.bucket = self.bucket_at(self.step);
+            if owners[self.bucket] == FREE {
+                return;
+            }
         }
     }
 }
