--- a/crates/consensus/src/process/follower.rs
+++ b/crates/consensus/src/process/follower.rs
@@ -15,9 +15,9 @@
     /// The latest round received.
     round: u64,
     /// The log equals the leader's up to here; it need not be on disk yet.
-    verified: Option<Revision>,
+    verified: Revision,
     /// The last acknowledgement sent.
-    acked: Option<Revision>,
+    acked: Revision,
     /// What the next reply says in place of an acknowledgement.
     refusal: Option<Outcome>,
     /// A reply is due even if nothing new is on disk.
@@ -119,7 +119,7 @@
     fn verify(&mut self, last: Revision, heartbeat: bool) {
         let durable = self.log.durable();
         if let Part::Follower(following) = &mut self.part {
-            following.verified = following.verified.max(Some(last));
+            following.verified = following.verified.max(last);
             // An acknowledgement of new entries waits for the disk, and serves
             // as the answer to the round as well. A heartbeat is answered at
             // once, so that a slow disk does not look like a lost member.
@@ -142,13 +142,13 @@
         let Some(leader) = following.leader else {
             return;
         };
-        let matched = following.verified.map(|verified| verified.min(durable));
+        let matched = following.verified.min(durable);
         if !following.reply_due && matched <= following.acked {
             return;
         }
         following.reply_due = false;
         following.acked = following.acked.max(matched);
-        let held = Outcome::Matched(matched.unwrap_or_default());
+        let held = Outcome::Matched(matched);
         let outcome = following.refusal.take().unwrap_or(held);
         let round = following.round;
         self.reply(leader, round, outcome);
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -2,8 +2,8 @@
 //! must hold after every step.
 
 use consensus::{
-    Consensus, Entry, Envelope, Event, Group, GroupChange, Identity, Input, Output, Restored,
-    Settings, Status, Token, Write,
+    Consensus, Entry, Envelope, Event, Group, GroupChange, Identity, Input, Output, Payload,
+    Restored, Settings, Status, Token, Write,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -187,6 +187,13 @@
         for event in out.events {
             if let Event::Accepted { token, index } = event {
                 self.accepted.insert(token, index);
+                if let Payload::Command(command) = &self.committed[&index].payload {
+                    assert_eq!(
+                        command[..],
+                        token.0.to_be_bytes(),
+                        "another proposal at {index}"
+                    );
+                }
                 self.assert_on_majority(id, index);
             }
             self.events.push((id, event));
@@ -281,7 +288,11 @@
     }
 
     pub fn status(&self, id: MemberId) -> Status {
-        self.nodes[&id].member.as_ref().unwrap().status()
+        self.status_of(id).unwrap()
+    }
+
+    pub fn status_of(&self, id: MemberId) -> Option<Status> {
+        self.nodes[&id].member.as_ref().map(Consensus::status)
     }
 
     /// The running leader of the latest term.
--- a/crates/store/src/process/open.rs
+++ b/crates/store/src/process/open.rs
@@ -50,11 +50,16 @@
     let term = (replay.term, replay.vote);
     let Some(restored) = replay.finish(snapshot) else {
         let name = segments.first().map_or("log-", |(_, name)| name.as_str());
-        return Err(Error::damaged(name, 0, "entries before it are missing"));
+        return Err(Error::damaged(
+            name,
+            0,
+            "the snapshot or entries before it are missing",
+        ));
     };
     let base = restored.snapshot.as_ref();
-    let base = base.map_or(Revision(0), |snapshot| snapshot.position.index);
-    let last = restored.entries.last().map_or(base, |entry| entry.index);
+    let base = base.map(|snapshot| snapshot.position.index);
+    let last = restored.entries.last().map(|entry| entry.index);
+    let last = last.or(base).unwrap_or_default();
     let old = snapshots.len().saturating_sub(1);
     let stale = snapshots.into_iter().take(old).map(|(_, name)| name);
     let store = Store::new(disk, term, last, base, kept, stale.collect())?;
@@ -105,7 +110,7 @@
     // The first segment is made before the id: an id without a log then means
     // that the log was lost, and this host must not vote under the id again.
     let id = MemberId(rand::random());
-    Store::<D>::make_segment(disk, 1, None)?;
+    Store::<D>::make_segment(disk, 1, &Vec::new())?;
     put(disk, MEMBER_FILE, id.to_string().as_bytes())?;
     Ok(id)
 }
--- a/crates/store/src/process/store.rs
+++ b/crates/store/src/process/store.rs
@@ -28,7 +28,7 @@
     /// The last index on disk.
     last: Revision,
     /// The index of the snapshot on disk.
-    base: Revision,
+    base: Option<Revision>,
     /// Files that newer ones replace.
     stale: Vec<String>,
     /// The last write failed: the end of the last segment is unknown.
@@ -50,7 +50,7 @@
         disk: D,
         vote: Vote,
         last: Revision,
-        base: Revision,
+        base: Option<Revision>,
         segments: Vec<(u64, (usize, Revision))>,
         stale: Vec<String>,
     ) -> Result<Self> {
@@ -63,7 +63,7 @@
             })
             .collect();
         if segments.is_empty() {
-            Self::make_segment(&disk, 1, None)?;
+            Self::make_segment(&disk, 1, &Vec::new())?;
             segments.push(Segment {
                 number: 1,
                 len: 0,
@@ -119,6 +119,7 @@
             if let Some(snapshot) = &write.snapshot {
                 self.append(&std::mem::take(&mut items), last)?;
                 self.put_snapshot(snapshot)?;
+                items.push(Item::Snapshot(snapshot.position.index));
                 last = last.max(snapshot.position.index);
                 self.last = last;
             }
@@ -181,11 +182,15 @@
         Ok(())
     }
 
-    /// Begins a segment with the vote, so that earlier ones can be removed.
+    /// Begins a segment with vote and snapshot, so that earlier ones can be
+    /// removed.
     fn begin_segment(&mut self) -> Result<()> {
         let number = self.current().number + 1;
         self.syncs += 2;
-        let (file, len) = Self::make_segment(&self.disk, number, Some(self.vote))?;
+        let (term, vote) = self.vote;
+        let mut items = vec![Item::Vote(term, vote)];
+        items.extend(self.base.map(Item::Snapshot));
+        let (file, len) = Self::make_segment(&self.disk, number, &items)?;
         self.file = file;
         self.segments.push(Segment {
             number,
@@ -200,10 +205,10 @@
     pub(super) fn make_segment(
         disk: &D,
         number: u64,
-        vote: Option<Vote>,
+        items: &Vec<Item>,
     ) -> Result<(D::File, usize)> {
-        let vote = vote.map(|(term, vote)| [Item::Vote(term, vote)]);
-        let record = vote.and_then(|items| encode(number, 0, &items));
+        let record = Some(items).filter(|items| !items.is_empty());
+        let record = record.and_then(|items| encode(number, 0, items));
         let record = record.unwrap_or_default();
         let file = put(disk, &segment_name(number), &record)?;
         Ok((file, record.len()))
@@ -217,10 +222,9 @@
         let record = record.map_err(Error::io("encode", &name))?;
         self.syncs += 2;
         put(&self.disk, &name, &record)?;
-        if self.base < index {
-            self.stale.push(snapshot_name(self.base));
-        }
-        self.base = index;
+        let old = self.base.filter(|base| *base != index);
+        self.stale.extend(old.map(snapshot_name));
+        self.base = Some(index);
         self.remove_stale();
         Ok(())
     }
@@ -229,7 +233,7 @@
     /// files are tried again after the next snapshot, and are ignored by
     /// [`open`](crate::open).
     fn remove_stale(&mut self) {
-        let covered = |segment: &Segment| segment.highest <= self.base;
+        let covered = |segment: &Segment| Some(segment.highest) <= self.base;
         let count = self.segments.iter().take_while(|s| covered(s)).count();
         // The last segment is in use, and the vote may be only in it.
         let count = count.min(self.segments.len() - 1);
--- a/crates/store/src/version/record.rs
+++ b/crates/store/src/version/record.rs
@@ -15,6 +15,8 @@
     /// Entries from this index on are dropped.
     Truncate(Revision),
     Entry(Entry),
+    /// A snapshot at this index, or a later one, is in place.
+    Snapshot(Revision),
 }
 
 /// Encodes a record that stands at `offset` of the file numbered `place`.
--- a/crates/store/src/version/replay.rs
+++ b/crates/store/src/version/replay.rs
@@ -11,6 +11,8 @@
     pub term: Term,
     pub vote: Option<MemberId>,
     entries: BTreeMap<Revision, Entry>,
+    /// A snapshot that is known to have been put in place.
+    snapshot: Option<Revision>,
 }
 
 impl Replay {
@@ -20,6 +22,7 @@
             Item::Truncate(from) => {
                 self.entries.split_off(&from);
             }
+            Item::Snapshot(index) => self.snapshot = self.snapshot.max(Some(index)),
             Item::Entry(entry) => {
                 self.entries.split_off(&entry.index);
                 self.entries.insert(entry.index, entry);
@@ -27,11 +30,13 @@
         }
     }
 
-    /// What is on disk, unless an entry after the snapshot is missing.
+    /// What is on disk, unless the snapshot or an entry after it is missing.
     pub fn finish(mut self, snapshot: Option<Snapshot>) -> Option<Restored> {
-        let base = snapshot
-            .as_ref()
-            .map_or(Revision(0), |snapshot| snapshot.position.index);
+        let found = snapshot.as_ref().map(|snapshot| snapshot.position.index);
+        if found < self.snapshot {
+            return None;
+        }
+        let base = found.unwrap_or_default();
         let entries = self.entries.split_off(&Revision(base.0 + 1));
         let consecutive = entries
             .keys()
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -310,12 +310,8 @@
             .unwrap()
             .files
             .retain(|name, _| !name.starts_with(missing));
-        let found = open(disk.crash(0));
-        // The segment still holds all entries if only the snapshot is gone.
-        match missing {
-            "snapshot-" => assert_eq!(indexes(&found.unwrap().1).len(), 5),
-            _ => assert_eq!(found.map(drop).unwrap_err().category(), Category::Damaged),
-        }
+        let found = open(disk.crash(0)).map(drop).unwrap_err();
+        assert_eq!(found.category(), Category::Damaged, "without {missing}");
     }
 }
 
