client: keep lost answers apart from requests that were not sent

Cause: awc reports a connection that closes before the answer as a ConnectError, so a change that a host had received counted as not sent and could be reported as unavailable. A host that kept naming a dead leader also kept the others from being asked, and a resend after a restart forgot that the id had been sent.

Change: only failures of the connect itself count as not sent. A round asks each host at most once. Operator::resend treats the id as sent from the start. Operator::change_group stops at the first lost answer, because group changes have no id.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use error::{Category, Error, Result};
 pub use process::Http;
-pub use request::Operator;
+pub use request::{GroupOutcome, Operator, Redirect};
 pub use version::{NodeReport, Step, SyncSettings, SyncTask};
--- a/crates/client/src/process/mod.rs
+++ b/crates/client/src/process/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout_at;
 
@@ -63,9 +63,15 @@
     }
 }
 
+/// Sorts failures to connect from failures of a request on its way.
+///
+/// `awc` also reports a connection that closes before the answer as a
+/// `ConnectError`; the host may have received the request then.
 fn send_error(host: SocketAddr, error: SendRequestError) -> ErrorKind {
     match error {
-        SendRequestError::Connect(e) => ErrorKind::Connect(host, e),
+        SendRequestError::Connect(e @ (ConnectError::Io(_) | ConnectError::Timeout)) => {
+            ErrorKind::Connect(host, e)
+        }
         e => ErrorKind::Request(host, e),
     }
 }
--- a/crates/client/src/request/mod.rs
+++ b/crates/client/src/request/mod.rs
@@ -1,16 +1,22 @@
 //! Exchanges of operators.
 
+mod redirect;
+mod round;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use actix_rt::time::sleep;
+use round::Round;
 use serde::{Serialize, de::DeserializeOwned};
 use types::ChangeRequest;
-use wire::request::ChangeReply;
+use wire::request::{ChangeReply, GroupRefusal, GroupReply, GroupRequest};
+
+pub use redirect::Redirect;
 
-use crate::{Category, Http, Result};
+use crate::{Category, Http, Result, error::ErrorKind};
 
 /// Time for one host to answer, before the next is tried.
 const ATTEMPT: Duration = Duration::from_secs(2);
@@ -18,13 +24,17 @@
 /// Pause between two rounds over the hosts.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// A reply that may point to the leader.
-pub trait Redirect {
-    /// Whether the host declined to answer, so that another should be asked.
-    fn declined(&self) -> bool;
-
-    /// The leader that the host named.
-    fn leader(&self) -> Option<SocketAddr>;
+/// Outcome of a change of the control group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GroupOutcome {
+    /// The change is in force.
+    Done,
+    /// The change was not made.
+    Refused(GroupRefusal),
+    /// No host can have received the change.
+    Unavailable,
+    /// The change may or may not take effect.
+    Unknown,
 }
 
 /// Sends operators' requests to the leader of the control group.
@@ -47,30 +57,70 @@
     /// The change keeps its id over all attempts, so it takes effect at most
     /// once. [`ChangeReply::Unavailable`] is returned only when no host can
     /// have received the change, [`ChangeReply::Unknown`] when one may have.
+    /// The id must never have been sent before; see [`Operator::resend`].
     pub async fn change(&self, req: &ChangeRequest, deadline: Instant) -> ChangeReply {
-        let mut sent = false;
+        self.deliver(req, deadline, false).await
+    }
+
+    /// Sends a change that may have been sent before, by this process or by
+    /// an earlier one.
+    ///
+    /// Without a final answer the outcome is [`ChangeReply::Unknown`], even
+    /// if no host can be reached now: the earlier attempt may take effect.
+    pub async fn resend(&self, req: &ChangeRequest, deadline: Instant) -> ChangeReply {
+        self.deliver(req, deadline, true).await
+    }
+
+    async fn deliver(&self, req: &ChangeRequest, deadline: Instant, mut sent: bool) -> ChangeReply {
         let mut hint = None;
         loop {
-            for host in self.candidates(hint.take()) {
+            let mut round = Round::new(hint.take(), &self.control);
+            while let Some(host) = round.next_before(deadline) {
                 match self.attempt(host, "/v1/change", req, deadline).await {
                     Ok(ChangeReply::Final(answer)) => return ChangeReply::Final(answer),
-                    Ok(ChangeReply::NotLeader { leader }) => hint = leader,
+                    Ok(ChangeReply::NotLeader { leader }) => {
+                        round.prefer(leader);
+                        hint = leader.or(hint);
+                    }
                     Ok(ChangeReply::Unavailable) => {}
                     Ok(ChangeReply::Unknown) => sent = true,
                     Err(e) => sent |= e.category() != Category::NotSent,
                 }
-                if hint.is_some() {
-                    break;
-                }
             }
-            if Instant::now() + PAUSE >= deadline {
+            if !pause(deadline).await {
                 return if sent {
                     ChangeReply::Unknown
                 } else {
                     ChangeReply::Unavailable
                 };
             }
-            sleep(PAUSE).await;
+        }
+    }
+
+    /// Sends a change of the control group to its leader.
+    ///
+    /// These changes have no id, so one whose answer is lost is not sent
+    /// again: the answer to a second attempt could deny the first. The caller
+    /// looks at the group instead.
+    pub async fn change_group(&self, req: GroupRequest, deadline: Instant) -> GroupOutcome {
+        let mut hint = None;
+        loop {
+            let mut round = Round::new(hint.take(), &self.control);
+            while let Some(host) = round.next_before(deadline) {
+                match self.attempt(host, "/v1/group", &req, deadline).await {
+                    Ok(GroupReply::Done) => return GroupOutcome::Done,
+                    Ok(GroupReply::Refused(refusal)) => return GroupOutcome::Refused(refusal),
+                    Ok(GroupReply::NotLeader { leader }) => {
+                        round.prefer(leader);
+                        hint = leader.or(hint);
+                    }
+                    Err(e) if e.category() == Category::NotSent => {}
+                    Ok(GroupReply::Unknown) | Err(_) => return GroupOutcome::Unknown,
+                }
+            }
+            if !pause(deadline).await {
+                return GroupOutcome::Unavailable;
+            }
         }
     }
 
@@ -90,33 +140,26 @@
         Reply: DeserializeOwned + Redirect,
     {
         let mut hint = None;
+        let mut last = None;
         loop {
-            let mut last = None;
-            for host in self.candidates(hint.take()) {
+            let mut round = Round::new(hint.take(), &self.control);
+            while let Some(host) = round.next_before(deadline) {
                 let reply: Result<Reply> = self.attempt(host, path, message, deadline).await;
                 match reply {
                     Ok(reply) if !reply.declined() => return Ok(reply),
-                    Ok(reply) => hint = reply.leader(),
+                    Ok(reply) => {
+                        round.prefer(reply.leader());
+                        hint = reply.leader().or(hint);
+                    }
                     Err(e) => last = Some(e),
                 }
-                if hint.is_some() {
-                    break;
-                }
             }
-            if Instant::now() + PAUSE >= deadline {
-                return match last {
-                    Some(e) => Err(e),
-                    None => Err(crate::error::ErrorKind::NoLeader.into()),
-                };
+            if !pause(deadline).await {
+                return Err(last.unwrap_or_else(|| ErrorKind::NoLeader.into()));
             }
-            sleep(PAUSE).await;
         }
     }
 
-    fn candidates(&self, hint: Option<SocketAddr>) -> impl Iterator<Item = SocketAddr> {
-        hint.into_iter().chain(self.control.clone())
-    }
-
     async fn attempt<Message: Serialize, Reply: DeserializeOwned>(
         &self,
         host: SocketAddr,
@@ -128,3 +171,12 @@
         self.http.post(host, path, message, deadline).await
     }
 }
+
+/// Waits before the next round; `false` if the deadline leaves no time for it.
+async fn pause(deadline: Instant) -> bool {
+    if Instant::now() + PAUSE >= deadline {
+        return false;
+    }
+    sleep(PAUSE).await;
+    true
+}
