--- a/crates/limpetctl/src/main.rs
+++ b/crates/limpetctl/src/main.rs
@@ -1,3 +1,22 @@
-//! The `limpetctl` program.
+//! The `limpetctl` program: the operators' tool and an HTTP/3 client.
+//!
+//! [`process`] holds the settings and the output, [`request`] one module for
+//! each group of commands, and [`version`] what is shown of the configuration
+//! and of the membership. Every command ends in an [`process::Exit`]; a change
+//! is reported as refused or unavailable only if it was certainly not made.
 
-fn main() {}
+mod error;
+mod process;
+mod request;
+mod version;
+
+use std::process::ExitCode;
+
+use process::Settings;
+
+fn main() -> ExitCode {
+    let settings = Settings::read();
+    actix_rt::System::new()
+        .block_on(request::run(&settings))
+        .into()
+}
--- /dev/null
+++ b/crates/limpetctl/src/process/parse.rs
@@ -0,0 +1,80 @@
+//! Readers of flag values, each with the range that it accepts.
+
+use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration};
+
+use http::{HeaderName, HeaderValue};
+use url::Url;
+
+/// Shortest and longest time that `--deadline` accepts.
+const DEADLINES: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_hours(1);
+
+/// Shortest and longest time that `--leave-within` accepts.
+const LEAVES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_hours(1);
+
+/// A flag has a value that is not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum Invalid {
+    #[error("expected IP:PORT with a port of 1 to 65535, such as 192.0.2.1:7100")]
+    Address,
+    #[error("expected a time of {0} to {1}, such as 5s or 500ms")]
+    Span(humantime::FormattedDuration, humantime::FormattedDuration),
+    #[error("expected https://HOST[:PORT]/PATH")]
+    Url,
+    #[error("expected NAME:VALUE as in an HTTP header, such as accept:text/plain")]
+    Header,
+}
+
+/// Body of a request.
+#[derive(Debug, Clone)]
+pub enum Body {
+    Text(String),
+    File(PathBuf),
+}
+
+pub fn address(s: &str) -> Result<SocketAddr, Invalid> {
+    let address: SocketAddr = s.parse().map_err(|_| Invalid::Address)?;
+    if address.port() == 0 {
+        return Err(Invalid::Address);
+    }
+    Ok(address)
+}
+
+pub fn deadline(s: &str) -> Result<Duration, Invalid> {
+    span(s, &DEADLINES)
+}
+
+pub fn leave_within(s: &str) -> Result<Duration, Invalid> {
+    span(s, &LEAVES)
+}
+
+fn span(s: &str, range: &RangeInclusive<Duration>) -> Result<Duration, Invalid> {
+    let span = humantime::parse_duration(s).ok();
+    span.filter(|span| range.contains(span)).ok_or_else(|| {
+        let format = humantime::format_duration;
+        Invalid::Span(format(*range.start()), format(*range.end()))
+    })
+}
+
+pub fn url(s: &str) -> Result<Url, Invalid> {
+    let url = Url::parse(s).map_err(|_| Invalid::Url)?;
+    if url.scheme() != "https" || url.host().is_none() {
+        return Err(Invalid::Url);
+    }
+    Ok(url)
+}
+
+pub fn header(s: &str) -> Result<(HeaderName, HeaderValue), Invalid> {
+    let (name, value) = s.split_once(':').ok_or(Invalid::Header)?;
+    let name = name.trim().parse().map_err(|_| Invalid::Header)?;
+    let value = value.trim().parse().map_err(|_| Invalid::Header)?;
+    Ok((name, value))
+}
+
+impl From<&str> for Body {
+    fn from(s: &str) -> Self {
+        match s.strip_prefix('@') {
+            Some(path) => Body::File(path.into()),
+            None => Body::Text(s.to_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpetctl/src/process/settings.rs
@@ -0,0 +1,345 @@
+//! Settings in flags and environment.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use clap::{ArgGroup, Args, CommandFactory, Parser, Subcommand, error::ErrorKind, value_parser};
+use http::{HeaderName, HeaderValue, Method};
+use types::{
+    ChangeId, ClassName, HostName, MemberId, OperatorName, PathPrefix, Revision, ServiceName,
+};
+use url::Url;
+
+use super::{Format, exit::EXIT_CODES, parse};
+
+/// Operators' tool of limpetplank, and an HTTP/3 client.
+///
+/// Example: limpetctl --control 192.0.2.1:7100 status
+#[derive(Debug, Parser)]
+#[command(name = "limpetctl", version, after_help = EXIT_CODES, propagate_version = true)]
+pub struct Settings {
+    #[command(flatten)]
+    pub global: Global,
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Flags of every command.
+#[derive(Debug, Clone, Args)]
+pub struct Global {
+    /// Control hosts, for example --control 192.0.2.1:7100,192.0.2.2:7100
+    #[arg(long, env = "LIMPET_CONTROL", global = true, value_name = "IP:PORT,…",
+        value_delimiter = ',', value_parser = parse::address)]
+    pub control: Vec<SocketAddr>,
+    /// How results are written, for example --output json
+    #[arg(
+        long,
+        env = "LIMPET_OUTPUT",
+        global = true,
+        value_name = "FORMAT",
+        default_value = "table"
+    )]
+    pub output: Format,
+    /// Who asks, for the audit trail; needed for changes, for example --operator alice
+    #[arg(long, env = "LIMPET_OPERATOR", global = true, value_name = "NAME")]
+    pub operator: Option<OperatorName>,
+    /// Time for the whole command (10s) or until a call is answered (5s), for
+    /// example --deadline 30s
+    #[arg(long, env = "LIMPET_DEADLINE", global = true, value_name = "TIME",
+        value_parser = parse::deadline)]
+    pub deadline: Option<Duration>,
+}
+
+/// Flags of changes.
+#[derive(Debug, Clone, Args)]
+pub struct ChangeFlags {
+    /// Resends the change of this id (version 7 UUID), for example --change-id
+    /// 01890a5d-ac96-774b-bcce-b302099a8057; needs --base
+    #[arg(
+        long,
+        env = "LIMPET_CHANGE_ID",
+        value_name = "UUIDv7",
+        requires = "base"
+    )]
+    pub change_id: Option<ChangeId>,
+    /// Revision that the change is based on; read from the control group if
+    /// not given, for example --base 17
+    #[arg(long, env = "LIMPET_BASE", value_name = "N")]
+    pub base: Option<Revision>,
+    /// Returns when the change is in force on every live node
+    #[arg(long, env = "LIMPET_WAIT")]
+    pub wait: bool,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Services: create, list, show, delete
+    #[command(subcommand)]
+    Service(ServiceCommand),
+    /// Targets of classes of work: set, delete
+    #[command(subcommand)]
+    Target(TargetCommand),
+    /// Upstreams: drain, undrain
+    #[command(subcommand)]
+    Upstream(UpstreamCommand),
+    /// Keys of connection ids: rotate, show
+    #[command(subcommand)]
+    Key(KeyCommand),
+    /// Members of the control group: list, add, remove, replace
+    #[command(subcommand)]
+    Control(ControlCommand),
+    /// Shows versions, nodes, the control group, loads and upstreams
+    ///
+    /// Example: limpetctl status --output json
+    Status,
+    /// Shows the audit trail, the newest record first
+    ///
+    /// Example: limpetctl audit --limit 20
+    Audit {
+        /// Number of records to show, for example --limit 20
+        #[arg(long, env = "LIMPET_LIMIT", value_name = "N", default_value_t = 50,
+            value_parser = value_parser!(u32).range(1..=10_000))]
+        limit: u32,
+    },
+    /// Sends an HTTP/3 request and streams the answer to the standard output
+    ///
+    /// Example: limpetctl call <https://vouchers.example/feed> --resolve
+    /// 198.51.100.1:443 --ca roots.pem
+    Call(Box<CallArgs>),
+    /// Writes completions for a shell
+    ///
+    /// Example: limpetctl completions bash > limpetctl.bash
+    Completions {
+        /// Shell that the completions are for, for example bash
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum ServiceCommand {
+    /// Creates a service
+    ///
+    /// Example: limpetctl service create vouchers --address 198.51.100.1:443
+    Create {
+        /// Name of the service, for example vouchers
+        name: ServiceName,
+        /// Address that callers send to, for example --address 198.51.100.1:443
+        #[arg(long, env = "LIMPET_ADDRESS", value_name = "IP:PORT", value_parser = parse::address)]
+        address: SocketAddr,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+    /// Lists the services
+    ///
+    /// Example: limpetctl service list
+    List,
+    /// Shows a service and its targets
+    ///
+    /// Example: limpetctl service show vouchers
+    Show {
+        /// Name of the service, for example vouchers
+        name: ServiceName,
+    },
+    /// Deletes a service and its targets
+    ///
+    /// Example: limpetctl service delete vouchers
+    Delete {
+        /// Name of the service, for example vouchers
+        name: ServiceName,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum TargetCommand {
+    /// Sets the target of a class of work
+    ///
+    /// Example: limpetctl target set vouchers default --carry 7
+    Set {
+        /// Name of the service, for example vouchers
+        service: ServiceName,
+        /// Name of the class of work, for example default
+        class: ClassName,
+        /// Concurrent requests that each upstream should carry, for example --carry 7
+        #[arg(long, env = "LIMPET_CARRY", value_name = "N",
+            value_parser = value_parser!(u32).range(1..))]
+        carry: u32,
+        /// Connections that each upstream should hold, for example --connections 2000
+        #[arg(long, env = "LIMPET_CONNECTIONS", value_name = "N", default_value_t = 2000,
+            value_parser = value_parser!(u32).range(1..))]
+        connections: u32,
+        /// Time within which a leaving upstream gets no new work, for example
+        /// --leave-within 3s
+        #[arg(long, env = "LIMPET_LEAVE_WITHIN", value_name = "TIME", default_value = "3s",
+            value_parser = parse::leave_within)]
+        leave_within: Duration,
+        /// Requests whose path starts with this belong to the class, for
+        /// example --path-prefix /redeem
+        #[arg(
+            long,
+            env = "LIMPET_PATH_PREFIX",
+            value_name = "PATH",
+            default_value = "/"
+        )]
+        path_prefix: PathPrefix,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+    /// Removes a class of work
+    ///
+    /// Example: limpetctl target delete vouchers redeem
+    Delete {
+        /// Name of the service, for example vouchers
+        service: ServiceName,
+        /// Name of the class of work, for example redeem
+        class: ClassName,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum UpstreamCommand {
+    /// Marks the upstream of a host as leaving
+    ///
+    /// Example: limpetctl upstream drain booking-3 --wait
+    Drain {
+        /// Host of the upstream, for example booking-3
+        host: HostName,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+    /// Takes the mark of a drain back
+    ///
+    /// Example: limpetctl upstream undrain booking-3
+    Undrain {
+        /// Host of the upstream, for example booking-3
+        host: HostName,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum KeyCommand {
+    /// Adds a random key, waits until it is in force on every live node, and
+    /// activates it
+    ///
+    /// Runs on from where an earlier run ended. --change-id and --base resend
+    /// the activation.
+    ///
+    /// Example: limpetctl key rotate --deadline 1m
+    Rotate {
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+    /// Shows the generations of the keys, never the keys
+    ///
+    /// Example: limpetctl key show
+    Show,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum ControlCommand {
+    /// Lists the members of the control group
+    ///
+    /// Example: limpetctl control list
+    List,
+    /// Adds a blank host as a learner and makes it a voter once it has caught up
+    ///
+    /// Example: limpetctl control add 192.0.2.4:7100
+    Add {
+        /// Address of the blank control host, for example 192.0.2.4:7100
+        #[arg(value_parser = parse::address)]
+        address: SocketAddr,
+    },
+    /// Removes a member
+    ///
+    /// Example: limpetctl control remove 00000000000000a1
+    Remove {
+        /// Id of the member, for example 00000000000000a1
+        member: MemberId,
+    },
+    /// Adds a blank host, then removes a member
+    ///
+    /// Example: limpetctl control replace 00000000000000a1 192.0.2.4:7100
+    Replace {
+        /// Id of the member to remove, for example 00000000000000a1
+        member: MemberId,
+        /// Address of the blank control host, for example 192.0.2.4:7100
+        #[arg(value_parser = parse::address)]
+        address: SocketAddr,
+    },
+}
+
+#[derive(Debug, Args)]
+#[command(group = ArgGroup::new("trust").required(true).args(["insecure", "ca"]))]
+pub struct CallArgs {
+    /// What to ask for, for example <https://vouchers.example/feed>
+    #[arg(value_parser = parse::url)]
+    pub url: Url,
+    /// Method of the request, for example --method POST
+    #[arg(long, env = "LIMPET_METHOD", value_name = "M", default_value = "GET")]
+    pub method: Method,
+    /// Header field, may be repeated, for example --header accept:text/plain
+    #[arg(long, env = "LIMPET_HEADER", value_name = "K:V", value_parser = parse::header)]
+    pub header: Vec<(HeaderName, HeaderValue)>,
+    /// Body as text or from a file, for example --body @badge.json
+    #[arg(long, env = "LIMPET_BODY", value_name = "TEXT|@FILE")]
+    pub body: Option<parse::Body>,
+    /// Address to send to in place of the URL's, for example --resolve 198.51.100.1:443
+    #[arg(long, env = "LIMPET_RESOLVE", value_name = "IP:PORT", value_parser = parse::address)]
+    pub resolve: Option<SocketAddr>,
+    /// Accepts any certificate: the server is not authenticated
+    #[arg(long, env = "LIMPET_INSECURE")]
+    pub insecure: bool,
+    /// Accepts certificates issued by those in this PEM file, for example --ca roots.pem
+    #[arg(long, env = "LIMPET_CA", value_name = "FILE")]
+    pub ca: Option<PathBuf>,
+    /// Writes the status and the header fields to the standard error
+    #[arg(long, short, env = "LIMPET_VERBOSE")]
+    pub verbose: bool,
+}
+
+impl Settings {
+    /// Reads the settings; ends the process with status 2 if one is wrong.
+    pub fn read() -> Self {
+        let settings = Settings::parse();
+        settings.check();
+        settings
+    }
+
+    /// Checks what a command needs beyond its own flags.
+    fn check(&self) {
+        let missing = |flag, example| {
+            let message = format!("{flag} is needed for this command, for example {example}");
+            usage(ErrorKind::MissingRequiredArgument, message)
+        };
+        if self.needs_control() && self.global.control.is_empty() {
+            missing("--control <IP:PORT,…>", "--control 192.0.2.1:7100");
+        }
+        if self.makes_change() && self.global.operator.is_none() {
+            missing("--operator <NAME>", "--operator alice");
+        }
+    }
+
+    fn needs_control(&self) -> bool {
+        !matches!(self.command, Command::Call(_) | Command::Completions { .. })
+    }
+
+    /// Whether the command makes a change that the audit trail records.
+    fn makes_change(&self) -> bool {
+        matches!(
+            self.command,
+            Command::Service(ServiceCommand::Create { .. } | ServiceCommand::Delete { .. })
+                | Command::Target(_)
+                | Command::Upstream(_)
+                | Command::Key(KeyCommand::Rotate { .. })
+        )
+    }
+}
+
+/// Ends the process with status 2.
+pub fn usage(kind: ErrorKind, message: impl std::fmt::Display) -> ! {
+    Settings::command().error(kind, message).exit()
+}
--- /dev/null
+++ b/crates/limpetctl/src/request/call.rs
@@ -0,0 +1,206 @@
+//! An HTTP/3 request to a service.
+
+use std::{
+    io::{Write, stdout},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use caller::{Answer, Caller, Category, Endpoint, Outcome, Trust};
+use clap::error::ErrorKind;
+use http::{HeaderValue, Request, header::CONTENT_LENGTH};
+use rustls::{
+    RootCertStore,
+    pki_types::{CertificateDer, pem::PemObject},
+};
+use tokio::time::timeout_at;
+use url::{Host, Url};
+use wire::ClaimHeader;
+
+use crate::{
+    error::{Error, Result},
+    process::{Body, CallArgs, Exit, message, usage},
+};
+
+pub async fn run(args: &CallArgs, deadline: Instant) -> Result<Exit> {
+    let trust = trust(args);
+    let body = body(args);
+    let Ok(connected) = timeout_at(deadline.into(), connect(args, trust)).await else {
+        message("limpetctl: not run: no connection by the deadline; check the address");
+        return Ok(Exit::Refused);
+    };
+    let mut caller = match connected {
+        Ok(caller) => caller,
+        Err(e) => {
+            message(format_args!("limpetctl: not run: {e}"));
+            return Ok(Exit::Refused);
+        }
+    };
+    let request = request(args, body, deadline);
+    match timeout_at(deadline.into(), caller.send(request)).await {
+        Ok(Ok(answer)) => receive(answer, args.verbose).await,
+        Ok(Err(e)) if e.category() == Category::NotRun => {
+            message(format_args!(
+                "limpetctl: not run: {e}; it is safe to try again"
+            ));
+            Ok(Exit::Refused)
+        }
+        Ok(Err(e)) => {
+            message(format_args!("limpetctl: outcome unknown: {e}"));
+            Ok(Exit::Unknown)
+        }
+        Err(_) => {
+            message("limpetctl: outcome unknown: no answer by the deadline");
+            Ok(Exit::Unknown)
+        }
+    }
+}
+
+/// The certificates to trust; a file that cannot be used ends the process.
+fn trust(args: &CallArgs) -> Trust {
+    let Some(path) = &args.ca else {
+        return Trust::Any;
+    };
+    let invalid = |reason: &dyn std::fmt::Display| -> ! {
+        let path = path.display();
+        let message = format!(
+            "invalid value '{path}' for '--ca <FILE>': expected a readable PEM file with at least \
+             one certificate: {reason}"
+        );
+        usage(ErrorKind::ValueValidation, message)
+    };
+    let read = CertificateDer::pem_file_iter(path).and_then(Iterator::collect::<Result<Vec<_>, _>>);
+    let certificates = read.unwrap_or_else(|e| invalid(&e));
+    if certificates.is_empty() {
+        invalid(&"it holds none");
+    }
+    for certificate in &certificates {
+        if let Err(e) = RootCertStore::empty().add(certificate.clone()) {
+            invalid(&e);
+        }
+    }
+    Trust::Roots(certificates)
+}
+
+/// The body to send; a file that cannot be read ends the process.
+fn body(args: &CallArgs) -> Bytes {
+    match &args.body {
+        None => Bytes::new(),
+        Some(Body::Text(text)) => Bytes::copy_from_slice(text.as_bytes()),
+        Some(Body::File(path)) => match std::fs::read(path) {
+            Ok(body) => body.into(),
+            Err(e) => {
+                let path = path.display();
+                let message = format!(
+                    "invalid value '@{path}' for '--body <TEXT|@FILE>': expected a readable \
+                     file: {e}"
+                );
+                usage(ErrorKind::ValueValidation, message)
+            }
+        },
+    }
+}
+
+async fn connect(args: &CallArgs, trust: Trust) -> Result<Caller> {
+    let server = match args.resolve {
+        Some(address) => address,
+        None => resolve(&args.url).await?,
+    };
+    let name = match args.url.host() {
+        Some(Host::Domain(name)) => name.to_owned(),
+        Some(Host::Ipv4(ip)) => ip.to_string(),
+        Some(Host::Ipv6(ip)) => ip.to_string(),
+        None => String::new(),
+    };
+    let endpoint = Endpoint::open(server, trust)?;
+    Ok(Caller::connect(&endpoint, server, &name).await?)
+}
+
+async fn resolve(url: &Url) -> Result<SocketAddr> {
+    let port = url.port_or_known_default().unwrap_or(443);
+    let name = match url.host() {
+        Some(Host::Ipv4(ip)) => return Ok((ip, port).into()),
+        Some(Host::Ipv6(ip)) => return Ok((ip, port).into()),
+        Some(Host::Domain(name)) => name,
+        None => "",
+    };
+    let found = tokio::net::lookup_host((name, port)).await;
+    let mut found = found.map_err(|e| Error::Resolve(name.to_owned(), e))?;
+    found
+        .next()
+        .ok_or_else(|| Error::NoAddress(name.to_owned()))
+}
+
+fn request(args: &CallArgs, body: Bytes, deadline: Instant) -> Request<Bytes> {
+    let mut request = Request::new(body);
+    *request.method_mut() = args.method.clone();
+    if let Ok(uri) = args.url.as_str().parse() {
+        *request.uri_mut() = uri;
+    }
+    let length = request.body().len();
+    let headers = request.headers_mut();
+    headers.extend(
+        args.header
+            .iter()
+            .map(|(k, v)| (Some(k.clone()), v.clone())),
+    );
+    if length > 0 {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    headers.insert(ClaimHeader::TIMEOUT_MS, HeaderValue::from(millis(left)));
+    request
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Streams an answer to the standard output. Its end has no deadline, as a
+/// feed may stay open.
+async fn receive(mut answer: Answer, verbose: bool) -> Result<Exit> {
+    if verbose {
+        message(format_args!("HTTP/3 {}", answer.status));
+        for (name, value) in &answer.headers {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            message(format_args!("{name}: {value}"));
+        }
+    }
+    loop {
+        match answer.part().await {
+            Ok(Some(part)) => {
+                stdout().write_all(&part)?;
+                stdout().flush()?;
+            }
+            Ok(None) => return Ok(judge(&answer)),
+            Err(e) => {
+                message(format_args!("limpetctl: the answer broke off: {e}"));
+                return Ok(Exit::Failed);
+            }
+        }
+    }
+}
+
+fn judge(answer: &Answer) -> Exit {
+    match answer.outcome() {
+        Outcome::NotRun => {
+            message("limpetctl: not run; it is safe to try again");
+            Exit::Refused
+        }
+        Outcome::Unknown => {
+            message("limpetctl: outcome unknown: the service may have run the request");
+            Exit::Unknown
+        }
+        Outcome::Answered if answer.status.is_success() || answer.status.is_redirection() => {
+            Exit::Done
+        }
+        Outcome::Answered => {
+            message(format_args!(
+                "limpetctl: answered with status {}",
+                answer.status
+            ));
+            Exit::Failed
+        }
+    }
+}
