limpetctl: tests of lost answers, settings and calls

Cause: a lost answer, a wrong setting or a broken request could pass for something else.

Change: each way to lose an answer with each thing that may follow, golden files of wrong settings and of the help, and calls against a stand-in service. The change id is written before anything is sent.

--- a/crates/limpetctl/src/process/parse.rs
+++ b/crates/limpetctl/src/process/parse.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration};
 
 use http::{HeaderName, HeaderValue};
+use types::Revision;
 use url::Url;
 
 /// Shortest and longest time that `--deadline` accepts.
@@ -18,6 +19,8 @@
     Address,
     #[error("expected a time of {0} to {1}, such as 5s or 500ms")]
     Span(humantime::FormattedDuration, humantime::FormattedDuration),
+    #[error("expected a revision of 0 to {max}", max = u64::MAX)]
+    Revision,
     #[error("expected https://HOST[:PORT]/PATH")]
     Url,
     #[error("expected NAME:VALUE as in an HTTP header, such as accept:text/plain")]
@@ -55,6 +58,10 @@
     })
 }
 
+pub fn revision(s: &str) -> Result<Revision, Invalid> {
+    s.parse().map_err(|_| Invalid::Revision)
+}
+
 pub fn url(s: &str) -> Result<Url, Invalid> {
     let url = Url::parse(s).map_err(|_| Invalid::Url)?;
     if url.scheme() != "https" || url.host().is_none() {
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -63,7 +63,7 @@
     pub change_id: Option<ChangeId>,
     /// Revision that the change is based on; read from the control group if
     /// not given, for example --base 17
-    #[arg(long, env = "LIMPET_BASE", value_name = "N")]
+    #[arg(long, env = "LIMPET_BASE", value_name = "N", value_parser = parse::revision)]
     pub base: Option<Revision>,
     /// Returns when the change is in force on every live node
     #[arg(long, env = "LIMPET_WAIT")]
@@ -102,8 +102,8 @@
     },
     /// Sends an HTTP/3 request and streams the answer to the standard output
     ///
-    /// Example: limpetctl call <https://vouchers.example/feed> --resolve
-    /// 198.51.100.1:443 --ca roots.pem
+    /// Example: `limpetctl call https://vouchers.example/feed --resolve
+    /// 198.51.100.1:443 --ca roots.pem`
     Call(Box<CallArgs>),
     /// Writes completions for a shell
     ///
@@ -275,7 +275,7 @@
 #[derive(Debug, Args)]
 #[command(group = ArgGroup::new("trust").required(true).args(["insecure", "ca"]))]
 pub struct CallArgs {
-    /// What to ask for, for example <https://vouchers.example/feed>
+    /// What to ask for, for example `https://vouchers.example/feed`
     #[arg(value_parser = parse::url)]
     pub url: Url,
     /// Method of the request, for example --method POST
--- a/crates/limpetctl/src/request/call.rs
+++ b/crates/limpetctl/src/request/call.rs
@@ -14,7 +14,7 @@
     RootCertStore,
     pki_types::{CertificateDer, pem::PemObject},
 };
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 use url::{Host, Url};
 use wire::ClaimHeader;
 
@@ -23,6 +23,12 @@
     process::{Body, CallArgs, Exit, message, usage},
 };
 
+/// Error code of HTTP/3 for a connection that ends as planned.
+const H3_NO_ERROR: u32 = 0x100;
+
+/// Time for the socket's task to send the last packet.
+const CLOSE: Duration = Duration::from_millis(10);
+
 pub async fn run(args: &CallArgs, deadline: Instant) -> Result<Exit> {
     let trust = trust(args);
     let body = body(args);
@@ -38,25 +44,40 @@
         }
     };
     let request = request(args, body, deadline);
-    match timeout_at(deadline.into(), caller.send(request)).await {
+    let exit = match timeout_at(deadline.into(), caller.send(request)).await {
         Ok(Ok(answer)) => receive(answer, args.verbose).await,
-        Ok(Err(e)) if e.category() == Category::NotRun => {
-            message(format_args!(
-                "limpetctl: not run: {e}; it is safe to try again"
-            ));
-            Ok(Exit::Refused)
-        }
-        Ok(Err(e)) => {
-            message(format_args!("limpetctl: outcome unknown: {e}"));
-            Ok(Exit::Unknown)
-        }
+        Ok(Err(e)) => Ok(failed(&e)),
         Err(_) => {
             message("limpetctl: outcome unknown: no answer by the deadline");
             Ok(Exit::Unknown)
         }
+    };
+    close(&caller).await;
+    exit
+}
+
+fn failed(error: &caller::Error) -> Exit {
+    match error.category() {
+        Category::NotRun => {
+            message(format_args!(
+                "limpetctl: not run: {error}; it is safe to try again"
+            ));
+            Exit::Refused
+        }
+        Category::Unknown => {
+            message(format_args!("limpetctl: outcome unknown: {error}"));
+            Exit::Unknown
+        }
     }
 }
 
+/// Closes the connection, so that the upstream does not count it until it
+/// times out.
+async fn close(caller: &Caller) {
+    caller.connection().close(H3_NO_ERROR.into(), b"");
+    sleep(CLOSE).await;
+}
+
 /// The certificates to trust; a file that cannot be used ends the process.
 fn trust(args: &CallArgs) -> Trust {
     let Some(path) = &args.ca else {
@@ -176,7 +197,10 @@
             Ok(None) => return Ok(judge(&answer)),
             Err(e) => {
                 message(format_args!("limpetctl: the answer broke off: {e}"));
-                return Ok(Exit::Failed);
+                return Ok(match answer.outcome() {
+                    Outcome::Answered => Exit::Failed,
+                    _ => judge(&answer),
+                });
             }
         }
     }
--- a/crates/limpetctl/src/request/change.rs
+++ b/crates/limpetctl/src/request/change.rs
@@ -7,7 +7,10 @@
 use types::{Answer, Change, ChangeId, ChangeRequest, Refusal, Revision};
 use wire::request::{ChangeReply, NodeReport};
 
-use super::{Context, resend::Identity};
+use super::{
+    Context,
+    resend::{Identity, words},
+};
 use crate::{
     error::Result,
     process::{ChangeFlags, Exit, Report, message, usage},
@@ -65,7 +68,13 @@
     /// Not made, as no control host could take it.
     Unavailable,
     /// May or may not take effect.
-    Unknown { reason: String, resend: String },
+    Unknown {
+        reason: String,
+        /// The command that sends the change again; absent if only the audit
+        /// trail can tell.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resend: Option<String>,
+    },
 }
 
 impl Outcome {
@@ -93,19 +102,23 @@
                 ..
             } => format!("accepted at revision {revision}, in force on every live node"),
             Outcome::Accepted { revision, .. } => format!("accepted at revision {revision}"),
-            Outcome::Refused { reason } => format!("refused, nothing was changed: {reason}"),
+            Outcome::Refused { reason } => format!("refused, the change was not made: {reason}"),
             Outcome::Conflict { winner, author } => format!(
-                "conflict, nothing was changed: {author} made revision {winner} first; look at \
-                 it, then ask again without --base"
+                "conflict, the change was not made: {author} made revision {winner} first; look \
+                 at it, then ask again without --base"
             ),
-            Outcome::Unavailable => "unavailable, nothing was changed: no control host could \
-                take the change; check --control and that a majority of the group runs, then \
+            Outcome::Unavailable => "unavailable, the change was not made: no control host could \
+                take it; check --control and that a majority of the group runs, then \
                 try again"
                 .to_owned(),
-            Outcome::Unknown { reason, resend } => format!(
-                "outcome unknown, change id {}: {reason}\nresend by: {resend}",
-                self.change_id
-            ),
+            Outcome::Unknown { reason, resend } => {
+                let resend = resend.as_deref().map(|line| format!("\nresend by: {line}"));
+                format!(
+                    "outcome unknown, change id {}: {reason}{}",
+                    self.change_id,
+                    resend.unwrap_or_default()
+                )
+            }
         }
     }
 }
@@ -188,6 +201,9 @@
             base: identity.base,
             change: ask.change.clone(),
         };
+        // Written before anything is sent, so that the change can be sent
+        // again even if this process is killed before the answer comes.
+        message(format_args!("change id {}, base {}", req.id, req.base));
         // An id that the operator gives may have been sent by an earlier run.
         let reply = if ask.flags.change_id.is_some() {
             self.operator.resend(&req, self.deadline).await
@@ -202,15 +218,7 @@
     }
 
     fn judge(&self, ask: &Ask<'_>, identity: Identity, reply: ChangeReply) -> Outcome {
-        let unknown = |reason: String| Outcome::Unknown {
-            reason,
-            resend: match ask.change {
-                // A key cannot be sent again: it is random and never written
-                // down. The next run sees whether it was added.
-                Change::AddKey { .. } => self.command_line(&ask.words),
-                _ => self.resend_line(&ask.words, ask.flags, identity),
-            },
-        };
+        let audit = words!["audit", "--limit", 10_000];
         match reply {
             ChangeReply::Final(Answer::Accepted(revision)) => Outcome::Accepted {
                 revision: revision.0,
@@ -224,17 +232,32 @@
             // These say nothing of an earlier request with the id.
             ChangeReply::Final(Answer::Refused(
                 refusal @ (Refusal::IdReused(_) | Refusal::IdExpired(_)),
-            )) if ask.flags.change_id.is_some() => unknown(format!(
-                "{refusal}; the answer to the first request with this id is in `limpetctl audit \
-                 --limit 10000`"
-            )),
+            )) if ask.flags.change_id.is_some() => Outcome::Unknown {
+                reason: format!(
+                    "{refusal}; the answer to the first request with this id is in the audit \
+                     trail: {}",
+                    self.command_line(&audit)
+                ),
+                resend: None,
+            },
             ChangeReply::Final(Answer::Refused(refusal)) => Outcome::Refused {
                 reason: refusal.to_string(),
             },
             ChangeReply::NotLeader { .. } | ChangeReply::Unavailable => Outcome::Unavailable,
-            ChangeReply::Unknown => {
-                unknown("a control host may have received the change, its answer is lost".into())
-            }
+            ChangeReply::Unknown => Outcome::Unknown {
+                reason: "a control host may have received the change, its answer is lost".into(),
+                resend: Some(self.again(ask, identity)),
+            },
+        }
+    }
+
+    /// The command line that takes up a change whose outcome is unknown.
+    fn again(&self, ask: &Ask<'_>, identity: Identity) -> String {
+        match ask.change {
+            // A key cannot be sent again: it is random and never written
+            // down. The next run sees whether it was added.
+            Change::AddKey { .. } => self.command_line(&ask.words),
+            _ => self.resend_line(&ask.words, ask.flags, identity),
         }
     }
 
--- a/crates/limpetctl/src/request/control.rs
+++ b/crates/limpetctl/src/request/control.rs
@@ -176,7 +176,7 @@
         }
         let resume = self.cx.command_line(words);
         message(format_args!(
-            "limpetctl: {outcome}: {stop}\ngo on by: {resume}"
+            "limpetctl: {outcome}: {stop}\nrun again by: {resume}"
         ));
         let view = self.view(outcome, Some(stop.to_string()), Some(resume));
         if let Err(e) = self.cx.out.failure(&view) {
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -136,29 +136,11 @@
                 QueryReply::Audit(state.audit().rev().take(limit).cloned().collect())
             }
             Query::Status => QueryReply::Status(Box::new(self.status())),
-            Query::Lagging(_) if self.host.lagging => QueryReply::Lagging(vec![self.node("b2", 0)]),
+            Query::Lagging(_) if self.host.lagging => QueryReply::Lagging(vec![node("b2", 0)]),
             Query::Lagging(_) => QueryReply::Lagging(Vec::new()),
         }
     }
 
-    fn version(&self, revision: u64) -> Version {
-        Version {
-            revision: Revision(revision),
-            epoch: Term(2),
-            seq: 9,
-        }
-    }
-
-    fn node(&self, host: &str, revision: u64) -> NodeReport {
-        NodeReport {
-            role: Role::Balancer,
-            host: host.parse().unwrap(),
-            data_centre: "sofia".parse().unwrap(),
-            version: (revision > 0).then(|| self.version(revision)),
-            silent_for: Duration::from_millis(40),
-        }
-    }
-
     fn status(&self) -> StatusReport {
         let revision = self.state.revision().0;
         let upstream = |id, state, share| UpstreamReport {
@@ -184,11 +166,11 @@
             leaving_connections: 17,
         };
         StatusReport {
-            version: self.version(revision),
+            version: version(revision),
             group: self.report(),
             nodes: vec![
-                self.node("b1", revision),
-                self.node("b2", if self.host.lagging { 0 } else { revision }),
+                node("b1", revision),
+                node("b2", if self.host.lagging { 0 } else { revision }),
             ],
             services: self.state.services().values().map(service).collect(),
         }
@@ -229,6 +211,24 @@
     }
 }
 
+fn version(revision: u64) -> Version {
+    Version {
+        revision: Revision(revision),
+        epoch: Term(2),
+        seq: 9,
+    }
+}
+
+fn node(host: &str, revision: u64) -> NodeReport {
+    NodeReport {
+        role: Role::Balancer,
+        host: host.parse().unwrap(),
+        data_centre: "sofia".parse().unwrap(),
+        version: (revision > 0).then(|| version(revision)),
+        silent_for: Duration::from_millis(40),
+    }
+}
+
 /// Takes one of the faults that are left.
 fn take(faults: &mut Option<(Fault, usize)>) -> Option<Fault> {
     let (fault, left) = faults.as_mut()?;
@@ -250,7 +250,7 @@
         Fault::Status => HttpResponse::InternalServerError().finish(),
         Fault::Garbage => HttpResponse::Ok().body("garbage"),
         Fault::Late => {
-            actix_web::rt::time::sleep(Duration::from_secs(60)).await;
+            actix_web::rt::time::sleep(Duration::from_mins(1)).await;
             HttpResponse::Ok().finish()
         }
         _ => unknown,
--- a/crates/limpetctl/tests/common/mod.rs
+++ b/crates/limpetctl/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-mod host;
+pub mod host;
 
 use std::{
     fmt::Write,
@@ -12,8 +12,6 @@
     thread,
 };
 
-pub use host::{Fault, Host};
-
 /// An address that refuses connections.
 pub fn refusing() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -77,6 +75,19 @@
         let mut args = vec!["--control", &self.control, "--operator", operator];
         args.extend(line.split_whitespace());
         let output = limpetctl(&args);
+        self.add(operator, line, output)
+    }
+
+    /// Runs a whole command line that the program printed.
+    pub fn run_printed(&mut self, line: &str) -> Output {
+        let words = shlex::split(line).unwrap();
+        let args: Vec<_> = words.iter().skip(1).map(String::as_str).collect();
+        let output = limpetctl(&args);
+        self.add("", line, output)
+    }
+
+    fn add(&mut self, operator: &str, line: &str, output: Output) -> Output {
+        let line = line.strip_prefix("limpetctl ").unwrap_or(line);
         let stdout = self.redact(&output.stdout);
         let stderr = self.redact(&output.stderr);
         let line = self.redact(line.as_bytes());
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use common::{Fault, Host, Session, refusing};
+use common::{
+    Session,
+    host::{Fault, Host},
+    refusing,
+};
 use insta::assert_snapshot;
 use types::Change;
 
@@ -112,15 +116,12 @@
     s.name(working, "WORKING");
     let lost = s.run("target set vouchers a --carry 7 --path-prefix /a&b --deadline 500ms --wait");
     let stderr = String::from_utf8(lost.stderr).unwrap();
-    let line = stderr
-        .lines()
-        .find_map(|l| l.strip_prefix("resend by: limpetctl "));
+    let line = stderr.lines().find_map(|l| l.strip_prefix("resend by: "));
     let line = line
         .unwrap()
         .replace(&broken.to_string(), &working.to_string());
-    let words = line.replace('\'', "");
-    s.run(&words);
-    s.run(&words);
+    s.run_printed(&line);
+    s.run_printed(&line);
     assert_snapshot!(s.text);
 }
 
--- /dev/null
+++ b/crates/limpetctl/tests/settings.rs
@@ -0,0 +1,111 @@
+//! Wrong settings and the help.
+
+mod common;
+
+use std::fmt::Write;
+
+use common::{limpetctl, refusing};
+use insta::assert_snapshot;
+
+const WRONG: &[&str] = &[
+    "status",
+    "--control localhost status",
+    "--control 192.0.2.1:0 status",
+    "--control 192.0.2.1:7100 --output xml status",
+    "--control 192.0.2.1:7100 --deadline 1ms status",
+    "--control 192.0.2.1:7100 --deadline soon status",
+    "--control 192.0.2.1:7100 service create vouchers --address 198.51.100.1:443",
+    "--control 192.0.2.1:7100 --operator a/b status",
+    "--control 192.0.2.1:7100 --operator alice service create vouchers --address 198.51.100.1",
+    "--control 192.0.2.1:7100 --operator alice target set vouchers default --carry 0",
+    "--control 192.0.2.1:7100 --operator alice target set vouchers default --carry 1 \
+     --leave-within 2h",
+    "--control 192.0.2.1:7100 --operator alice target set vouchers default --carry 1 \
+     --path-prefix redeem",
+    "--control 192.0.2.1:7100 --operator alice upstream drain h1 --base minus",
+    "--control 192.0.2.1:7100 --operator alice upstream drain h1 --base 1 \
+     --change-id 01890a5d-ac96-474b-bcce-b302099a8057",
+    "--control 192.0.2.1:7100 control remove voter",
+    "--control 192.0.2.1:7100 audit --limit 0",
+    "call https://vouchers.example/",
+    "call http://vouchers.example/ --insecure",
+    "call https://vouchers.example/ --insecure --ca roots.pem",
+    "call https://vouchers.example/ --ca /nonexistent/roots.pem",
+    "call https://vouchers.example/ --ca Cargo.toml",
+    "call https://vouchers.example/ --insecure --body @/nonexistent/body",
+    "call https://vouchers.example/ --insecure --header accept",
+    "completions basic",
+];
+
+/// Guards against a wrong setting that is found after a socket was opened, or
+/// whose message does not name the flag, the value and the range.
+#[test]
+fn wrong_settings() {
+    let mut text = String::new();
+    for line in WRONG {
+        let args: Vec<_> = line.split_whitespace().collect();
+        let output = limpetctl(&args);
+        let stderr = String::from_utf8(output.stderr).unwrap();
+        let message = stderr.split("\n\nUsage").next().unwrap();
+        let message = message.split("\n\nFor more").next().unwrap();
+        writeln!(text, "$ limpetctl {line}\n{message}\n").unwrap();
+        assert_eq!(output.status.code(), Some(2), "{line}");
+        assert!(output.stdout.is_empty(), "{line}");
+    }
+    assert_snapshot!(text);
+}
+
+/// Guards against flags without an environment variable or an example, and
+/// exit codes that the help does not name.
+#[test]
+fn help() {
+    let mut text = String::new();
+    for command in [
+        "",
+        "service create",
+        "target set",
+        "key rotate",
+        "control replace",
+        "call",
+    ] {
+        let mut args: Vec<_> = command.split_whitespace().collect();
+        args.push("--help");
+        let output = limpetctl(&args);
+        assert_eq!(output.status.code(), Some(0));
+        let help = String::from_utf8(output.stdout).unwrap();
+        let lines: Vec<_> = help.lines().map(str::trim_end).collect();
+        writeln!(text, "$ limpetctl {command} --help\n{}\n", lines.join("\n")).unwrap();
+    }
+    assert_snapshot!(text);
+}
+
+/// Guards against a setting in the environment that is not read.
+#[test]
+fn environment() {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_limpetctl"));
+    let output = command
+        .env("LIMPET_CONTROL", refusing().to_string())
+        .env("LIMPET_OPERATOR", "alice")
+        .env("LIMPET_DEADLINE", "200ms")
+        .env("LIMPET_CARRY", "7")
+        .env("LIMPET_BASE", "4")
+        .env("LIMPET_CHANGE_ID", types::ChangeId::generate().to_string())
+        .args(["target", "set", "vouchers", "default"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(5), "{output:?}");
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert!(stderr.contains("--carry 7"), "{stderr}");
+    assert!(stderr.contains("--base 4"), "{stderr}");
+}
+
+/// Guards against completions that a shell cannot load.
+#[test]
+fn completions() {
+    for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
+        let output = limpetctl(&["completions", shell]);
+        assert_eq!(output.status.code(), Some(0));
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert!(text.contains("rotate"), "{shell}");
+    }
+}
