limpetctl: tests of resumed rotations and of named leaders

Cause: nothing showed that a rotation goes on after a lost answer to either of its changes, nor that a dead leader cannot block the others.

Change: a golden file of both cases, and two tests of named leaders.

--- a/crates/limpetctl/src/request/key.rs
+++ b/crates/limpetctl/src/request/key.rs
@@ -99,7 +99,7 @@
             return cx.finish(&ask, view).await;
         }
     }
-    let resume = cx.command_line(&rotate_words());
+    let resume = cx.command_line(&rotate_words(flags));
     message(format_args!(
         "limpetctl: the new key is not activated yet; go on by: {resume}"
     ));
@@ -112,8 +112,10 @@
     cx.outcome(&view, Exit::Pending)
 }
 
-fn rotate_words() -> Vec<String> {
-    words!["key", "rotate"]
+fn rotate_words(flags: &ChangeFlags) -> Vec<String> {
+    let mut words = words!["key", "rotate"];
+    words.extend(flags.wait.then(|| "--wait".to_owned()));
+    words
 }
 
 fn addition(flags: &ChangeFlags, generation: KeyGeneration, base: Revision) -> Ask<'_> {
@@ -125,7 +127,7 @@
         change: Change::AddKey { key },
         flags,
         base,
-        words: rotate_words(),
+        words: rotate_words(flags),
     }
 }
 
@@ -134,7 +136,7 @@
         change: Change::ActivateKey,
         flags,
         base,
-        words: rotate_words(),
+        words: words!["key", "rotate"],
     }
 }
 
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -46,6 +46,10 @@
 pub struct Host {
     /// Fault of the first changes, and how many have it.
     pub change: Option<(Fault, usize)>,
+    /// Changes that are answered before those with a fault.
+    pub answered: usize,
+    /// Leader that the host names when it is not the leader itself.
+    pub leader: Option<SocketAddr>,
     /// Fault of the first group changes, and how many have it.
     pub group: Option<(Fault, usize)>,
     /// Whether a node never gets a version.
@@ -121,6 +125,14 @@
         self.state.apply(Revision(self.index), now, req)
     }
 
+    fn change_fault(&mut self) -> Option<Fault> {
+        if let Some(left) = self.host.answered.checked_sub(1) {
+            self.host.answered = left;
+            return None;
+        }
+        take(&mut self.host.change)
+    }
+
     fn query(&self, query: Query) -> QueryReply {
         let state = &self.state;
         match query {
@@ -258,9 +270,12 @@
 }
 
 async fn change(running: Shared, body: Bytes) -> HttpResponse {
-    let fault = take(&mut running.borrow_mut().host.change);
+    let fault = running.borrow_mut().change_fault();
     match fault {
-        Some(Fault::NotLeader) => return reply(&ChangeReply::NotLeader { leader: None }),
+        Some(Fault::NotLeader) => {
+            let leader = running.borrow().host.leader;
+            return reply(&ChangeReply::NotLeader { leader });
+        }
         Some(Fault::Unavailable) => return reply(&ChangeReply::Unavailable),
         _ => {}
     }
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -97,6 +97,30 @@
     ));
 }
 
+/// Guards against a rotation that cannot go on after a lost answer to either
+/// of its changes, and against one that adds a second key instead.
+#[test]
+fn resumes_a_rotation() {
+    let mut text = String::new();
+    for answered in [1, 2] {
+        let host = Host {
+            change: Some((Fault::Late, 1)),
+            answered,
+            ..Host::default()
+        };
+        let mut s = Session::new(&[host.start()]);
+        s.run("key rotate");
+        let lost = s.run("key rotate --deadline 500ms");
+        let stderr = String::from_utf8(lost.stderr).unwrap();
+        let line = stderr.lines().find_map(|l| l.strip_prefix("resend by: "));
+        s.run_printed(line.unwrap());
+        s.run("key show");
+        s.run("audit --output json");
+        text += &s.text;
+    }
+    assert_snapshot!(text);
+}
+
 /// Guards against a lost answer that looks final, and against a printed
 /// command that is not the same change again.
 #[test]
--- a/crates/limpetctl/tests/lost_answers.rs
+++ b/crates/limpetctl/tests/lost_answers.rs
@@ -148,3 +148,28 @@
     let output = create(&declining(), "300ms");
     assert_eq!(output.status.code(), Some(1), "{output:?}");
 }
+
+/// Guards against a host that names a dead leader over and over, and so keeps
+/// the new leader from being asked.
+#[test]
+fn dead_leader_is_named() {
+    let stale = Host {
+        change: Some((Fault::NotLeader, usize::MAX)),
+        leader: Some(refusing()),
+        ..Host::default()
+    };
+    let output = create(&[stale.start(), Host::default().start()], "2s");
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+/// Guards against a named leader that is asked too late or not at all.
+#[test]
+fn live_leader_is_named() {
+    let follower = Host {
+        change: Some((Fault::NotLeader, usize::MAX)),
+        leader: Some(Host::default().start()),
+        ..Host::default()
+    };
+    let output = create(&[follower.start()], "300ms");
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
