Let the same attempt ask a key's home again

Cause: the home's answer may be lost on the way to the agent.

Change: an attempt carries a random number; messages between agents for it.

Result: the same attempt is let run again, another one is not (test).

--- a/crates/dedup/src/lib.rs
+++ b/crates/dedup/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`request`]: keys, and what is kept under them.
 //!
 //! ```
-//! use dedup::{Begin, End, Fingerprint, Home, Kept, Key, Settings};
+//! use dedup::{Asker, Begin, End, Fingerprint, Home, Kept, Key, Settings};
 //! use std::time::Instant;
 //! use types::{UnixMillis, UpstreamId};
 //!
@@ -28,10 +28,12 @@
 //! let now = UnixMillis(1_000_000 + 60_000);
 //! let key = Key::dated(now, 7);
 //! let print = Fingerprint(42);
-//! assert_eq!(home.begin(start, now, key, print, UpstreamId(1)), Begin::Run);
+//! let first = Asker { upstream: UpstreamId(1), attempt: 1 };
+//! assert_eq!(home.begin(start, now, key, print, first), Begin::Run);
 //! let answer = Kept::new(200, Vec::new(), "ok".into());
 //! home.end(now, key, End::Answered(answer.clone()));
-//! assert_eq!(home.begin(start, now, key, print, UpstreamId(1)), Begin::Answered(answer));
+//! let resend = Asker { upstream: UpstreamId(1), attempt: 2 };
+//! assert_eq!(home.begin(start, now, key, print, resend), Begin::Answered(answer));
 //! ```
 
 pub mod process;
@@ -39,5 +41,5 @@
 pub mod version;
 
 pub use process::{Home, Settings};
-pub use request::{Begin, End, Fingerprint, Kept, Key};
+pub use request::{Asker, Begin, End, Fingerprint, InvalidKey, Kept, Key};
 pub use version::home_of;
--- a/crates/dedup/src/process/home.rs
+++ b/crates/dedup/src/process/home.rs
@@ -8,13 +8,13 @@
 use types::{UnixMillis, UpstreamId};
 
 use super::Settings;
-use crate::{Begin, End, Fingerprint, Kept, Key, home_of, version::claim};
+use crate::{Asker, Begin, End, Fingerprint, Kept, Key, home_of, version::claim};
 
 /// What became of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
-    /// The agent of this upstream runs a request.
-    Running(UpstreamId),
+    /// This attempt runs.
+    Running(Asker),
     Answered(Kept),
     Ran,
     Lost,
@@ -105,28 +105,28 @@
         let oldest = minus(date, self.settings.keep);
         self.departed.retain(|_, until| *until > oldest);
         for record in self.records.values_mut() {
-            if matches!(record.state, State::Running(at) if !members.contains(&at)) {
+            if matches!(record.state, State::Running(at) if !members.contains(&at.upstream)) {
                 record.state = State::Lost;
             }
         }
         self.members.clone_from(members);
     }
 
-    /// Decides whether the agent of `from` may run a request.
+    /// Decides whether an attempt may run.
     pub fn begin(
         &mut self,
         now: Instant,
         date: UnixMillis,
         key: Key,
         fingerprint: Fingerprint,
-        from: UpstreamId,
+        from: Asker,
     ) -> Begin {
-        if !self.is_home(now, key) || !self.members.contains(&from) && from != self.own {
+        if !self.is_home(now, key) || !self.members.contains(&from.upstream) {
             return Begin::NotHome;
         }
         self.expire(date);
         if let Some(record) = self.records.get(&key) {
-            return known(record, fingerprint);
+            return known(record, fingerprint, from);
         }
         if key.date() > date.plus(self.settings.max_skew) {
             return Begin::InFuture;
@@ -221,11 +221,12 @@
     }
 }
 
-fn known(record: &Record, fingerprint: Fingerprint) -> Begin {
+fn known(record: &Record, fingerprint: Fingerprint, from: Asker) -> Begin {
     if record.fingerprint != fingerprint {
         return Begin::Mismatch;
     }
     match &record.state {
+        State::Running(at) if *at == from => Begin::Run,
         State::Running(_) => Begin::InProgress,
         State::Answered(kept) => Begin::Answered(kept.clone()),
         State::Ran => Begin::Ran,
--- a/crates/dedup/src/request/key.rs
+++ b/crates/dedup/src/request/key.rs
@@ -3,7 +3,7 @@
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
-use types::UnixMillis;
+use types::{UnixMillis, UpstreamId};
 use uuid::Uuid;
 
 /// Bits of a version 7 UUID that are not its time stamp.
@@ -65,6 +65,16 @@
     }
 }
 
+/// Who asks to run a request, and for which attempt. The same attempt may ask
+/// again when the home's answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Asker {
+    /// Upstream whose agent asks.
+    pub upstream: UpstreamId,
+    /// Random number that the agent draws for the attempt.
+    pub attempt: u64,
+}
+
 /// Hash of what a request asks, so that a key is not used for two requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/dedup/src/request/mod.rs
+++ b/crates/dedup/src/request/mod.rs
@@ -3,5 +3,5 @@
 mod key;
 mod result;
 
-pub use key::{Fingerprint, Key};
+pub use key::{Asker, Fingerprint, InvalidKey, Key};
 pub use result::{Begin, End, Kept};
--- a/crates/dedup/tests/home.rs
+++ b/crates/dedup/tests/home.rs
@@ -2,11 +2,12 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
 use arbtest::arbtest;
-use dedup::{Begin, End, Fingerprint, Home, Kept, Key, Settings, home_of};
+use dedup::{Asker, Begin, End, Fingerprint, Home, Kept, Key, Settings, home_of};
 use types::{UnixMillis, UpstreamId};
 
 /// Number of random cases of each property; the case number is the seed.
@@ -18,6 +19,15 @@
 const PRINT: Fingerprint = Fingerprint(1);
 const START: u64 = 10_000_000;
 
+/// A new attempt of the agent of an upstream.
+fn asker(upstream: u64) -> Asker {
+    static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
+    Asker {
+        upstream: UpstreamId(upstream),
+        attempt: ATTEMPTS.fetch_add(1, Ordering::Relaxed),
+    }
+}
+
 fn kept(body: &str) -> Kept {
     Kept::new(200, Vec::new(), body.to_owned().into())
 }
@@ -46,14 +56,14 @@
         let now = Instant::now();
         let (mut home, date) = settled(Settings::default(), now);
         let key = Key::dated(date, 5);
-        assert_eq!(home.begin(now, date, key, PRINT, UpstreamId(1)), Begin::Run);
+        assert_eq!(home.begin(now, date, key, PRINT, asker(1)), Begin::Run);
         assert_eq!(
-            home.begin(now, date, key, PRINT, UpstreamId(1)),
+            home.begin(now, date, key, PRINT, asker(1)),
             Begin::InProgress
         );
         home.end(date, key, end.clone());
         assert_eq!(
-            home.begin(now, date, key, PRINT, UpstreamId(1)),
+            home.begin(now, date, key, PRINT, asker(1)),
             expected,
             "{end:?}"
         );
@@ -90,7 +100,7 @@
     ];
     for (what, key, expected) in cases {
         assert_eq!(
-            home.begin(now, date, key, PRINT, UpstreamId(1)),
+            home.begin(now, date, key, PRINT, asker(1)),
             expected,
             "{what}"
         );
@@ -105,20 +115,11 @@
     let (mut home, date) = settled(Settings::default(), now);
     let key = Key::dated(date, 9);
     let late = now + Settings::default().lease;
-    assert_eq!(
-        home.begin(late, date, key, PRINT, UpstreamId(1)),
-        Begin::NotHome
-    );
-    assert_eq!(
-        home.begin(now, date, key, PRINT, UpstreamId(8)),
-        Begin::NotHome
-    );
-    assert_eq!(home.begin(now, date, key, PRINT, UpstreamId(1)), Begin::Run);
+    assert_eq!(home.begin(late, date, key, PRINT, asker(1)), Begin::NotHome);
+    assert_eq!(home.begin(now, date, key, PRINT, asker(8)), Begin::NotHome);
+    assert_eq!(home.begin(now, date, key, PRINT, asker(1)), Begin::Run);
     let other = Fingerprint(2);
-    assert_eq!(
-        home.begin(now, date, key, other, UpstreamId(1)),
-        Begin::Mismatch
-    );
+    assert_eq!(home.begin(now, date, key, other, asker(1)), Begin::Mismatch);
 }
 
 /// Guards against a request that counts as running for ever after its agent
@@ -135,9 +136,9 @@
         .map(|n| Key::dated(date, n))
         .find(|key| home_of(*key, &both) == Some(own));
     let key = key.unwrap();
-    assert_eq!(home.begin(now, date, key, PRINT, UpstreamId(2)), Begin::Run);
+    assert_eq!(home.begin(now, date, key, PRINT, asker(2)), Begin::Run);
     home.confirm(now, date, &[own].into());
-    assert_eq!(home.begin(now, date, key, PRINT, own), Begin::Lost);
+    assert_eq!(home.begin(now, date, key, PRINT, asker(own.0)), Begin::Lost);
 }
 
 /// Guards against keys that move when a member comes or goes that is not
@@ -230,13 +231,30 @@
     fn send(&mut self, key: Key) {
         let (now, date) = (self.now, self.date());
         for (&id, home) in &mut self.homes {
-            if home.begin(now, date, key, PRINT, id) == Begin::Run {
+            if home.begin(now, date, key, PRINT, asker(id.0)) == Begin::Run {
                 *self.runs.entry(key).or_default() += 1;
             }
         }
     }
 }
 
+/// Guards against an attempt that cannot run because the home's first answer
+/// was lost.
+#[test]
+fn the_same_attempt_may_ask_again() {
+    let now = Instant::now();
+    let (mut home, date) = settled(Settings::default(), now);
+    let key = Key::dated(date, 4);
+    let first = asker(1);
+    for _ in 0..2 {
+        assert_eq!(home.begin(now, date, key, PRINT, first), Begin::Run);
+    }
+    assert_eq!(
+        home.begin(now, date, key, PRINT, asker(1)),
+        Begin::InProgress
+    );
+}
+
 /// Guards against a home that takes over keys of a member that it has never
 /// heard of, because it came and went while the home was cut off.
 #[test]
@@ -248,7 +266,7 @@
     let date = UnixMillis(date.0 + 4_000);
     home.confirm(later, date, &[UpstreamId(1)].into());
     assert_eq!(
-        home.begin(later, date, key, PRINT, UpstreamId(1)),
+        home.begin(later, date, key, PRINT, asker(1)),
         Begin::Unsettled
     );
 }
@@ -273,7 +291,7 @@
     let key = (0..1000)
         .map(|n| Key::dated(date, n))
         .find(|key| home_of(*key, &both) == Some(own));
-    let begin = home.begin(now, date, key.unwrap(), PRINT, other);
+    let begin = home.begin(now, date, key.unwrap(), PRINT, asker(other.0));
     assert_eq!(begin, Begin::Unsettled);
 }
 
--- a/crates/wire/src/request/mod.rs
+++ b/crates/wire/src/request/mod.rs
@@ -1,8 +1,10 @@
 //! Messages that live for one request or one operator change.
 
+mod keys;
 mod operator;
 mod reserve;
 
+pub use keys::{BeginRequest, EndRequest};
 pub use operator::{
     ChangeReply, ClassReport, GroupRefusal, GroupReply, GroupReport, GroupRequest, Hello,
     HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
