--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -48,6 +48,13 @@
     a
 }
 
+/// The same with one slot, which request 1 holds.
+fn busy(now: Instant, peers: &[(UpstreamId, &str)]) -> Admission {
+    let mut a = admission(now, 1, peers);
+    assert_eq!(a.arrive(now, request(1)), Decision::Run);
+    a
+}
+
 fn request(n: u64) -> RequestInfo {
     RequestInfo::new(RequestId(n), class())
 }
@@ -65,20 +72,17 @@
     PeerAnswer::Refused(loads(1, 1))
 }
 
-fn run(n: u64) -> Wake {
+fn wake(n: u64, decision: Decision) -> Wake {
     let id = RequestId(n);
-    Wake {
-        id,
-        decision: Decision::Run,
-    }
+    Wake { id, decision }
+}
+
+fn run(n: u64) -> Wake {
+    wake(n, Decision::Run)
 }
 
 fn refuse(n: u64, reason: Reason) -> Wake {
-    let id = RequestId(n);
-    Wake {
-        id,
-        decision: Decision::Refuse(reason),
-    }
+    wake(n, Decision::Refuse(reason))
 }
 
 /// Guards against peers that are asked out of order: own data centre first,
@@ -106,8 +110,7 @@
 fn beyond_sixteen_peers_only_a_few_are_asked() {
     let now = Instant::now();
     let peers: Vec<_> = (1..=40).map(|n| (UpstreamId(n), "b")).collect();
-    let mut a = admission(now, 1, &peers);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &peers);
     let mut decision = Some(a.arrive(now, request(2)));
     let mut asked = Vec::new();
     while let Some(Decision::HandOff { peer }) = decision {
@@ -122,8 +125,7 @@
 #[test]
 fn a_grant_after_a_local_start_is_released() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[(FIRST, "b")]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[(FIRST, "b")]);
     let peer = FIRST;
     assert_eq!(a.arrive(now, request(2)), Decision::HandOff { peer });
     assert_eq!(a.finish(now, RequestId(1), Outcome::Completed), [run(2)]);
@@ -199,8 +201,7 @@
 #[test]
 fn a_deadline_that_cannot_be_met_is_refused_early() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[]);
     a.finish(now + ms(100), RequestId(1), Outcome::Completed);
     let now = now + ms(100);
     let due = |n, at| RequestInfo {
@@ -281,8 +282,7 @@
 #[test]
 fn a_free_slot_is_offered_to_a_refused_peer_after_the_local_queue() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[]);
     a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(50));
     a.arrive(now, request(2));
     a.finish(now, RequestId(1), Outcome::Completed);
@@ -301,8 +301,7 @@
 #[test]
 fn a_refused_peer_gets_an_offer_only_for_a_short_time() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[]);
     a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(500));
     let late = now + Settings::default().offer_within;
     a.finish(late, RequestId(1), Outcome::Completed);
@@ -313,8 +312,7 @@
 #[test]
 fn a_peer_that_asked_is_not_asked_for_a_while() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[(FIRST, "a"), (SECOND, "b")]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[(FIRST, "a"), (SECOND, "b")]);
     a.reserve(now, ReservationId(9), FIRST, &class(), now + ms(50));
     let peer = SECOND;
     assert_eq!(a.arrive(now, request(2)), Decision::HandOff { peer });
@@ -327,15 +325,10 @@
 #[test]
 fn an_offer_takes_the_oldest_queued_request() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[]);
-    for n in 1..=2 {
-        a.arrive(now, request(n));
-    }
-    let wake = Wake {
-        id: RequestId(2),
-        decision: Decision::Pass { peer: FIRST },
-    };
-    assert_eq!(a.offered(FIRST, &class()), Some(wake));
+    let mut a = busy(now, &[]);
+    a.arrive(now, request(2));
+    let passed = wake(2, Decision::Pass { peer: FIRST });
+    assert_eq!(a.offered(FIRST, &class()), Some(passed));
     assert_eq!(a.offered(FIRST, &class()), None);
 }
 
@@ -344,17 +337,12 @@
 #[test]
 fn a_leaving_upstream_hands_off_and_finishes() {
     let now = Instant::now();
-    let mut a = admission(now, 1, &[(FIRST, "b")]);
-    a.arrive(now, request(1));
+    let mut a = busy(now, &[(FIRST, "b")]);
     a.arrive(now, request(2));
     a.peer_answer(now, RequestId(2), FIRST, refused());
     let now = now + ms(100);
     let decision = Decision::HandOff { peer: FIRST };
-    let asked = Wake {
-        id: RequestId(2),
-        decision,
-    };
-    assert_eq!(a.set_leaving(now, true), [asked]);
+    assert_eq!(a.set_leaving(now, true), [wake(2, decision)]);
     assert_eq!(a.state(), UpstreamState::Leaving);
     assert_eq!(a.arrive(now, request(3)), decision);
     assert!(!a.may_accept_connection());
--- a/crates/admit/tests/invariants.rs
+++ b/crates/admit/tests/invariants.rs
@@ -9,7 +9,10 @@
     Admission, Claim, Decision, Outcome, PeerAnswer, QueueOrder, Report, RequestInfo, Reserve,
     Settings, Wake,
 };
-use arbtest::{arbitrary::Unstructured, arbtest};
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
 use types::{ClassName, RequestId, ReservationId, Slots, Target, UpstreamId};
 
 /// Number of random cases; the case number is the seed.
@@ -71,20 +74,19 @@
         agent
     }
 
-    fn set_slots(&mut self, slots: u32) {
+    fn set_slots(&mut self, slots: u32) -> Vec<Wake> {
         self.slots = slots;
         let target = Target {
             carry: Slots(slots),
             ..Target::default()
         };
         let targets = BTreeMap::from([(class(), target)]);
-        let wakes = self.admission.set_targets(self.now, &targets);
-        self.obey(wakes);
+        self.admission.set_targets(self.now, &targets)
     }
 
-    fn obey(&mut self, wakes: impl IntoIterator<Item = Wake>) {
-        for Wake { id, decision } in wakes {
-            self.decide(id, decision);
+    fn obey(&mut self, wakes: Vec<Wake>) {
+        for wake in wakes {
+            self.decide(wake.id, wake.decision);
         }
     }
 
@@ -106,7 +108,7 @@
         }
     }
 
-    fn arrive(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    fn arrive(&mut self, u: &mut Unstructured<'_>) -> Result<Vec<Wake>> {
         self.next_id += 1;
         let id = RequestId(self.next_id);
         let allowed = u.int_in_range(0..=400)?;
@@ -121,13 +123,12 @@
         let handed_off = info.handed_off;
         let decision = self.admission.arrive(self.now, info);
         assert!(!handed_off || decision.is_final(), "handed on");
-        self.decide(id, decision);
-        Ok(())
+        Ok(vec![Wake { id, decision }])
     }
 
-    fn answer(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    fn answer(&mut self, u: &mut Unstructured<'_>) -> Result<Vec<Wake>> {
         if self.questions.is_empty() {
-            return Ok(());
+            return Ok(Vec::new());
         }
         let question = u.choose_index(self.questions.len())?;
         let (id, peer) = self.questions.swap_remove(question);
@@ -141,33 +142,29 @@
         };
         let decision = self.admission.peer_answer(self.now, id, peer, answer);
         if self.waiting.contains_key(&id) {
-            self.decide(id, decision.expect("the request waits for this answer"));
-        } else {
-            let late = granted.then_some(Decision::Release { peer });
-            assert_eq!(decision, late);
+            let decision = decision.expect("the request waits for this answer");
+            return Ok(vec![Wake { id, decision }]);
         }
-        Ok(())
+        assert_eq!(decision, granted.then_some(Decision::Release { peer }));
+        Ok(Vec::new())
     }
 
-    fn end(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    fn end(&mut self, u: &mut Unstructured<'_>) -> Result<Vec<Wake>> {
         let ids: Vec<RequestId> = self.running.iter().copied().collect();
         if ids.is_empty() {
-            return Ok(());
+            return Ok(Vec::new());
         }
         let id = *u.choose(&ids)?;
         self.running.remove(&id);
+        if u.ratio(1, 4)? {
+            return Ok(self.admission.cancel(self.now, id));
+        }
         let outcomes = [Outcome::Completed, Outcome::Failed, Outcome::Shed];
         let outcome = *u.choose(&outcomes)?;
-        let wakes = if u.ratio(1, 4)? {
-            self.admission.cancel(self.now, id)
-        } else {
-            self.admission.finish(self.now, id, outcome)
-        };
-        self.obey(wakes);
-        Ok(())
+        Ok(self.admission.finish(self.now, id, outcome))
     }
 
-    fn serve_peer(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    fn serve_peer(&mut self, u: &mut Unstructured<'_>) -> Result<Vec<Wake>> {
         self.next_id += 1;
         let until = self.now + ms(u.int_in_range(1..=100)?);
         let id = ReservationId(self.next_id);
@@ -179,10 +176,7 @@
                     self.running.insert(request);
                 }
             }
-            (1, Some(known)) => {
-                let wakes = self.admission.release(self.now, known);
-                self.obey(wakes);
-            }
+            (1, Some(known)) => return Ok(self.admission.release(self.now, known)),
             (_, known) => {
                 self.reservations.extend(known);
                 let peer = UpstreamId(u.int_in_range(1..=3)?);
@@ -192,48 +186,35 @@
                 }
             }
         }
-        Ok(())
+        Ok(Vec::new())
     }
 
-    fn step(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         self.now += ms(u.int_in_range(0..=30)?);
-        match u.int_in_range(0..=15)? {
+        let wakes = match u.int_in_range(0..=15)? {
             0..=4 => self.arrive(u)?,
             5..=6 => self.answer(u)?,
             7..=8 => self.end(u)?,
             9..=10 => self.serve_peer(u)?,
             11 => self.set_slots(u.int_in_range(0..=4)?),
-            12 => {
-                let leaving = u.arbitrary()?;
-                let wakes = self.admission.set_leaving(self.now, leaving);
-                self.obey(wakes);
-            }
-            13 => {
-                let wakes = if u.ratio(3, 4)? {
-                    self.admission.connect_failed(self.now)
-                } else {
-                    self.admission.connect_succeeded(self.now)
-                };
-                self.obey(wakes);
-            }
+            12 => self.admission.set_leaving(self.now, u.arbitrary()?),
+            13 if u.ratio(1, 4)? => self.admission.connect_succeeded(self.now),
+            13 => self.admission.connect_failed(self.now),
             14 => {
                 let report = Report {
                     slots: Slots(u.int_in_range(0..=6)?),
                     in_flight: Slots(u.int_in_range(0..=6)?),
                 };
-                let wakes = self.admission.note_report(self.now, &class(), report);
-                self.obey(wakes);
+                self.admission.note_report(self.now, &class(), report)
             }
-            _ => {
-                let wake = self.admission.offered(UpstreamId(1), &class());
-                self.obey(wake);
-            }
-        }
+            _ => Vec::from_iter(self.admission.offered(UpstreamId(1), &class())),
+        };
+        self.obey(wakes);
         let wakes = self.admission.tick(self.now);
         self.obey(wakes);
-        for offer in self.admission.take_offers(self.now) {
-            self.reservations.push(offer.id);
-        }
+        let offers = self.admission.take_offers(self.now);
+        self.reservations
+            .extend(offers.iter().map(|offer| offer.id));
         self.check();
         Ok(())
     }
