--- a/crates/bench/src/admission/run.rs
+++ b/crates/bench/src/admission/run.rs
@@ -568,6 +568,7 @@
         } else {
             self.figures.lapsed += 1;
             self.figures.refused += 1;
+            self.figures.refused_while_free += u64::from(self.any_slot_free());
             self.requests[request].place = Place::Ended;
         }
     }
