Append a group change only after a confirmed round

Cause: the test of a cut-off leader in a group of two showed that it could append the removal of the other member, step down, elect itself in the smaller group and go on alone; and a new leader that did not know that a change was committed asked the removed members as well. Change: a change waits for a round of heartbeats that began after the request; only a change of the leader's own term needs the majority of the group before it. Tests for the sync of an earlier write, the read before the first commit of a term, a one-way cut and the log of a candidate.

--- a/crates/consensus/src/process/group.rs
+++ b/crates/consensus/src/process/group.rs
@@ -17,7 +17,24 @@
         }
     }
 
+    /// Keeps the change until a majority has answered a round that began after
+    /// it was asked for. Otherwise a leader that is cut off could append a
+    /// removal, elect itself in the smaller group and go on alone.
     pub(super) fn change_group(&mut self, token: Token, change: GroupChange) {
+        if let Err(reason) = self.changed_group(change) {
+            return self.reject(token, reason);
+        }
+        let Part::Leader(leader) = &mut self.part else {
+            return;
+        };
+        if leader.change.is_some() {
+            return self.reject(token, Rejection::ChangePending);
+        }
+        leader.change = Some((token, change, leader.round + 1));
+    }
+
+    /// Appends a change whose round was answered, if it still fits.
+    pub(super) fn append_change(&mut self, token: Token, change: GroupChange) {
         match self.changed_group(change) {
             Ok(group) => self.append_proposal(token, Payload::Group(group)),
             Err(reason) => self.reject(token, reason),
--- a/crates/consensus/src/process/leader.rs
+++ b/crates/consensus/src/process/leader.rs
@@ -1,7 +1,7 @@
 //! What a leader keeps, and how it counts majorities.
 
 use super::{Consensus, Part};
-use crate::request::{Event, Reads, Rejection, Token};
+use crate::request::{Event, GroupChange, Reads, Rejection, Token};
 use crate::version::{Group, Payload};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,8 @@
     /// The latest round that a majority answered.
     pub confirmed: u64,
     pub reads: Reads,
+    /// A group change, and the first round that began after it was asked for.
+    pub change: Option<(Token, GroupChange, u64)>,
     /// Proposals that are not committed yet.
     pub proposals: BTreeMap<Revision, Token>,
 }
@@ -52,20 +54,24 @@
             round: 0,
             confirmed: 0,
             reads: Reads::default(),
+            change: None,
             proposals: BTreeMap::new(),
         }
     }
 }
 
 impl Consensus {
-    /// The groups that must agree: the one in force, and the one before it
-    /// while the change is uncommitted. Asking both keeps a leader that is cut
-    /// off from shrinking the group to itself and committing alone.
+    /// The groups that must agree: the one in force, and the one before it while
+    /// a change that this leader made is uncommitted. Asking both keeps a leader
+    /// that is cut off from shrinking the group to itself and committing alone.
+    /// A change that an earlier leader made needs only the group in force, whose
+    /// majority has elected this one: the members it removed may be gone.
     pub(super) fn deciding_groups(&self) -> Vec<&Group> {
         let index = self.log.group_index();
         let before = Revision(index.0.saturating_sub(1));
         let previous = self.log.group_at(before);
-        let pending = index > self.commit;
+        let made_here = matches!(&self.part, Part::Leader(leader) if index >= leader.first);
+        let pending = made_here && index > self.commit;
         let groups = self.log.group().into_iter();
         groups.chain(previous.filter(|_| pending)).collect()
     }
@@ -119,7 +125,9 @@
         for token in leader.proposals.into_values() {
             self.out.events.push(Event::Lost { token });
         }
-        for token in leader.reads.take_all() {
+        // A change that still waits was never appended.
+        let change = leader.change.map(|(token, ..)| token);
+        for token in leader.reads.take_all().into_iter().chain(change) {
             self.reject(token, Rejection::NotLeader { leader: None });
         }
     }
@@ -222,7 +230,9 @@
             .filter(|round| self.majority(|id| answered(id) >= *round))
             .max();
         let outstanding = confirmed < Some(leader.round);
-        if !outstanding && leader.reads.need_round_after(leader.round) {
+        let change = leader.change.map_or(0, |(.., needed)| needed);
+        let needed = leader.reads.need_round_after(leader.round) || change > leader.round;
+        if !outstanding && needed {
             self.begin_round();
             // A group of one has its majority at once.
             return self.advance_reads();
@@ -238,5 +248,10 @@
         for token in leader.reads.take_confirmed(leader.confirmed) {
             self.out.events.push(Event::ReadConfirmed { token, index });
         }
+        let confirmed = leader.confirmed;
+        let change = leader.change.take_if(|(.., needed)| *needed <= confirmed);
+        if let Some((token, change, _)) = change {
+            self.append_change(token, change);
+        }
     }
 }
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -3,7 +3,9 @@
 mod harness;
 
 use arbtest::arbtest;
-use consensus::{Body, Event, GroupChange, Input, Message, Outcome, Position, Rejection, Role};
+use consensus::{
+    Body, Entry, Event, GroupChange, Input, Message, Outcome, Payload, Position, Rejection, Role,
+};
 use harness::{Cluster, Noise, address};
 use types::{MemberId, Revision, Term};
 
@@ -25,6 +27,47 @@
     })
 }
 
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index: Revision(index),
+        term: Term(term),
+        payload: Payload::Noop,
+    }
+}
+
+/// A heartbeat if empty; commits nothing.
+fn append(prev: Position, entries: Vec<Entry>) -> Body {
+    Body::Append {
+        prev,
+        entries,
+        commit: Revision(0),
+        round: 1,
+    }
+}
+
+fn answer(round: u64, matched: u64) -> Body {
+    let outcome = Outcome::Matched(Revision(matched));
+    Body::AppendReply {
+        round,
+        writable: true,
+        outcome,
+    }
+}
+
+/// Makes member 1 ask for votes in the term after `term`, with member 3's
+/// consent and without a sync.
+fn candidate(cluster: &mut Cluster, term: u64) {
+    cluster.now += std::time::Duration::from_secs(2);
+    cluster.input(IDS[0], Input::Tick);
+    let granted = Body::PreVoteReply {
+        asked: Term(term),
+        granted: true,
+    };
+    cluster.input(IDS[0], message(IDS[2], IDS[0], Term(term), granted));
+    let granted = Body::VoteReply { granted: true };
+    cluster.input(IDS[0], message(IDS[2], IDS[0], Term(term + 1), granted));
+}
+
 fn rejected(cluster: &Cluster, token: consensus::Token) -> Option<Rejection> {
     cluster.events.iter().find_map(|(_, event)| match event {
         Event::Rejected { token: t, reason } if *t == token => Some(*reason),
@@ -36,7 +79,8 @@
 #[test]
 fn an_isolated_leader_confirms_and_commits_nothing() {
     for seed in 1..20 {
-        let mut cluster = Cluster::new(3, seed);
+        let count = 2 + seed % 2;
+        let mut cluster = Cluster::new(count, seed);
         cluster.accept();
         let old = cluster.elect();
         cluster.isolate(old);
@@ -49,7 +93,9 @@
         assert!(!cluster.confirmed(read));
         assert!(!cluster.accepted.contains_key(&proposal));
         assert!(!cluster.accepted.contains_key(&removal));
-        assert_ne!(cluster.elect(), old);
+        if count > 2 {
+            assert_ne!(cluster.elect(), old);
+        }
         cluster.heal();
     }
 }
@@ -73,15 +119,10 @@
     let round = rounds.max().unwrap();
     let term = cluster.status(leader).term;
     let read = cluster.ask_read(leader);
-    let answer = |round| Body::AppendReply {
-        round,
-        writable: true,
-        outcome: Outcome::Matched(Revision(0)),
-    };
     let other = IDS.into_iter().find(|id| *id != leader).unwrap();
-    cluster.input(leader, message(other, leader, term, answer(round)));
+    cluster.input(leader, message(other, leader, term, answer(round, 0)));
     assert!(!cluster.confirmed(read));
-    cluster.input(leader, message(other, leader, term, answer(round + 1)));
+    cluster.input(leader, message(other, leader, term, answer(round + 1, 0)));
     assert!(cluster.confirmed(read));
 }
 
@@ -150,7 +191,12 @@
         cluster.changed(GroupChange::Promote(joiner));
         cluster.changed(GroupChange::Remove(first));
         cluster.accept();
-        let second = cluster.elect();
+        // No member knows any more that the removal is committed.
+        for id in cluster.nodes.keys().copied().collect::<Vec<_>>() {
+            cluster.kill(id);
+            cluster.restart(id);
+        }
+        let second = MemberId(first.0 % 3 + 1);
         cluster.kill(second);
         cluster.nodes.remove(&second);
         cluster.heal();
@@ -193,6 +239,29 @@
     assert_eq!(rejected(&cluster, known), Some(Rejection::AlreadyMember));
 }
 
+/// Cuts the leader off once the change is in its log and nowhere else.
+fn isolate_with_change(cluster: &mut Cluster, leader: MemberId) {
+    while !cluster.status(leader).change_pending {
+        cluster.turn();
+    }
+    cluster.isolate(leader);
+    cluster.queue.clear();
+}
+
+/// Guards against a leader that is cut off right after it appended a removal,
+/// and decides alone before it steps down.
+#[test]
+fn a_removal_needs_the_group_before_it_as_well() {
+    let mut cluster = Cluster::new(2, 8);
+    cluster.accept();
+    let leader = cluster.elect();
+    let victim = IDS.into_iter().find(|id| *id != leader).unwrap();
+    let removal = cluster.change(leader, GroupChange::Remove(victim));
+    isolate_with_change(&mut cluster, leader);
+    cluster.turns(30);
+    assert!(!cluster.accepted.contains_key(&removal));
+}
+
 /// Guards against a group change that stays in force after its entry is gone.
 #[test]
 fn an_overwritten_group_change_is_rolled_back() {
@@ -200,10 +269,9 @@
         let mut cluster = Cluster::new(3, seed);
         cluster.accept();
         let old = cluster.elect();
-        cluster.isolate(old);
         let joiner = MemberId(9);
         cluster.change(old, GroupChange::AddLearner(joiner, address(joiner)));
-        assert!(cluster.status(old).change_pending);
+        isolate_with_change(&mut cluster, old);
         cluster.turns(100);
         cluster.accept();
         cluster.heal();
@@ -227,18 +295,7 @@
     assert_eq!(cluster.queue.len(), 1);
     assert_eq!(cluster.nodes[&voter].disk.vote, Some(candidate));
     cluster.queue.clear();
-    let entry = consensus::Entry {
-        index: Revision(1),
-        term,
-        payload: consensus::Payload::Noop,
-    };
-    let (entries, commit, round) = (vec![entry], Revision(0), 1);
-    let append = Body::Append {
-        prev: last,
-        entries,
-        commit,
-        round,
-    };
+    let append = append(last, vec![entry(1, 1)]);
     cluster.input(voter, message(candidate, voter, term, append));
     assert!(cluster.queue.is_empty(), "the entry is not synced");
     cluster.sync(voter);
@@ -258,6 +315,41 @@
     cluster.input(voter, message(rival, voter, term, Body::Vote { last }));
     let refused = Body::VoteReply { granted: false };
     assert_eq!(cluster.queue[0].message.body, refused);
+    // Nor a vote for a candidate that lacks the entry.
+    let last = Position::default();
+    cluster.input(voter, message(rival, voter, Term(2), Body::Vote { last }));
+    cluster.sync(voter);
+    assert_eq!(cluster.queue[1].message.body, refused);
+}
+
+/// Guards against a sync of an earlier write that is taken for the sync of a
+/// vote, or of entries that have since been replaced.
+#[test]
+fn a_sync_stands_only_for_what_it_wrote() {
+    let mut cluster = Cluster::new(3, 6);
+    let [id, a, b, _] = IDS;
+    // The write of the first group is still outstanding.
+    candidate(&mut cluster, 0);
+    cluster.sync(id);
+    assert_eq!(cluster.status(id).role, Role::Candidate);
+    cluster.sync(id);
+    assert_eq!(cluster.status(id).role, Role::Leader);
+
+    let mut cluster = Cluster::new(3, 6);
+    cluster.sync(id);
+    let start = Position::default();
+    let old = append(start, vec![entry(1, 1), entry(2, 1)]);
+    cluster.input(id, message(a, id, Term(1), old));
+    let new = append(start, vec![entry(1, 2), entry(2, 2)]);
+    cluster.input(id, message(b, id, Term(2), new));
+    cluster.sync(id);
+    let acknowledged = |cluster: &Cluster| {
+        let mut sent = cluster.queue.iter().map(|envelope| &envelope.message.body);
+        sent.any(|body| *body == answer(1, 2))
+    };
+    assert!(!acknowledged(&cluster));
+    cluster.sync(id);
+    assert!(acknowledged(&cluster));
 }
 
 /// Guards against counting an entry of an earlier term by its copies: a later
@@ -269,44 +361,22 @@
     for id in [leader, a, b] {
         cluster.sync(id);
     }
-    let entry = consensus::Entry {
-        index: Revision(1),
-        term: Term(1),
-        payload: consensus::Payload::Command("old".into()),
-    };
-    let prev = Position::default();
-    let append = Body::Append {
-        prev,
-        entries: vec![entry],
-        commit: Revision(0),
-        round: 1,
-    };
+    let append = append(Position::default(), vec![entry(1, 1)]);
     cluster.input(leader, message(a, leader, Term(1), append));
     cluster.sync(leader);
-    cluster.isolate(leader);
-    cluster.now += std::time::Duration::from_secs(2);
-    cluster.input(leader, Input::Tick);
-    let granted = Body::PreVoteReply {
-        asked: Term(1),
-        granted: true,
-    };
-    cluster.input(leader, message(b, leader, Term(1), granted));
-    cluster.input(
-        leader,
-        message(b, leader, Term(2), Body::VoteReply { granted: true }),
-    );
+    candidate(&mut cluster, 1);
     cluster.sync(leader);
     assert_eq!(cluster.status(leader).role, Role::Leader);
-    let reply = |index| Body::AppendReply {
-        round: 1,
-        writable: true,
-        outcome: Outcome::Matched(Revision(index)),
-    };
-    cluster.input(leader, message(b, leader, Term(2), reply(1)));
+    let read = cluster.ask_read(leader);
+    cluster.input(leader, message(b, leader, Term(2), answer(1, 1)));
+    cluster.input(leader, message(b, leader, Term(2), answer(2, 1)));
     cluster.sync(leader);
     assert_eq!(cluster.status(leader).commit, Revision(0));
-    cluster.input(leader, message(b, leader, Term(2), reply(2)));
+    // What an earlier leader committed is not known here yet.
+    assert!(!cluster.confirmed(read));
+    cluster.input(leader, message(b, leader, Term(2), answer(2, 2)));
     assert_eq!(cluster.status(leader).commit, Revision(2));
+    assert!(cluster.confirmed(read));
 }
 
 /// Guards against a host with a full disk that holds up the group, and against
@@ -371,6 +441,9 @@
     let term = cluster.status(leader).term;
     cluster.cut.clear();
     cluster.turns(100);
+    // It does not hear the leader, and the others hear it.
+    cluster.cut(leader, other);
+    cluster.turns(200);
     assert_eq!(cluster.status(leader).term, term);
     assert!(cluster.status(leader).is_leader());
 }
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -354,6 +354,8 @@
         from: Some(Revision(11)),
         ..snapshot(10, 4)
     };
+    store.apply(std::slice::from_ref(&install)).unwrap();
+    assert_eq!(indexes(&reopen(&disk).1), []);
     let entries = vec![entry(11, 4)];
     store.apply(&[Write { entries, ..install }]).unwrap();
     let found = reopen(&disk).1;
