--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -229,6 +229,12 @@
     cluster.turns(60);
     assert!(cluster.status(leader).caught_up.contains(&joiner));
     let promotion = cluster.change(leader, GroupChange::Promote(joiner));
+    // Both while the change waits for its round and while it is uncommitted.
+    let soon = cluster.change(leader, GroupChange::Remove(joiner));
+    assert_eq!(rejected(&cluster, soon), Some(Rejection::ChangePending));
+    while !cluster.status(leader).change_pending {
+        cluster.turn();
+    }
     let second = cluster.change(leader, GroupChange::AddLearner(other, address(other)));
     assert_eq!(rejected(&cluster, second), Some(Rejection::ChangePending));
     cluster.turns(40);
@@ -340,6 +346,10 @@
     let start = Position::default();
     let old = append(start, vec![entry(1, 1), entry(2, 1)]);
     cluster.input(id, message(a, id, Term(1), old));
+    cluster.sync(id);
+    cluster.queue.clear();
+    // While the new term is being written, its leader replaces the entries.
+    cluster.input(id, message(b, id, Term(2), append(start, Vec::new())));
     let new = append(start, vec![entry(1, 2), entry(2, 2)]);
     cluster.input(id, message(b, id, Term(2), new));
     cluster.sync(id);
@@ -367,6 +377,8 @@
     candidate(&mut cluster, 1);
     cluster.sync(leader);
     assert_eq!(cluster.status(leader).role, Role::Leader);
+    let change = cluster.change(leader, GroupChange::Remove(a));
+    assert_eq!(rejected(&cluster, change), Some(Rejection::LeaderNotReady));
     let read = cluster.ask_read(leader);
     cluster.input(leader, message(b, leader, Term(2), answer(1, 1)));
     cluster.input(leader, message(b, leader, Term(2), answer(2, 1)));
