Let a member that an uncommitted change removes finish it

Change: such a member may lead without a vote of its own until the change is committed; a test of this case.

--- a/crates/consensus/src/process/election.rs
+++ b/crates/consensus/src/process/election.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use types::{MemberId, Term};
+use types::{MemberId, Revision, Term};
 
 impl Consensus {
     /// Draws the next election deadline. The jitter keeps members from asking
@@ -33,17 +33,23 @@
         self.arm_election();
     }
 
-    /// The group, if this member votes in it.
-    fn voting_group(&self) -> Option<Group> {
+    /// The group that elects this member, if it may lead. A member that an
+    /// uncommitted change removes may, without a vote of its own: if it alone
+    /// holds the change, the others cannot win without its vote, and it must
+    /// not vote for a log that is behind its own.
+    fn electing_group(&self) -> Option<Group> {
         let group = self.log.group()?;
-        group.is_voter(self.me.id).then(|| group.clone())
+        let index = self.log.group_index();
+        let before = self.log.group_at(Revision(index.0.saturating_sub(1)));
+        let voted = index > self.commit && before.is_some_and(|group| group.is_voter(self.me.id));
+        (voted || group.is_voter(self.me.id)).then(|| group.clone())
     }
 
     /// Asks whether an election can be won before it raises the term, so that
     /// a member that was cut off does not depose a working leader.
     pub(super) fn begin_pre_vote(&mut self) {
         self.become_follower();
-        let Some(group) = self.voting_group().filter(|_| !self.disk.failed()) else {
+        let Some(group) = self.electing_group().filter(|_| !self.disk.failed()) else {
             return;
         };
         self.part = Part::PreCandidate(BTreeSet::from([self.me.id]));
@@ -96,7 +102,7 @@
         let Part::PreCandidate(votes) = &self.part else {
             return;
         };
-        let group = self.voting_group();
+        let group = self.electing_group();
         if let Some(group) = group.filter(|group| group.has_majority(|id| votes.contains(&id))) {
             self.begin_election(&group);
         }
@@ -156,7 +162,7 @@
         // could vote for another one in a term that it has already won.
         let won = votes.contains(&self.me.id)
             && self
-                .voting_group()
+                .electing_group()
                 .is_some_and(|group| group.has_majority(|id| votes.contains(&id)));
         if won {
             let first = next(self.log.last().index);
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -268,6 +268,22 @@
     assert!(!cluster.accepted.contains_key(&removal));
 }
 
+/// Guards against a group in which nobody can win: the leader that removed
+/// itself is ahead of the others, which need its vote.
+#[test]
+fn a_leader_that_removed_itself_can_finish_the_removal() {
+    let mut cluster = Cluster::new(2, 12);
+    cluster.accept();
+    let leader = cluster.elect();
+    cluster.change(leader, GroupChange::Remove(leader));
+    isolate_with_change(&mut cluster, leader);
+    cluster.sync(leader);
+    cluster.kill(leader);
+    cluster.restart(leader);
+    cluster.heal();
+    assert_ne!(cluster.elect(), leader);
+}
+
 /// Guards against a group change that stays in force after its entry is gone.
 #[test]
 fn an_overwritten_group_change_is_rolled_back() {
@@ -467,6 +483,9 @@
         arbtest(|u| {
             let count = u.int_in_range(2..=4)?;
             let mut cluster = Cluster::new(count, u.arbitrary()?);
+            // If all members lose the write of the first group, all are blank
+            // again and nothing can go on until it is formed once more.
+            cluster.sync(IDS[0]);
             let mut joined = count;
             while !u.is_empty() {
                 let id = MemberId(u.int_in_range(1..=count)?);
