--- a/crates/limpetctl/src/request/change.rs
+++ b/crates/limpetctl/src/request/change.rs
@@ -12,7 +12,7 @@
     resend::{Identity, words},
 };
 use crate::{
-    error::Result,
+    error::{Error, Result},
     process::{ChangeFlags, Exit, Report, message, usage},
     version::{NodeView, lagging_hosts},
 };
@@ -268,6 +268,8 @@
             match self.lagging(revision).await {
                 Ok(nodes) if nodes.is_empty() => return Spread::InForce,
                 Ok(nodes) => last = Spread::Lagging(nodes),
+                // Its message would say that nothing was changed.
+                Err(Error::Query(e)) => message(format_args!("limpetctl: {e}")),
                 Err(e) => message(format_args!("limpetctl: {e}")),
             }
             if Instant::now() + POLL >= self.deadline {
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -41,6 +41,18 @@
     Unavailable,
 }
 
+/// What a host says of a revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Spread {
+    /// It is in force on every node.
+    #[default]
+    InForce,
+    /// A node never gets it.
+    Lagging,
+    /// Nothing: the host is not the leader for this query.
+    NotSaid,
+}
+
 /// A control host.
 #[derive(Debug, Clone, Default)]
 pub struct Host {
@@ -54,8 +66,8 @@
     pub group: Option<(Fault, usize)>,
     /// Reports of the status that do not show a lost group change yet.
     pub hidden: usize,
-    /// Whether a node never gets a version.
-    pub lagging: bool,
+    /// What the host says of a revision.
+    pub spread: Spread,
     /// Whether learners never catch up.
     pub slow_learners: bool,
     /// Whether the host was part of a group.
@@ -168,8 +180,11 @@
                 QueryReply::Audit(state.audit().rev().take(limit).cloned().collect())
             }
             Query::Status => QueryReply::Status(Box::new(self.status())),
-            Query::Lagging(_) if self.host.lagging => QueryReply::Lagging(vec![node("b2", 0)]),
-            Query::Lagging(_) => QueryReply::Lagging(Vec::new()),
+            Query::Lagging(_) => match self.host.spread {
+                Spread::InForce => QueryReply::Lagging(Vec::new()),
+                Spread::Lagging => QueryReply::Lagging(vec![node("b2", 0)]),
+                Spread::NotSaid => QueryReply::NotLeader { leader: None },
+            },
         }
     }
 
@@ -202,7 +217,14 @@
             group: self.shown(),
             nodes: vec![
                 node("b1", revision),
-                node("b2", if self.host.lagging { 0 } else { revision }),
+                node(
+                    "b2",
+                    if self.host.spread == Spread::Lagging {
+                        0
+                    } else {
+                        revision
+                    },
+                ),
             ],
             services: self.state.services().values().map(service).collect(),
         }
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -4,7 +4,7 @@
 
 use common::{
     Session,
-    host::{Fault, Host},
+    host::{Fault, Host, Spread},
     refusing,
 };
 use insta::assert_snapshot;
@@ -59,7 +59,7 @@
 #[test]
 fn waits_for_a_node_that_lags() {
     let host = Host {
-        lagging: true,
+        spread: Spread::Lagging,
         made: vec![vouchers()],
         ..Host::default()
     };
@@ -67,7 +67,13 @@
     s.run("target set vouchers default --carry 7 --wait --deadline 1s");
     s.run("upstream drain booking-3 --wait --deadline 1s --output json");
     s.run("status");
-    assert_snapshot!(s.text);
+    let host = Host {
+        spread: Spread::NotSaid,
+        ..Host::default()
+    };
+    let mut mute = Session::new(&[host.start()]);
+    mute.run("upstream drain booking-3 --wait --deadline 1s");
+    assert_snapshot!(s.text + &mute.text);
 }
 
 /// Guards against a key that is activated before every live node accepts it,
@@ -82,7 +88,7 @@
     s.run("key rotate --output json");
     s.run("audit");
     let host = Host {
-        lagging: true,
+        spread: Spread::Lagging,
         ..Host::default()
     };
     let mut lagging = Session::new(&[host.start()]);
