--- a/crates/client/src/request/mod.rs
+++ b/crates/client/src/request/mod.rs
@@ -131,7 +131,7 @@
 
 impl Redirect for wire::request::QueryReply {
     fn declined(&self) -> bool {
-        matches!(self, Self::NotLeader { .. })
+        matches!(self, Self::NotLeader { .. } | Self::Unsettled)
     }
 
     fn leader(&self) -> Option<SocketAddr> {
--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -39,6 +39,10 @@
 /// Applied entries after which the log is replaced by a snapshot.
 const COMPACT_AFTER: u64 = 4096;
 
+/// Longest time that a node's request is held, whatever it asks for. Below a
+/// lease, because a node that waits does not renew its own.
+const MAX_HOLD: Duration = Duration::from_secs(2);
+
 /// Author of the changes that the leader makes itself.
 const SYSTEM: &str = "limpetd";
 
@@ -71,6 +75,9 @@
     waiters: Waiters,
     /// No membership is published before this instant.
     publish_at: Instant,
+    /// A read of this term was confirmed, so every entry of earlier leaders is
+    /// applied here.
+    confirmed: bool,
     /// Revision up to which the registry knows the configuration.
     known: Revision,
 }
@@ -129,12 +136,28 @@
         Ok(task)
     }
 
-    /// Runs until `stop` changes.
+    /// Runs until `stop` changes, then waits until the data folder is free.
     ///
     /// # Errors
     ///
     /// A snapshot of the leader cannot be read.
-    pub async fn run(mut self, mut stop: watch::Receiver<bool>) -> Result<()> {
+    pub async fn run(mut self, stop: watch::Receiver<bool>) -> Result<()> {
+        let result = self.serve(stop).await;
+        let store::Handle {
+            writes,
+            reports,
+            thread,
+        } = self.disk;
+        // Without these the thread ends after the write that it has begun.
+        drop((writes, reports));
+        let ended = tokio::task::spawn_blocking(|| thread.join()).await;
+        if !matches!(ended, Ok(Ok(()))) {
+            log::error!(event = "disk_thread_failed"; "the thread that writes to the data folder has failed");
+        }
+        result
+    }
+
+    async fn serve(&mut self, mut stop: watch::Receiver<bool>) -> Result<()> {
         loop {
             let deadline = self.next_deadline();
             tokio::select! {
@@ -241,7 +264,7 @@
                 .registry
                 .announce_balancer(now, &req.host, balancer);
         }
-        let until = now + req.hold;
+        let until = now + req.hold.min(MAX_HOLD);
         leadership.waiters.push(Waiter { req, tx, until });
     }
 
@@ -377,24 +400,23 @@
         let Some(pending) = self.pending.remove(&token) else {
             return;
         };
-        let Some(leadership) = &self.leadership else {
+        let Some(leadership) = &mut self.leadership else {
             return pending.reject(consensus::Rejection::NotLeader { leader: None });
         };
+        leadership.confirmed = true;
         let view = View {
             state: &self.state,
             registry: &leadership.registry,
         };
         match pending {
-            Pending::Sync(waiter) => {
-                let reply = view.reply(&waiter.req);
-                let label = match &reply {
-                    SyncReply::Current { .. } => "current",
-                    SyncReply::Update(update) if update.snapshot => "snapshot",
-                    _ => "delta",
-                };
-                self.metrics.replies.with_label_values(&[label]).inc();
-                // The node may be gone.
-                let _ = waiter.tx.send(reply);
+            Pending::Syncs(waiters) => {
+                for waiter in waiters {
+                    let reply = view.reply(&waiter.req);
+                    let label = reply_label(&reply);
+                    self.metrics.replies.with_label_values(&[label]).inc();
+                    // The node may be gone.
+                    let _ = waiter.tx.send(reply);
+                }
             }
             Pending::Query(query, tx) => {
                 let status = self.consensus.status();
@@ -413,21 +435,26 @@
         if leadership.publish(now) {
             self.metrics.publications.inc();
         }
+        leadership.nodes.expire(now);
         self.metrics.nodes.set(gauge(leadership.nodes.len() as u64));
         let due = leadership.take_due(now, &self.state);
-        for waiter in due {
-            let token = self.expect(Pending::Sync(Box::new(waiter)));
+        if !due.is_empty() {
+            // One confirmation for all of them, so that a change costs a
+            // constant number of messages between the members.
+            let token = self.expect(Pending::Syncs(due));
             self.step(Input::ConfirmRead { token })?;
         }
-        if self.state.keys().is_none() && self.is_settled() {
+        if self.state.keys().is_none() && self.may_propose_key() {
             self.propose_first_key()?;
         }
         Ok(())
     }
 
-    fn is_settled(&self) -> bool {
+    /// Whether the first key is certainly missing and not yet proposed. A new
+    /// leader may hold one that it has not applied yet.
+    fn may_propose_key(&self) -> bool {
         let own = self.pending.values().any(|p| matches!(p, Pending::Own));
-        self.leadership.is_some() && !own
+        self.leadership.as_ref().is_some_and(|l| l.confirmed) && !own
     }
 
     /// Makes the first key of connection ids.
@@ -459,10 +486,7 @@
         self.state.encode(&mut state)?;
         self.compacted = through;
         let state = Bytes::from(state);
-        let output = self
-            .consensus
-            .step(Instant::now(), Input::Compact { through, state });
-        self.carry_out(output)
+        self.step(Input::Compact { through, state })
     }
 }
 
@@ -474,6 +498,7 @@
             nodes: Nodes::default(),
             waiters: Waiters::default(),
             publish_at: now,
+            confirmed: false,
             known: Revision(0),
         }
     }
@@ -515,7 +540,6 @@
             return false;
         }
         self.publish_at = now + PUBLISH_INTERVAL;
-        self.nodes.expire(now);
         self.registry.tick(now).is_some()
     }
 
@@ -537,6 +561,15 @@
     }
 }
 
+fn reply_label(reply: &SyncReply) -> &'static str {
+    match reply {
+        SyncReply::Current { .. } => "current",
+        SyncReply::Update(update) if update.snapshot => "snapshot",
+        SyncReply::Update(_) => "delta",
+        SyncReply::NotLeader { .. } | SyncReply::Unconfirmed => "declined",
+    }
+}
+
 fn unix_now() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since.unwrap_or_default().as_millis();
--- a/crates/control/src/process/http.rs
+++ b/crates/control/src/process/http.rs
@@ -47,6 +47,8 @@
         .workers(WORKERS)
         .disable_signals()
         .shutdown_timeout(1)
+        // A node that closed its connection waits no more.
+        .h1_allow_half_closed(false)
         .listen(listener)
         .map_err(|e| Error::Bind(cfg.listen, e))?;
     Ok(server.run())
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -11,8 +11,11 @@
 mod waiters;
 
 pub use group::GroupCommand;
+pub use nodes::Nodes;
+pub use report::answer;
 pub use run::run;
 pub use settings::Settings;
+pub use waiters::Waiters;
 
 /// Path of messages between members.
 pub(crate) const CONSENSUS_PATH: &str = "/v1/consensus";
--- a/crates/control/src/process/nodes.rs
+++ b/crates/control/src/process/nodes.rs
@@ -13,6 +13,9 @@
 /// Time after which a silent node no longer counts as live.
 const LEASE: Duration = Duration::from_secs(3);
 
+/// Time between two searches for silent nodes. A search looks at every node.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
 #[derive(Debug)]
 struct Node {
     data_centre: DataCentre,
@@ -25,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Nodes {
     nodes: BTreeMap<(Role, HostName), Node>,
+    /// When silent nodes are next searched for.
+    expire_at: Option<Instant>,
 }
 
 impl Nodes {
@@ -41,6 +46,10 @@
 
     /// Forgets nodes that were silent for long.
     pub fn expire(&mut self, now: Instant) {
+        if self.expire_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.expire_at = Some(now + EXPIRE_INTERVAL);
         self.nodes.retain(|_, node| now < node.live_until);
     }
 
@@ -48,6 +57,7 @@
     pub fn report(&self, now: Instant) -> impl Iterator<Item = NodeReport> {
         self.nodes
             .iter()
+            .filter(move |(_, node)| now < node.live_until)
             .map(move |((role, host), node)| NodeReport {
                 role: *role,
                 host: host.clone(),
@@ -58,15 +68,22 @@
     }
 
     /// Live nodes that have not yet a revision in force.
+    #[must_use]
     pub fn lagging(&self, now: Instant, revision: Revision) -> Vec<NodeReport> {
         self.report(now)
             .filter(|node| !View::in_force(node.version, revision))
             .collect()
     }
 
-    /// Number of live nodes.
+    /// Number of nodes, with those that fell silent lately.
     #[must_use]
     pub fn len(&self) -> usize {
         self.nodes.len()
     }
+
+    /// Whether no node was heard.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
 }
--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -24,6 +24,9 @@
         Query::Audit { limit } => {
             QueryReply::Audit(state.audit().rev().take(*limit).cloned().collect())
         }
+        // A new leader has not heard every live node yet: an empty list would
+        // wrongly say that the revision is in force everywhere.
+        Query::Lagging(_) if view.version().is_none() => QueryReply::Unsettled,
         Query::Lagging(revision) => QueryReply::Lagging(nodes.lagging(now, *revision)),
         Query::Status => QueryReply::Status(Box::new(StatusReport {
             version: view.version().unwrap_or_default(),
--- a/crates/control/src/request/mod.rs
+++ b/crates/control/src/request/mod.rs
@@ -21,8 +21,8 @@
     Group(oneshot::Sender<GroupReply>),
     /// An operator's query.
     Query(Query, oneshot::Sender<QueryReply>),
-    /// A node's request to be brought up to date.
-    Sync(Box<Waiter>),
+    /// Requests of nodes to be brought up to date.
+    Syncs(Vec<Waiter>),
 }
 
 /// A node that waits for something newer.
@@ -76,11 +76,15 @@
                 None => GroupReply::NotLeader { leader },
             })),
             Pending::Query(_, tx) => drop(tx.send(QueryReply::NotLeader { leader })),
-            Pending::Sync(waiter) => drop(waiter.tx.send(if not_leader {
-                SyncReply::NotLeader { leader }
-            } else {
-                SyncReply::Unconfirmed
-            })),
+            Pending::Syncs(waiters) => {
+                for waiter in waiters {
+                    let _ = waiter.tx.send(if not_leader {
+                        SyncReply::NotLeader { leader }
+                    } else {
+                        SyncReply::Unconfirmed
+                    });
+                }
+            }
         }
     }
 
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -123,6 +123,9 @@
         /// The leader's address, if known.
         leader: Option<SocketAddr>,
     },
+    /// The leader is new and has not heard every live node yet; to
+    /// [`Query::Lagging`].
+    Unsettled,
     /// To [`Query::Services`].
     Services(Vec<Service>),
     /// To [`Query::Service`].
