--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -36,9 +36,6 @@
 /// once are one switch of version.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Applied entries after which the log is replaced by a snapshot.
-const COMPACT_AFTER: u64 = 4096;
-
 /// Longest time that a node's request is held, whatever it asks for. Below a
 /// lease, because a node that waits does not renew its own.
 const MAX_HOLD: Duration = Duration::from_secs(2);
@@ -479,7 +476,7 @@
     /// Replaces the applied log by a snapshot when it has grown long.
     fn compact(&mut self, commit: Revision) -> Result<()> {
         let through = self.state.applied().min(commit);
-        if through.0 < self.compacted.0 + COMPACT_AFTER {
+        if through.0 < self.compacted.0 + self.cfg.compact_after {
             return Ok(());
         }
         let mut state = Vec::new();
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -13,7 +13,7 @@
 pub use group::GroupCommand;
 pub use nodes::Nodes;
 pub use report::answer;
-pub use run::run;
+pub use run::{run, run_on};
 pub use settings::Settings;
 pub use waiters::Waiters;
 
--- a/crates/control/src/process/run.rs
+++ b/crates/control/src/process/run.rs
@@ -11,7 +11,7 @@
 use consensus::{Consensus, Group, Identity};
 use prometheus::Registry;
 use rand::Rng;
-use store::Dir;
+use store::{Dir, Disk};
 use tokio::sync::{mpsc, watch};
 use types::MemberId;
 use wire::request::{Hello, HelloReply};
@@ -36,12 +36,27 @@
 ///
 /// The data folder or the socket cannot be used.
 pub async fn run(cfg: Settings, registry: &Registry, stop: watch::Receiver<bool>) -> Result<()> {
+    let dir = Dir::new(&cfg.data_dir)?;
+    run_on(dir, cfg, registry, stop).await
+}
+
+/// Like [`run`], with a disk of the caller's in place of the data folder.
+///
+/// # Errors
+///
+/// The disk or the socket cannot be used.
+pub async fn run_on<D: Disk<File: 'static>>(
+    disk: D,
+    cfg: Settings,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
+) -> Result<()> {
     let metrics = Metrics::new(registry)?;
     let listener = TcpListener::bind(cfg.listen).map_err(|e| Error::Bind(cfg.listen, e))?;
     let address = listener
         .local_addr()
         .map_err(|e| Error::Bind(cfg.listen, e))?;
-    let (store, found) = store::open(Dir::new(&cfg.data_dir)?)?;
+    let (store, found) = store::open(disk)?;
     let disk = store::start(store)?;
     let me = Identity {
         id: found.member,
--- a/crates/control/src/process/settings.rs
+++ b/crates/control/src/process/settings.rs
@@ -17,6 +17,9 @@
     /// The hosts that form the first group, this one included. Not used once
     /// the host belongs to a group.
     pub group: BTreeSet<SocketAddr>,
+    /// Applied entries after which the log is replaced by a snapshot. What a
+    /// snapshot costs grows with the state, so it must not come too often.
+    pub compact_after: u64,
     /// Times of the consensus.
     pub consensus: consensus::Settings,
     /// Times of the membership.
@@ -29,6 +32,7 @@
             listen: (Ipv4Addr::LOCALHOST, 0).into(),
             data_dir: PathBuf::from("data"),
             group: BTreeSet::new(),
+            compact_after: 4096,
             consensus: consensus::Settings::default(),
             member: member::Settings::default(),
         }
--- /dev/null
+++ b/crates/control/tests/host.rs
@@ -0,0 +1,335 @@
+//! Control hosts in this process, with their sockets and a disk that can fail.
+
+mod common;
+
+use std::{
+    fs::File,
+    io,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use actix_rt::{task::JoinHandle, time::sleep};
+use client::{Http, Operator};
+use common::{balancer, create, request, set_target};
+use control::{Settings, run_on};
+use store::{Dir, Disk};
+use tempfile::TempDir;
+use tokio::sync::watch;
+use types::{Answer, ChangeRequest, Revision, Version};
+use wire::{
+    SyncReply,
+    request::{ChangeReply, Query, QueryReply},
+};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A folder whose disk can be full.
+struct Disks {
+    dir: Dir,
+    full: Arc<AtomicBool>,
+}
+
+impl Disk for Disks {
+    type File = File;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.dir.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.dir.read(name)
+    }
+
+    fn open(&self, name: &str) -> io::Result<File> {
+        self.dir.open(name)
+    }
+
+    fn append(&self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if self.full.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.dir.append(file, bytes)
+    }
+
+    fn cut(&self, file: &mut File, len: u64) -> io::Result<()> {
+        self.dir.cut(file, len)
+    }
+
+    fn sync(&self, file: &mut File) -> io::Result<()> {
+        self.dir.sync(file)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.dir.rename(from, to)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.dir.remove(name)
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        self.dir.sync_folder()
+    }
+}
+
+struct Host {
+    full: Arc<AtomicBool>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<control::Result<()>>,
+    metrics: prometheus::Registry,
+}
+
+impl Host {
+    fn start(folder: &Path, listen: SocketAddr, group: &[SocketAddr]) -> Host {
+        let cfg = Settings {
+            listen,
+            group: group.iter().copied().collect(),
+            compact_after: 64,
+            ..Settings::default()
+        };
+        let full = Arc::new(AtomicBool::new(false));
+        let disk = Disks {
+            dir: Dir::new(folder).unwrap(),
+            full: full.clone(),
+        };
+        let (stop, stopped) = watch::channel(false);
+        let metrics = prometheus::Registry::new();
+        let registry = metrics.clone();
+        let run = async move { run_on(disk, cfg, &registry, stopped).await };
+        Host {
+            full,
+            stop,
+            task: actix_rt::spawn(run),
+            metrics,
+        }
+    }
+
+    async fn stop(self) {
+        self.stop.send_replace(true);
+        self.task.await.unwrap().unwrap();
+    }
+
+    /// Value of a metric, summed over its labels.
+    fn metric(&self, name: &str) -> f64 {
+        let families = self.metrics.gather();
+        let family = families.iter().find(|family| family.name() == name);
+        let metrics = family
+            .map(prometheus::proto::MetricFamily::get_metric)
+            .unwrap_or_default();
+        let value =
+            |m: &prometheus::proto::Metric| m.get_gauge().get_value() + m.get_counter().get_value();
+        metrics.iter().map(value).sum()
+    }
+}
+
+fn addresses(range: u8, count: u8) -> Vec<SocketAddr> {
+    let address = |n| ([127, 78, range, n], 7000).into();
+    (1..=count).map(address).collect()
+}
+
+struct Site {
+    dir: TempDir,
+    addresses: Vec<SocketAddr>,
+    operator: Operator,
+    http: Http,
+}
+
+impl Site {
+    fn new(range: u8, count: u8) -> Site {
+        let addresses = addresses(range, count);
+        let http = Http::default();
+        Site {
+            dir: tempfile::tempdir().unwrap(),
+            operator: Operator::new(http.clone(), addresses.clone()),
+            addresses,
+            http,
+        }
+    }
+
+    fn start(&self, n: usize) -> Host {
+        let folder = self.dir.path().join(n.to_string());
+        Host::start(&folder, self.addresses[n], &self.addresses)
+    }
+
+    async fn change(&self, req: &ChangeRequest) -> ChangeReply {
+        self.operator.change(req, Instant::now() + PATIENCE).await
+    }
+
+    async fn accepted(&self, req: &ChangeRequest) -> Revision {
+        match self.change(req).await {
+            ChangeReply::Final(Answer::Accepted(revision)) => revision,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    /// Changes a target `count` times and returns the last revision.
+    async fn change_often(&self, mut base: Revision, count: u32) -> Revision {
+        for n in 0..count {
+            let req = request(base, set_target("vouchers", n + 1));
+            base = self.accepted(&req).await;
+        }
+        base
+    }
+
+    async fn sync(&self, have: Option<Version>, hold: Duration) -> SyncReply {
+        let req = wire::SyncRequest {
+            hold,
+            ..balancer(have)
+        };
+        let deadline = Instant::now() + PATIENCE;
+        let reply = self
+            .http
+            .post(self.addresses[0], "/v1/sync", &req, deadline);
+        reply.await.unwrap()
+    }
+
+    async fn query(&self, query: Query) -> QueryReply {
+        let deadline = Instant::now() + PATIENCE;
+        let reply = self.operator.query("/v1/query", &query, deadline);
+        reply.await.unwrap()
+    }
+}
+
+async fn wait_for(what: &str, mut check: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !check() {
+        assert!(Instant::now() < deadline, "no {what} in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a change that is accepted without being on disk, and against
+/// a full disk that stops the distribution of what is accepted.
+#[actix_rt::test]
+async fn a_full_disk_refuses_changes_and_answers_reads() {
+    let site = Site::new(1, 1);
+    let host = site.start(0);
+    let created = request(Revision(0), create("vouchers", 4433));
+    let base = site.accepted(&created).await;
+
+    host.full.store(true, Ordering::Relaxed);
+    let lost = request(base, set_target("vouchers", 3));
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let reply = site.operator.change(&lost, deadline).await;
+    assert_eq!(reply, ChangeReply::Unknown, "it was under way");
+    wait_for("failed write", || {
+        host.metric("limpet_control_disk_failed") > 0.0
+    })
+    .await;
+    let late = request(base, set_target("vouchers", 5));
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let reply = site.operator.change(&late, deadline).await;
+    assert_eq!(reply, ChangeReply::Unavailable);
+    let reply = site.query(Query::Services).await;
+    let QueryReply::Services(services) = reply else {
+        panic!("unexpected {reply:?}");
+    };
+    assert_eq!(services[0].revision, base);
+    wait_for("published membership", || {
+        host.metric("limpet_control_publications_total") > 0.0
+    })
+    .await;
+    let reply = site.sync(None, Duration::from_secs(1)).await;
+    assert!(matches!(reply, SyncReply::Update(_)), "{reply:?}");
+
+    host.full.store(false, Ordering::Relaxed);
+    wait_for("working disk", || {
+        host.metric("limpet_control_disk_failed") < 1.0
+    })
+    .await;
+    // The first one was only waiting for the disk; the second never ran.
+    let revision = site.accepted(&lost).await;
+    let reply = site.change(&late).await;
+    assert!(
+        matches!(&reply, ChangeReply::Final(Answer::Conflict(c)) if c.winner == revision),
+        "{reply:?}"
+    );
+    host.stop().await;
+}
+
+/// Guards against answers and configuration that are lost with a snapshot, and
+/// against a folder that stays locked after the end.
+#[actix_rt::test]
+async fn snapshots_keep_configuration_and_answers() {
+    let site = Site::new(2, 1);
+    let host = site.start(0);
+    let created = request(Revision(0), create("vouchers", 4433));
+    let first = site.accepted(&created).await;
+    let last = site.change_often(first, 150).await;
+    host.stop().await;
+    let files: Vec<_> = std::fs::read_dir(site.dir.path().join("0"))
+        .unwrap()
+        .map(|entry| entry.unwrap().file_name().into_string().unwrap())
+        .filter(|name| name.starts_with("snapshot-"))
+        .collect();
+    assert_eq!(files.len(), 1, "{files:?}");
+    assert_ne!(files[0], "snapshot-0000000000000000");
+
+    let host = site.start(0);
+    assert_eq!(site.accepted(&created).await, first, "resend");
+    let last = site.change_often(last, 150).await;
+    let name = "vouchers".parse().unwrap();
+    let reply = site.query(Query::Service(name)).await;
+    let QueryReply::Service(Some(service)) = reply else {
+        panic!("unexpected {reply:?}");
+    };
+    assert_eq!(service.revision, last);
+    host.stop().await;
+}
+
+/// Guards against a member that cannot catch up once the entries that it
+/// missed are compacted.
+#[actix_rt::test]
+async fn a_member_that_missed_hundreds_of_entries_catches_up() {
+    let site = Site::new(3, 3);
+    let mut hosts: Vec<Host> = (0..3).map(|n| site.start(n)).collect();
+    let created = request(Revision(0), create("vouchers", 4433));
+    let first = site.accepted(&created).await;
+    let late = hosts.pop().unwrap();
+    late.stop().await;
+    let last = site.change_often(first, 300).await;
+
+    let late = site.start(2);
+    wait_for("member that caught up", || {
+        late.metric("limpet_control_commit") >= f64::from(u32::try_from(last.0).unwrap())
+    })
+    .await;
+    let applied = late.metric("limpet_control_changes_total");
+    assert!(applied < 100.0, "{applied} changes were sent one by one");
+    for host in hosts {
+        host.stop().await;
+    }
+    late.stop().await;
+}
+
+/// Guards against a node that is never answered, and so loses its lease.
+#[actix_rt::test]
+async fn a_hold_without_end_is_capped() {
+    let site = Site::new(4, 1);
+    let host = site.start(0);
+    site.accepted(&request(Revision(0), create("vouchers", 4433)))
+        .await;
+    wait_for("published membership", || {
+        host.metric("limpet_control_publications_total") > 0.0
+    })
+    .await;
+    // The second look comes after the first key, the last change of all.
+    let mut have = None;
+    for _ in 0..2 {
+        let reply = site.sync(have, Duration::from_secs(1)).await;
+        if let SyncReply::Update(update) = reply {
+            have = Some(update.version);
+        }
+    }
+    let asked = Instant::now();
+    let reply = site.sync(have, Duration::from_millis(u64::MAX)).await;
+    assert!(matches!(reply, SyncReply::Current { .. }), "{reply:?}");
+    assert!(asked.elapsed() < Duration::from_secs(3));
+    host.stop().await;
+}
