--- a/crates/client/src/request/redirect.rs
+++ b/crates/client/src/request/redirect.rs
@@ -15,7 +15,7 @@
 
 impl Redirect for QueryReply {
     fn declined(&self) -> bool {
-        matches!(self, QueryReply::NotLeader { .. })
+        matches!(self, QueryReply::NotLeader { .. } | QueryReply::Unsettled)
     }
 
     fn leader(&self) -> Option<SocketAddr> {
