Cancel with the caller and end answers only when they have arrived

Cause: review against the design. h3-quinn hides STOP_SENDING and the acknowledgement of an answer, so a caller that stopped a request left it running, and a draining agent closed a connection with the tail of its last answer unsent. A caller's path such as /v1/reserve reached the peer's message handlers when it was handed off. An answer of any server at a peer's address counted as the upstream's. The end of the stay waited for a graceful stop of the peer server, up to an hour. limpet-timeout-ms of an upstream reached the caller, and fields named by Connection were passed on.

Ruled out: polling the stream from the request's task; the library keeps the quinn stream private. Hence an adapter of its own.

Change: connection/quic.rs adapts quinn to h3 and tells how each answer ends; a dropped answer is reset, never ended cleanly. Peers put their identity into each answer, and an answer without it counts as lost, not as not run. The stand-in counts its requests in progress and its cancelled ones.

--- a/crates/agent/src/connection/mod.rs
+++ b/crates/agent/src/connection/mod.rs
@@ -2,8 +2,10 @@
 
 mod accept;
 mod cid;
+mod quic;
 mod serve;
 
 pub use accept::AcceptTask;
 pub use cid::{CidGenerator, CidSource};
+pub use quic::{BidiStream, Link, Opener, RecvStream, SendStream, StreamEnd, StreamEnds};
 pub use serve::serve;
--- /dev/null
+++ b/crates/agent/src/connection/quic.rs
@@ -0,0 +1,422 @@
+//! The QUIC connection as h3 sees it.
+//!
+//! h3-quinn has the same task, but hides when a caller stops an answer or has
+//! received all of it. The agent needs both: the first cancels the request at
+//! the upstream, and a connection may be closed only after the second.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    future::Future,
+    io,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Buf, Bytes};
+use h3::{
+    error::Code,
+    quic::{
+        self, ConnectionErrorIncoming, RecvStream as _, SendStream as _, StreamErrorIncoming,
+        StreamId, WriteBuf,
+    },
+};
+use quinn::{ConnectionError, ReadError, StoppedError, VarInt, WriteError};
+use tokio::{
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+};
+
+type Bidi = (quinn::SendStream, quinn::RecvStream);
+
+/// A QUIC connection that reports how its streams end.
+pub struct Link {
+    opener: Opener,
+    bidi: mpsc::Receiver<Bidi>,
+    uni: mpsc::Receiver<quinn::RecvStream>,
+    ends: StreamEnds,
+    /// Tasks that accept streams.
+    _tasks: JoinSet<()>,
+}
+
+impl Link {
+    /// Takes over the streams of a connection. Their ends go to `ends`.
+    #[must_use]
+    pub fn new(connection: &quinn::Connection, ends: StreamEnds) -> Self {
+        let mut tasks = JoinSet::new();
+        // One stream waits in each channel; QUIC's own limits bound the others.
+        let (bidi_tx, bidi) = mpsc::channel(1);
+        let (uni_tx, uni) = mpsc::channel(1);
+        let accepting = connection.clone();
+        tasks.spawn_local(async move {
+            while let Ok(stream) = accepting.accept_bi().await {
+                if bidi_tx.send(stream).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let accepting = connection.clone();
+        tasks.spawn_local(async move {
+            while let Ok(stream) = accepting.accept_uni().await {
+                if uni_tx.send(stream).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Link {
+            opener: Opener::new(connection.clone()),
+            bidi,
+            uni,
+            ends,
+            _tasks: tasks,
+        }
+    }
+
+    fn close_reason(&self) -> ConnectionErrorIncoming {
+        let reason = self.opener.connection.close_reason();
+        connection_error(reason.unwrap_or(ConnectionError::LocallyClosed))
+    }
+}
+
+impl<B: Buf> quic::Connection<B> for Link {
+    type RecvStream = RecvStream;
+    type OpenStreams = Opener;
+
+    fn poll_accept_recv(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<RecvStream, ConnectionErrorIncoming>> {
+        let stream = ready!(self.uni.poll_recv(cx)).ok_or_else(|| self.close_reason())?;
+        Poll::Ready(Ok(RecvStream(stream)))
+    }
+
+    fn poll_accept_bidi(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<BidiStream<B>, ConnectionErrorIncoming>> {
+        let (send, recv) = ready!(self.bidi.poll_recv(cx)).ok_or_else(|| self.close_reason())?;
+        let send = SendStream::new(send);
+        self.ends.watch(&send);
+        let recv = RecvStream(recv);
+        Poll::Ready(Ok(BidiStream { send, recv }))
+    }
+
+    fn opener(&self) -> Opener {
+        Opener::new(self.opener.connection.clone())
+    }
+}
+
+impl<B: Buf> quic::OpenStreams<B> for Link {
+    type BidiStream = BidiStream<B>;
+    type SendStream = SendStream<B>;
+
+    fn poll_open_bidi(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<BidiStream<B>, StreamErrorIncoming>> {
+        self.opener.poll_open_bidi(cx)
+    }
+
+    fn poll_open_send(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<SendStream<B>, StreamErrorIncoming>> {
+        self.opener.poll_open_send(cx)
+    }
+
+    fn close(&mut self, code: Code, reason: &[u8]) {
+        quic::OpenStreams::<B>::close(&mut self.opener, code, reason);
+    }
+}
+
+/// Opens the streams of the server.
+pub struct Opener {
+    connection: quinn::Connection,
+    opening: Option<JoinHandle<Result<quinn::SendStream, ConnectionError>>>,
+}
+
+impl Opener {
+    fn new(connection: quinn::Connection) -> Self {
+        Opener {
+            connection,
+            opening: None,
+        }
+    }
+}
+
+impl<B: Buf> quic::OpenStreams<B> for Opener {
+    type BidiStream = BidiStream<B>;
+    type SendStream = SendStream<B>;
+
+    /// An HTTP/3 server opens no streams for requests (RFC 9114, section 6.1).
+    fn poll_open_bidi(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Result<BidiStream<B>, StreamErrorIncoming>> {
+        Poll::Ready(Err(unknown(io::ErrorKind::Unsupported.into())))
+    }
+
+    fn poll_open_send(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<SendStream<B>, StreamErrorIncoming>> {
+        let connection = &self.connection;
+        let opening = self.opening.get_or_insert_with(|| {
+            let connection = connection.clone();
+            actix_rt::spawn(async move { connection.open_uni().await })
+        });
+        let opened = ready!(Pin::new(opening).poll(cx));
+        self.opening = None;
+        Poll::Ready(match opened {
+            Ok(Ok(stream)) => Ok(SendStream::new(stream)),
+            Ok(Err(e)) => Err(lost(e)),
+            Err(e) => Err(unknown(io::Error::other(e))),
+        })
+    }
+
+    fn close(&mut self, code: Code, reason: &[u8]) {
+        self.connection.close(var_int(code.value()), reason);
+    }
+}
+
+/// Both directions of a request's stream.
+pub struct BidiStream<B: Buf> {
+    send: SendStream<B>,
+    recv: RecvStream,
+}
+
+impl<B: Buf> quic::BidiStream<B> for BidiStream<B> {
+    type SendStream = SendStream<B>;
+    type RecvStream = RecvStream;
+
+    fn split(self) -> (SendStream<B>, RecvStream) {
+        (self.send, self.recv)
+    }
+}
+
+impl<B: Buf> quic::SendStream<B> for BidiStream<B> {
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        self.send.poll_ready(cx)
+    }
+
+    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
+        self.send.send_data(data)
+    }
+
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        self.send.poll_finish(cx)
+    }
+
+    fn reset(&mut self, code: u64) {
+        self.send.reset(code);
+    }
+
+    fn send_id(&self) -> StreamId {
+        self.send.send_id()
+    }
+}
+
+impl<B: Buf> quic::RecvStream for BidiStream<B> {
+    type Buf = Bytes;
+
+    fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
+        self.recv.poll_data(cx)
+    }
+
+    fn stop_sending(&mut self, code: u64) {
+        self.recv.stop_sending(code);
+    }
+
+    fn recv_id(&self) -> StreamId {
+        self.recv.recv_id()
+    }
+}
+
+/// The direction towards the caller.
+pub struct SendStream<B: Buf> {
+    stream: quinn::SendStream,
+    writing: Option<WriteBuf<B>>,
+    /// Whether the stream has a clean end.
+    finished: bool,
+}
+
+impl<B: Buf> SendStream<B> {
+    fn new(stream: quinn::SendStream) -> Self {
+        SendStream {
+            stream,
+            writing: None,
+            finished: false,
+        }
+    }
+}
+
+impl<B: Buf> quic::SendStream<B> for SendStream<B> {
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        while let Some(data) = self.writing.as_mut().filter(|data| Buf::has_remaining(*data)) {
+            let stream = Pin::new(&mut self.stream);
+            let written = ready!(stream.poll_write(cx, data.chunk())).map_err(not_written)?;
+            data.advance(written);
+        }
+        self.writing = None;
+        Poll::Ready(Ok(()))
+    }
+
+    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
+        if self.writing.is_some() {
+            return Err(unknown(io::ErrorKind::ResourceBusy.into()));
+        }
+        self.writing = Some(data.into());
+        Ok(())
+    }
+
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        ready!(self.poll_ready(cx))?;
+        self.finished = true;
+        let finished = self.stream.finish();
+        Poll::Ready(finished.map_err(|e| unknown(io::Error::other(e))))
+    }
+
+    fn reset(&mut self, code: u64) {
+        // Fails if the stream has ended already.
+        let _ = self.stream.reset(var_int(code));
+    }
+
+    fn send_id(&self) -> StreamId {
+        stream_id(self.stream.id())
+    }
+}
+
+/// quinn ends a dropped stream cleanly, which would pass off a part of an
+/// answer as the whole.
+impl<B: Buf> Drop for SendStream<B> {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.reset(Code::H3_INTERNAL_ERROR.value());
+        }
+    }
+}
+
+/// The direction from the caller.
+pub struct RecvStream(quinn::RecvStream);
+
+impl quic::RecvStream for RecvStream {
+    type Buf = Bytes;
+
+    fn poll_data(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
+        // The future keeps no state between polls.
+        let chunk = ready!(pin!(self.0.read_chunk(usize::MAX, true)).poll(cx));
+        Poll::Ready(match chunk {
+            Ok(chunk) => Ok(chunk.map(|chunk| chunk.bytes)),
+            Err(ReadError::Reset(code)) => Err(terminated(code)),
+            Err(ReadError::ConnectionLost(e)) => Err(lost(e)),
+            Err(e) => Err(unknown(io::Error::other(e))),
+        })
+    }
+
+    fn stop_sending(&mut self, code: u64) {
+        // Fails if the stream has ended already.
+        let _ = self.0.stop(var_int(code));
+    }
+
+    fn recv_id(&self) -> StreamId {
+        stream_id(self.0.id())
+    }
+}
+
+/// A caller that still sends when its answer is complete may stop without an
+/// error (RFC 9114, section 4.1).
+impl Drop for RecvStream {
+    fn drop(&mut self) {
+        self.stop_sending(Code::H3_NO_ERROR.value());
+    }
+}
+
+/// How the answers of a connection end, by stream.
+#[derive(Clone, Default)]
+pub struct StreamEnds {
+    /// Shared by the connection and its requests, which run on one thread.
+    ends: Rc<RefCell<BTreeMap<u64, StreamEnd>>>,
+}
+
+impl StreamEnds {
+    fn watch<B: Buf>(&self, send: &SendStream<B>) {
+        let stopped = send.stream.stopped();
+        let end = StreamEnd(actix_rt::spawn(stopped));
+        let mut ends = self.ends.borrow_mut();
+        // Streams that h3 rejected are never taken.
+        ends.retain(|_, end| !end.0.is_finished());
+        ends.insert(send.send_id().into_inner(), end);
+    }
+
+    /// Takes the end of a stream.
+    #[must_use]
+    pub fn take(&self, id: StreamId) -> Option<StreamEnd> {
+        self.ends.borrow_mut().remove(&id.into_inner())
+    }
+}
+
+/// Comes about when the caller stops an answer or has received all of it.
+pub struct StreamEnd(JoinHandle<Result<Option<VarInt>, StoppedError>>);
+
+impl StreamEnd {
+    /// Waits for the end.
+    pub async fn wait(&mut self) {
+        // How it ended makes no difference to those who wait.
+        let _ = (&mut self.0).await;
+    }
+}
+
+impl Drop for StreamEnd {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn not_written(error: WriteError) -> StreamErrorIncoming {
+    match error {
+        WriteError::Stopped(code) => terminated(code),
+        WriteError::ConnectionLost(e) => lost(e),
+        e => unknown(io::Error::other(e)),
+    }
+}
+
+fn stream_id(id: quinn::StreamId) -> StreamId {
+    StreamId::try_from(u64::from(id)).expect("a stream id has 62 bits")
+}
+
+fn var_int(code: u64) -> VarInt {
+    VarInt::from_u64(code).unwrap_or(VarInt::MAX)
+}
+
+fn terminated(code: VarInt) -> StreamErrorIncoming {
+    StreamErrorIncoming::StreamTerminated {
+        error_code: code.into_inner(),
+    }
+}
+
+fn lost(error: ConnectionError) -> StreamErrorIncoming {
+    StreamErrorIncoming::ConnectionErrorIncoming {
+        connection_error: connection_error(error),
+    }
+}
+
+fn unknown(error: io::Error) -> StreamErrorIncoming {
+    StreamErrorIncoming::Unknown(Box::new(error))
+}
+
+fn connection_error(error: ConnectionError) -> ConnectionErrorIncoming {
+    match error {
+        ConnectionError::ApplicationClosed(close) => ConnectionErrorIncoming::ApplicationClose {
+            error_code: close.error_code.into_inner(),
+        },
+        ConnectionError::TimedOut => ConnectionErrorIncoming::Timeout,
+        error => ConnectionErrorIncoming::Undefined(std::sync::Arc::new(error)),
+    }
+}
--- a/crates/agent/src/connection/serve.rs
+++ b/crates/agent/src/connection/serve.rs
@@ -7,6 +7,7 @@
 use quinn::{Connection, VarInt};
 use tokio::{sync::watch, task::JoinSet, time::sleep_until};
 
+use super::{Link, StreamEnds};
 use crate::request::{RequestContext, handle};
 
 /// Requests that a caller may still start after the first GOAWAY. They are
@@ -17,12 +18,13 @@
 /// several round trips, so that the caller has heard of it.
 const GRACE: Duration = Duration::from_secs(1);
 
-type Server = h3::server::Connection<h3_quinn::Connection, Bytes>;
+type Server = h3::server::Connection<Link, Bytes>;
 
 /// Serves the requests of a connection until it ends. When the agent leaves,
 /// requests in progress run to their end and no others are accepted.
 pub async fn serve(cx: RequestContext, connection: Connection, mut leaving: watch::Receiver<bool>) {
-    let Ok(mut server) = Server::new(h3_quinn::Connection::new(connection.clone())).await else {
+    let ends = StreamEnds::default();
+    let Ok(mut server) = Server::new(Link::new(&connection, ends.clone())).await else {
         return;
     };
     let mut requests = JoinSet::new();
@@ -34,14 +36,23 @@
         tokio::select! {
             accepted = server.accept() => match accepted {
                 Ok(Some(resolver)) => {
-                    let cx = cx.clone();
+                    let (cx, ends) = (cx.clone(), ends.clone());
                     requests.spawn_local(async move {
-                        if let Err(e) = handle(cx, resolver).await {
+                        if let Err(e) = handle(cx, resolver, ends).await {
                             log::debug!(event = "request_aborted", error:% = e; "request aborted");
                         }
                     });
                 }
-                Ok(None) | Err(_) => break,
+                // No request follows; those in progress go on.
+                Ok(None) => {
+                    let all = async { while requests.join_next().await.is_some() {} };
+                    tokio::select! {
+                        () = all => {}
+                        _ = connection.closed() => {}
+                    }
+                    break;
+                }
+                Err(_) => break,
             },
             Some(_) = requests.join_next() => {}
             changed = leaving.changed() => match changed {
--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -25,7 +25,7 @@
 use wire::{OfferRequest, ReserveReply, ReserveRequest};
 
 use super::peer::{OFFER_PATH, RELEASE_PATH, RESERVE_PATH};
-use crate::version::Peer;
+use crate::{request::Failed, version::Peer};
 
 /// Time for a peer to answer, after which it counts as unreachable. Several
 /// times the delay between data centres, so that a lost packet fits in.
@@ -142,6 +142,17 @@
         let _ = self.tx.send(command);
     }
 
+    /// Tells the task what an attempt shows of the upstream.
+    pub fn note_attempt<T>(&self, result: &std::result::Result<T, Failed>) {
+        let connected = match result {
+            Ok(_) => Some(true),
+            Err(failed) => failed.connected(),
+        };
+        if let Some(ok) = connected {
+            self.send(AdmissionCommand::Connected(ok));
+        }
+    }
+
     /// Sends a command and waits for its answer; `None` once the task has
     /// ended.
     pub async fn ask<T>(
@@ -322,10 +333,15 @@
         let Some((_, tx)) = self.waiting.remove(&id) else {
             return;
         };
-        let runs = matches!(grant, Grant::Run);
-        if tx.send(grant).is_err() && runs {
-            // The request went away meanwhile; its slot is free again.
-            self.handle.send(AdmissionCommand::Cancel(id));
+        // The request may have gone away meanwhile; its slot is free again.
+        match tx.send(grant) {
+            Ok(()) | Err(Grant::Refuse(_)) => {}
+            Err(Grant::Run) => self.handle.send(AdmissionCommand::Cancel(id)),
+            Err(Grant::Pass {
+                upstream,
+                reservation,
+                ..
+            }) => self.release(upstream, reservation),
         }
     }
 
--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -7,10 +7,14 @@
 };
 
 use actix_web::{
-    App, HttpRequest, HttpResponse, HttpServer, body::SizedStream, dev::Server,
-    http::StatusCode as ActixStatus, web,
+    App, HttpRequest, HttpResponse, HttpServer, Resource,
+    body::{BodyStream, SizedStream},
+    dev::Server,
+    guard::fn_guard,
+    http::{StatusCode as ActixStatus, header::HeaderValue},
+    web,
 };
-use admit::{Claim, Failure, Outcome};
+use admit::{Claim, Outcome};
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream::unfold};
 use http::{Method, Request, StatusCode, header};
@@ -18,7 +22,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use serde::Serialize;
-use types::{ReservationId, UpstreamId};
+use tokio::sync::watch;
+use types::{ReservationId, ServiceId, ServiceState, UpstreamId};
 use wire::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
 
 use super::{AdmissionCommand, AdmissionHandle};
@@ -52,6 +57,7 @@
     ids: RequestIds,
     own: UpstreamId,
     upstream: SocketAddr,
+    service: watch::Receiver<Option<ServiceState>>,
 }
 
 /// Starts the server on `listener`.
@@ -65,6 +71,7 @@
     ids: RequestIds,
     own: UpstreamId,
     upstream: SocketAddr,
+    service: watch::Receiver<Option<ServiceState>>,
 ) -> Result<Server> {
     let address = listener.local_addr();
     let cx = PeerContext {
@@ -72,24 +79,35 @@
         ids,
         own,
         upstream,
+        service,
     };
     let factory = move || {
         App::new()
             .app_data(web::Data::new(cx.clone()))
-            .route(RESERVE_PATH, web::post().to(reserve))
-            .route(OFFER_PATH, web::post().to(offer))
-            .route(RELEASE_PATH, web::post().to(release))
+            .service(message_at(RESERVE_PATH).route(web::post().to(reserve)))
+            .service(message_at(OFFER_PATH).route(web::post().to(offer)))
+            .service(message_at(RELEASE_PATH).route(web::post().to(release)))
             .default_service(web::to(run_claimed))
     };
     let server = HttpServer::new(factory)
         .workers(1)
         .disable_signals()
+        // A peer that closes its connection has cancelled the request.
+        .h1_allow_half_closed(false)
         .shutdown_timeout(STOP_TIMEOUT_SECS)
         .listen(listener)
         .map_err(|e| Error::Bind(address.unwrap_or(upstream), e))?;
     Ok(server.run())
 }
 
+/// The messages of agents at a path. A caller's request may have the same path,
+/// but is told apart by its claim, a field that callers cannot set.
+fn message_at(path: &str) -> Resource {
+    web::resource(path).guard(fn_guard(|cx| {
+        !cx.head().headers().contains_key(ClaimHeader::RESERVATION)
+    }))
+}
+
 async fn reserve(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
     let Ok(req) = wire::decode::<ReserveRequest>(&body) else {
         return HttpResponse::BadRequest().finish();
@@ -134,7 +152,7 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let Some(reservation) = claimed(&cx, &req) else {
-        return outcome(NOT_CLAIMED);
+        return outcome(cx.own, NOT_CLAIMED);
     };
     let id = cx.ids.next();
     let mut slot = Slot::new(id, cx.admission.clone());
@@ -143,28 +161,30 @@
         .ask(|tx| AdmissionCommand::Claim(reservation, id, tx))
         .await;
     if claim != Some(Claim::Run) {
-        return outcome(NOT_CLAIMED);
+        return outcome(cx.own, NOT_CLAIMED);
     }
     let Some(call) = call(&cx, &req, payload) else {
-        return HttpResponse::BadRequest().finish();
+        return outcome(cx.own, NOT_CLAIMED);
     };
     let result = call.send().await;
-    let refused = matches!(&result, Err(failed) if failed.failure == Failure::Connect);
-    cx.admission.send(AdmissionCommand::Connected(!refused));
+    cx.admission.note_attempt(&result);
     match result {
-        Ok(answer) => stream_answer(answer, slot),
+        Ok(answer) => stream_answer(cx.own, answer, slot),
         Err(failed) => {
             slot.set(outcome_of(failed));
-            outcome(status_of(failed))
+            outcome(cx.own, status_of(failed))
         }
     }
 }
 
-/// The reservation that a request claims, if it is meant for this upstream.
+/// The reservation that a request claims, if it is meant for this upstream and
+/// this service.
 fn claimed(cx: &PeerContext, req: &HttpRequest) -> Option<ReservationId> {
     let field = |name: &str| req.headers().get(name)?.to_str().ok();
     let upstream: UpstreamId = field(ClaimHeader::UPSTREAM)?.parse().ok()?;
-    (upstream == cx.own).then_some(())?;
+    let service: ServiceId = field(ClaimHeader::SERVICE)?.parse().ok()?;
+    let own_service = cx.service.borrow().as_ref().map(|state| state.service.id);
+    (upstream == cx.own && Some(service) == own_service).then_some(())?;
     field(ClaimHeader::RESERVATION)?.parse().ok()
 }
 
@@ -180,9 +200,10 @@
     *request.uri_mut() = req.uri().to_string().parse().ok()?;
     let fields = req.headers().iter();
     let head = Head::copy(fields.map(|(name, value)| (name.as_str(), value.as_bytes())));
+    let remaining = req.headers().get(ClaimHeader::TIMEOUT_MS);
     Some(Call {
         target: Target::Upstream(cx.upstream),
-        deadline: deadline_of(Instant::now(), &head.headers),
+        deadline: deadline_of(Instant::now(), remaining.map(HeaderValue::as_bytes)),
         request,
         head,
     })
@@ -190,10 +211,11 @@
 
 /// Passes an answer on to the peer. The slot is given back when the body ends
 /// or the peer goes away.
-fn stream_answer(answer: Answer, slot: Slot) -> HttpResponse {
+fn stream_answer(own: UpstreamId, answer: Answer, slot: Slot) -> HttpResponse {
     let (parts, body, connection) = answer.into_parts();
     let status = parts.status.as_u16();
     let mut response = HttpResponse::build(ActixStatus::from_u16(status).unwrap_or_default());
+    response.insert_header((ClaimHeader::UPSTREAM, own.to_string()));
     let head = Head::of(&parts.headers).headers;
     for (name, value) in &head {
         if name != header::CONTENT_LENGTH {
@@ -203,20 +225,22 @@
     let length = head.get(header::CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let outcome = ended(parts.status);
-    let stream = unfold((body, slot, connection), move |state| {
+    let stream = unfold((body, connection, slot), move |state| {
         next_part(state, outcome)
     });
     let stream = Box::pin(stream);
     match length {
         Some(length) => response.body(SizedStream::new(length, stream)),
-        None => response.streaming(stream),
+        None => response.body(BodyStream::new(stream)),
     }
 }
 
-type AnswerState = (Incoming, Slot, Connection);
+/// In the order in which they are dropped: the slot is given back once the
+/// connection to the upstream is closed.
+type AnswerState = (Incoming, Connection, Slot);
 
 async fn next_part(
-    (mut body, mut slot, connection): AnswerState,
+    (mut body, connection, mut slot): AnswerState,
     outcome: Outcome,
 ) -> Option<(hyper::Result<Bytes>, AnswerState)> {
     loop {
@@ -235,14 +259,15 @@
                 Err(_) => continue,
             },
         };
-        return Some((part, (body, slot, connection)));
+        return Some((part, (body, connection, slot)));
     }
 }
 
 /// The answer to a request without an answer of the upstream.
-fn outcome((status, value): (StatusCode, &'static str)) -> HttpResponse {
+fn outcome(own: UpstreamId, (status, value): (StatusCode, &'static str)) -> HttpResponse {
     let status = ActixStatus::from_u16(status.as_u16()).unwrap_or_default();
     HttpResponse::build(status)
+        .insert_header((ClaimHeader::UPSTREAM, own.to_string()))
         .insert_header((ClaimHeader::OUTCOME, value))
         .finish()
 }
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -20,7 +20,7 @@
     net::UdpSocket,
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::timeout_at,
+    time::{timeout, timeout_at},
 };
 use types::{Announcement, Connections, Loads, Role, UpstreamId, UpstreamState};
 use wire::Subset;
@@ -51,6 +51,11 @@
 /// fits into an Ethernet frame between the hosts.
 const MAX_UDP_PAYLOAD: u16 = 1400;
 
+/// First packets that may wait for the task that accepts connections, and the
+/// bytes that may wait with them; bounds the memory in a flood.
+const MAX_INCOMING: usize = 4096;
+const MAX_INCOMING_BYTES: u64 = 16 << 20;
+
 /// Concurrent requests of one connection.
 const MAX_STREAMS: u32 = 1000;
 
@@ -85,13 +90,20 @@
 
     let (admission, admission_rx) = AdmissionHandle::channel();
     let ids = RequestIds::default();
-    let peers = peer::serve(listener, admission.clone(), ids.clone(), own, cfg.upstream)?;
-    let peers_handle = peers.handle();
     let (datagram_tx, datagram_rx) = mpsc::channel(STEPS);
     let (in_tx, in_rx) = mpsc::channel(PACKETS);
     let (out_tx, out_rx) = mpsc::channel(PACKETS);
     let (step_tx, step_rx) = mpsc::channel(STEPS);
     let (service_tx, service_rx) = watch::channel(None);
+    let peers = peer::serve(
+        listener,
+        admission.clone(),
+        ids.clone(),
+        own,
+        cfg.upstream,
+        service_rx.clone(),
+    )?;
+    let peers_handle = peers.handle();
     let (cid_tx, cid_rx) = watch::channel(None);
     let (leaving_tx, leaving_rx) = watch::channel(false);
     let (report_tx, report_rx) = watch::channel(NodeReport {
@@ -153,7 +165,9 @@
         None => Ok(()),
     };
     actix_rt::time::sleep(FAREWELL).await;
-    peers_handle.stop(false).await;
+    // A graceful stop that is under way would hold this one up until requests
+    // of peers have ended, which may be after the end of the stay.
+    let _ = timeout(FAREWELL, peers_handle.stop(false)).await;
     for task in tasks.into_iter().chain(load_task) {
         task.abort();
     }
@@ -250,7 +264,10 @@
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
         .mtu_discovery_config(Some(mtu));
     let mut server = ServerConfig::with_crypto(Arc::new(identity.into_crypto()?));
-    server.transport_config(Arc::new(transport));
+    server
+        .transport_config(Arc::new(transport))
+        .max_incoming(MAX_INCOMING)
+        .incoming_buffer_size_total(MAX_INCOMING_BYTES);
 
     let mut reset_key = [0; 64];
     rand::rng().fill_bytes(&mut reset_key);
--- a/crates/agent/src/request/body.rs
+++ b/crates/agent/src/request/body.rs
@@ -11,8 +11,10 @@
 use h3::{error::StreamError, server::RequestStream};
 use http_body::Frame;
 
+use crate::connection;
+
 /// Receiving half of a caller's stream.
-pub type RecvStream = RequestStream<h3_quinn::RecvStream, Bytes>;
+pub type RecvStream = RequestStream<connection::RecvStream, Bytes>;
 
 struct State {
     stream: RecvStream,
--- a/crates/agent/src/request/call.rs
+++ b/crates/agent/src/request/call.rs
@@ -9,7 +9,7 @@
 
 use admit::{Failure, Progress};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body::Body;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -93,6 +93,17 @@
             failure,
         }
     }
+
+    /// What an attempt at the upstream shows of it: whether it could be
+    /// connected to, or nothing if time ran out before.
+    #[must_use]
+    pub fn connected(self) -> Option<bool> {
+        match (self.progress, self.failure) {
+            (_, Failure::Connect) => Some(false),
+            (Progress::NotStarted, _) => None,
+            _ => Some(true),
+        }
+    }
 }
 
 /// An answer whose head has come. Dropping it closes the connection, which
@@ -184,19 +195,45 @@
 }
 
 impl Target {
-    /// Reads the outcome that a peer reports. An upstream's field of that name
-    /// has no meaning here; only agents set it.
+    /// Reads the outcome that a peer reports. An upstream's fields of these
+    /// names have no meaning; only agents set them.
     fn check(&self, answer: Answer) -> Result<Answer, Failed> {
-        let Target::Peer { .. } = self else {
+        let Target::Peer { upstream, .. } = self else {
             return Ok(answer);
         };
-        let outcome = answer.response.headers().get(ClaimHeader::OUTCOME);
-        match outcome.map(http::HeaderValue::as_bytes) {
-            None => Ok(answer),
-            Some(value) if value == ClaimHeader::NOT_RUN.as_bytes() => {
-                Err(Failed::not_started(Failure::PeerRefused))
-            }
-            Some(_) => Err(Failed::started(Failure::Broken)),
+        match PeerSays::read(answer.response.headers(), *upstream) {
+            PeerSays::Answer => Ok(answer),
+            PeerSays::NotRun => Err(Failed::not_started(Failure::PeerRefused)),
+            PeerSays::Lost => Err(Failed::started(Failure::Broken)),
+        }
+    }
+}
+
+/// What the answer to a request that was handed off is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerSays {
+    /// The answer of the upstream that was meant.
+    Answer,
+    /// An agent says that the request was not run.
+    NotRun,
+    /// The answer is lost, or comes from a server that is not the peer: the
+    /// address may have a new owner, and a server may answer before its
+    /// handlers see the request. Either may have run it.
+    Lost,
+}
+
+impl PeerSays {
+    /// Reads the head of the answer to a request that was meant for `upstream`.
+    /// Every agent puts its identity into the answers that it gives or passes
+    /// on, and runs only requests that name it.
+    #[must_use]
+    pub fn read(headers: &HeaderMap, upstream: UpstreamId) -> Self {
+        let field = |name: &str| headers.get(name)?.to_str().ok();
+        let from = field(ClaimHeader::UPSTREAM).and_then(|id| id.parse::<UpstreamId>().ok());
+        match (from, headers.get(ClaimHeader::OUTCOME)) {
+            (Some(from), None) if from == upstream => PeerSays::Answer,
+            (Some(_), Some(outcome)) if outcome == ClaimHeader::NOT_RUN => PeerSays::NotRun,
+            _ => PeerSays::Lost,
         }
     }
 }
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -1,6 +1,9 @@
 //! The task of one request.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use admit::{Attempt, Failure, Outcome, Progress, Reason, RequestInfo, Verdict};
 use bytes::Bytes;
@@ -8,22 +11,30 @@
     error::{Code, StreamError},
     server::{RequestResolver, RequestStream},
 };
-use http::{Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::BodyExt;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
 use types::{ClassName, ServiceId, ServiceState};
 use wire::ClaimHeader;
 
 use super::{
-    Answer, Call, CallerBody, Failed, Head, RequestIds, Slot, Target, deadline_of, is_idempotent,
+    Answer, Call, CallerBody, Failed, Head, RequestIds, Slot, Target, body::RecvStream,
+    deadline_of, is_idempotent,
+};
+use crate::{
+    connection::{self, Link, StreamEnds},
+    process::{AdmissionCommand, AdmissionHandle, Grant, Metrics},
 };
-use crate::process::{AdmissionCommand, AdmissionHandle, Grant, Metrics};
 
 /// Seconds after which a caller may try again when nothing is free.
 const RETRY_AFTER_SECS: &str = "1";
 
+/// Time to wait for the end of a stream without a body; a lost packet is
+/// repeated within it. After it the body is passed on as it comes.
+const BODY_END: Duration = Duration::from_secs(1);
+
 /// Sending half of a caller's stream.
-type SendStream = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
+type SendStream = RequestStream<connection::SendStream<Bytes>, Bytes>;
 
 /// What the requests of an agent share.
 #[derive(Clone)]
@@ -63,48 +74,81 @@
     Gone,
 }
 
-/// Serves one request from its head to the end of its answer.
+/// Serves one request from its head until the caller has all of its answer.
 ///
 /// # Errors
 ///
 /// The caller's stream or connection has ended.
 pub async fn handle(
     cx: RequestContext,
-    resolver: RequestResolver<h3_quinn::Connection, Bytes>,
+    resolver: RequestResolver<Link, Bytes>,
+    ends: StreamEnds,
 ) -> Result<(), StreamError> {
     let (req, stream) = resolver.resolve_request().await?;
+    let Some(mut end) = ends.take(stream.id()) else {
+        return Ok(());
+    };
     let (mut send, recv) = stream.split();
-    let state = cx.service.borrow().clone();
-    let Some((service, class)) = state.as_ref().and_then(|s| class_of(s, req.uri())) else {
-        return refuse(&mut send, &Refusal::NotRun(Some(Reason::UnknownClass))).await;
+    let served = tokio::select! {
+        served = serve(cx, &req, recv, &mut send) => Some(served),
+        // The caller stopped the answer. Whatever the request held is dropped,
+        // which gives back its slot and cancels it at the upstream.
+        () = end.wait() => None,
+    };
+    match served {
+        // The connection may be closed when this returns, so the caller must
+        // have the answer by then.
+        Some(Ok(())) => end.wait().await,
+        Some(Err(e)) => return Err(e),
+        None => send.stop_stream(Code::H3_REQUEST_CANCELLED),
+    }
+    Ok(())
+}
+
+async fn serve(
+    cx: RequestContext,
+    req: &Request<()>,
+    recv: RecvStream,
+    send: &mut SendStream,
+) -> Result<(), StreamError> {
+    let found = cx
+        .service
+        .borrow()
+        .as_ref()
+        .and_then(|state| class_of(state, req.uri()));
+    let Some((service, class)) = found else {
+        return refuse(send, &Refusal::NotRun(Some(Reason::UnknownClass))).await;
     };
     let now = Instant::now();
-    let mut exchange = Exchange {
+    let remaining = req.headers().get(ClaimHeader::TIMEOUT_MS);
+    let exchange = Exchange {
         service,
         class,
         method: req.method().clone(),
         uri: path_of(req.uri()),
-        head: head_of(&req),
-        deadline: deadline_of(now, req.headers()),
+        head: head_of(req),
+        deadline: deadline_of(now, remaining.map(HeaderValue::as_bytes)),
         body: CallerBody::new(recv),
         started_at: now,
         cx,
     };
-    if expects_no_body(&req) {
-        exchange.body.read_ahead().await?;
+    if expects_no_body(req)
+        && let Ok(ahead) = timeout(BODY_END, exchange.body.read_ahead()).await
+    {
+        ahead?;
     }
     match exchange.run().await {
-        Ok((answer, slot)) => exchange.pass(answer, slot, &mut send).await,
+        Ok((answer, slot)) => exchange.pass(answer, slot, send).await,
         Err(refusal) => {
             exchange.count(refusal.label());
-            refuse(&mut send, &refusal).await
+            refuse(send, &refusal).await
         }
     }
 }
 
 impl Exchange {
     /// Attempts the request until there is an answer or a refusal.
-    async fn run(&mut self) -> Result<(Answer, Option<Slot>), Refusal> {
+    async fn run(&self) -> Result<(Answer, Option<Slot>), Refusal> {
         let mut elsewhere = false;
         loop {
             let id = self.cx.ids.next();
@@ -154,10 +198,7 @@
 
     async fn run_here(&self) -> Result<Answer, Failed> {
         let result = self.call(Target::Upstream(self.cx.upstream)).send().await;
-        let refused = matches!(&result, Err(failed) if failed.failure == Failure::Connect);
-        self.cx
-            .admission
-            .send(AdmissionCommand::Connected(!refused));
+        self.cx.admission.note_attempt(&result);
         result
     }
 
--- a/crates/agent/src/request/head.rs
+++ b/crates/agent/src/request/head.rs
@@ -17,14 +17,9 @@
     header::UPGRADE,
 ];
 
-/// Header fields between agents; callers and upstreams can neither set nor see
-/// them.
-const INTERNAL: [&str; 4] = [
-    ClaimHeader::RESERVATION,
-    ClaimHeader::SERVICE,
-    ClaimHeader::UPSTREAM,
-    ClaimHeader::OUTCOME,
-];
+/// Start of the names of this system's header fields. They have a meaning for
+/// one hop only: neither a caller nor an upstream can set one for the next.
+const INTERNAL: &str = "limpet-";
 
 /// Whether a header field concerns one connection only.
 #[must_use]
@@ -39,11 +34,13 @@
     method.is_idempotent()
 }
 
-/// Deadline of a request, from the remaining time in its head.
+/// Deadline of a request, from the remaining time in milliseconds that its head
+/// gives. A malformed value counts as none.
 #[must_use]
-pub fn deadline_of(now: Instant, headers: &HeaderMap) -> Option<Instant> {
-    let text = headers.get(ClaimHeader::TIMEOUT_MS)?.to_str().ok()?;
-    let millis = text.parse().ok()?;
+pub fn deadline_of(now: Instant, remaining: Option<&[u8]>) -> Option<Instant> {
+    let text = std::str::from_utf8(remaining?).ok()?;
+    let digits = text.bytes().all(|b| b.is_ascii_digit());
+    let millis = text.parse().ok().filter(|_| digits)?;
     now.checked_add(Duration::from_millis(millis))
 }
 
@@ -66,9 +63,16 @@
             ) else {
                 continue;
             };
-            if !is_hop_by_hop(&name) && !INTERNAL.contains(&name.as_str()) {
-                headers.append(name, value);
-            }
+            headers.append(name, value);
+        }
+        let last_hop: Vec<HeaderName> = headers
+            .keys()
+            .filter(|name| is_hop_by_hop(name) || name.as_str().starts_with(INTERNAL))
+            .cloned()
+            .chain(nominated(&headers))
+            .collect();
+        for name in last_hop {
+            headers.remove(name);
         }
         Head { headers }
     }
@@ -100,3 +104,11 @@
         }
     }
 }
+
+/// Fields that `Connection` fields name: they concern one connection only.
+fn nominated(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> {
+    let values = headers.get_all(header::CONNECTION).into_iter();
+    values
+        .flat_map(|value| value.as_bytes().split(|b| *b == b','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim_ascii()).ok())
+}
--- a/crates/agent/src/request/mod.rs
+++ b/crates/agent/src/request/mod.rs
@@ -7,7 +7,7 @@
 mod slot;
 
 pub use body::CallerBody;
-pub use call::{Answer, Call, Connection, Failed, Target};
+pub use call::{Answer, Call, Connection, Failed, PeerSays, Target};
 pub use handle::{RequestContext, handle};
 pub(crate) use handle::{ended, outcome_of, status_of};
 pub use head::{Head, deadline_of, is_hop_by_hop, is_idempotent};
--- a/crates/caller/src/connection/mod.rs
+++ b/crates/caller/src/connection/mod.rs
@@ -7,7 +7,7 @@
 use http::Request;
 use tokio::task::JoinHandle;
 
-use crate::{Answer, Endpoint, Result, error::ErrorKind, request::kind};
+use crate::{Answer, Endpoint, Pending, Result, error::ErrorKind, request::kind};
 
 /// One connection of a caller. Dropping it closes the connection.
 pub struct Caller {
@@ -46,13 +46,22 @@
     /// The request was rejected, or broke off; the category says which.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Answer> {
         let (parts, body) = request.into_parts();
-        let request = Request::from_parts(parts, ());
-        let mut stream = self.requests.send_request(request).await.map_err(kind)?;
-        if !body.is_empty() {
-            stream.send_data(body).await.map_err(kind)?;
+        let mut pending = self.start(Request::from_parts(parts, ())).await?;
+        // A server may answer before it has all of the body, and then stops it.
+        if body.is_empty() || pending.send(body).await.is_ok() {
+            let _ = pending.finish().await;
         }
-        stream.finish().await.map_err(kind)?;
-        Answer::receive(stream).await
+        pending.answer().await
+    }
+
+    /// Sends the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// The request was rejected, or broke off; the category says which.
+    pub async fn start(&mut self, request: Request<()>) -> Result<Pending> {
+        let stream = self.requests.send_request(request).await.map_err(kind)?;
+        Ok(Pending::new(stream))
     }
 
     /// The connection itself, to look at its statistics.
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -12,4 +12,4 @@
 pub use connection::Caller;
 pub use error::{Category, Error, Result};
 pub use process::{Endpoint, Trust};
-pub use request::{Answer, Outcome};
+pub use request::{Answer, Outcome, Pending};
--- a/crates/caller/src/request/mod.rs
+++ b/crates/caller/src/request/mod.rs
@@ -21,6 +21,50 @@
     Unknown,
 }
 
+/// A request whose answer has not come.
+pub struct Pending {
+    stream: RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>,
+}
+
+impl Pending {
+    pub(crate) fn new(stream: RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>) -> Self {
+        Pending { stream }
+    }
+
+    /// Sends a part of the body.
+    ///
+    /// # Errors
+    ///
+    /// The server takes no more of the body, or the request broke off.
+    pub async fn send(&mut self, part: Bytes) -> Result<()> {
+        Ok(self.stream.send_data(part).await.map_err(kind)?)
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// The server takes no more of the body, or the request broke off.
+    pub async fn finish(&mut self) -> Result<()> {
+        Ok(self.stream.finish().await.map_err(kind)?)
+    }
+
+    /// Waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// The request was rejected, or broke off; the category says which.
+    pub async fn answer(self) -> Result<Answer> {
+        Answer::receive(self.stream).await
+    }
+
+    /// Cancels the request.
+    pub fn cancel(mut self) {
+        self.stream.stop_sending(Code::H3_REQUEST_CANCELLED);
+        self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
+    }
+}
+
 /// An answer whose head has come.
 pub struct Answer {
     /// Status of the answer.
@@ -88,6 +132,8 @@
         StreamError::RemoteTerminate { code, .. } if code == Code::H3_REQUEST_REJECTED => {
             ErrorKind::Rejected
         }
+        // The server goes away; the request was not sent.
+        StreamError::RemoteClosing { .. } => ErrorKind::Rejected,
         error => ErrorKind::Stream(error),
     }
 }
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -89,6 +89,12 @@
     pub upstreams: u8,
     /// Slots of each upstream.
     pub carry: u32,
+    /// Connections of each upstream.
+    pub connections: u32,
+    /// Longest time that a leaving agent stays.
+    pub stay_at_most: &'static str,
+    /// Load endpoint of the upstreams, if the agents read it.
+    pub load_path: Option<&'static str>,
 }
 
 impl Default for Plan {
@@ -99,6 +105,9 @@
             balancers: 2,
             upstreams: 2,
             carry: 4,
+            connections: 2000,
+            stay_at_most: "1h",
+            load_path: None,
         }
     }
 }
@@ -221,6 +230,14 @@
             "--peer-listen={}",
             address(self.plan.range, 51 + n, 7201)
         ));
+        args.push(format!("--stay-at-most={}", self.plan.stay_at_most));
+        if let Some(path) = self.plan.load_path {
+            args.push(format!("--load-path={path}"));
+        }
+        args.push(format!(
+            "--metrics-listen={}",
+            metrics_address(self.plan, n)
+        ));
         Process::start(&args, &self.log(&format!("agent-{n}")))
     }
 
@@ -249,7 +266,7 @@
             class: "default".parse().expect("name"),
             target: Target {
                 carry: Slots(carry),
-                connections: Connections(2000),
+                connections: Connections(self.plan.connections),
                 ..Target::default()
             },
         };
@@ -349,6 +366,21 @@
         .collect()
 }
 
+/// Metrics of the agent `n`.
+pub fn metrics_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7300)
+}
+
+/// Where the agent `n` takes requests of peers.
+pub fn peer_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7201)
+}
+
+/// Where the agent `n` takes datagrams.
+pub fn data_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7200)
+}
+
 fn fabric_address(plan: Plan, n: u8) -> SocketAddr {
     address(plan.range, 11 + n, 7101)
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod request;
 
 pub use error::{Error, Result};
-pub use process::{Fabric, FabricHandle, Upstream, UpstreamHandle};
+pub use process::{Activity, Fabric, FabricHandle, Upstream, UpstreamHandle};
--- a/crates/standin/src/process/mod.rs
+++ b/crates/standin/src/process/mod.rs
@@ -5,5 +5,6 @@
 pub mod upstream;
 
 pub use fabric::{Fabric, FabricHandle};
+pub use register::Activity;
 pub(crate) use register::{Register, RegisterHandle};
 pub use upstream::{Upstream, UpstreamHandle};
--- a/crates/standin/src/process/upstream.rs
+++ b/crates/standin/src/process/upstream.rs
@@ -8,7 +8,7 @@
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use bytes::Bytes;
 
-use super::{Register, RegisterHandle};
+use super::{Activity, Register, RegisterHandle};
 use crate::{Error, Result, request};
 
 /// A running stand-in upstream.
@@ -26,6 +26,16 @@
         self.register.runs().await
     }
 
+    /// What the upstream does and did; none once it has ended.
+    pub async fn activity(&self) -> Option<Activity> {
+        self.register.activity().await
+    }
+
+    /// Sets the slots that the upstream reports of class `default` on `/load`.
+    pub fn set_slots(&self, slots: u32) {
+        self.register.set_slots(slots);
+    }
+
     /// Stops the server at once.
     pub async fn stop(&self) {
         self.server.stop(false).await;
@@ -62,10 +72,16 @@
                 .route("/truncated", web::get().to(request::truncated))
                 .route("/upload", web::post().to(request::upload))
                 .route("/head", web::to(request::head))
+                .route("/early", web::post().to(request::early))
+                .route("/empty/{status}", web::to(request::empty))
+                .route("/fields", web::to(request::fields))
+                .route("/load", web::get().to(request::load))
                 .default_service(web::to(request::greet))
         })
         .workers(1)
         .disable_signals()
+        // A closed connection cancels its request.
+        .h1_allow_half_closed(false)
         .shutdown_timeout(1)
         .listen(listener)
         .map_err(bind)?
--- a/crates/standin/src/request/mod.rs
+++ b/crates/standin/src/request/mod.rs
@@ -3,14 +3,14 @@
 use std::{collections::BTreeMap, fmt::Write, io, time::Duration};
 
 use actix_rt::time::sleep;
-use actix_web::{HttpRequest, HttpResponse, body::SizedStream, web};
+use actix_web::{HttpRequest, HttpResponse, body::SizedStream, http::StatusCode, web};
 use bytes::Bytes;
 use futures_util::{
     StreamExt,
     stream::{self, unfold},
 };
 
-use crate::process::RegisterHandle;
+use crate::{Activity, process::RegisterHandle};
 
 /// Longest answer time or interval that a caller can ask for.
 const MAX_WAIT: Duration = Duration::from_mins(1);
@@ -43,27 +43,31 @@
     id: web::Path<String>,
     query: Query,
 ) -> HttpResponse {
+    let mut running = register.begin();
     let runs = register.claim(Bytes::from(id.into_inner())).await;
     sleep(millis(&query, "ms", Duration::ZERO)).await;
+    running.complete();
     HttpResponse::Ok().body(format!("{runs}\n"))
 }
 
 /// Sends numbered lines until the caller goes away, or `lines` of them.
-pub async fn feed(query: Query) -> HttpResponse {
+pub async fn feed(register: web::Data<RegisterHandle>, query: Query) -> HttpResponse {
+    let running = register.begin();
     let interval = millis(&query, "ms", FEED_INTERVAL);
     let lines: u64 = query
         .get("lines")
         .and_then(|n| n.parse().ok())
         .unwrap_or(u64::MAX);
-    let stream = unfold(0, move |line| async move {
+    let stream = unfold((0, running), move |(line, mut running)| async move {
         if line >= lines {
+            running.complete();
             return None;
         }
         if line > 0 {
             sleep(interval).await;
         }
         let text = Bytes::from(format!("{line}\n"));
-        Some((Ok::<_, io::Error>(text), line + 1))
+        Some((Ok::<_, io::Error>(text), (line + 1, running)))
     });
     HttpResponse::Ok()
         .content_type("text/plain")
@@ -71,8 +75,14 @@
 }
 
 /// Answers after `ms` milliseconds.
-pub async fn slow(name: web::Data<Name>, query: Query) -> HttpResponse {
+pub async fn slow(
+    name: web::Data<Name>,
+    register: web::Data<RegisterHandle>,
+    query: Query,
+) -> HttpResponse {
+    let mut running = register.begin();
     sleep(millis(&query, "ms", Duration::from_secs(1))).await;
+    running.complete();
     greet(name).await
 }
 
@@ -84,17 +94,60 @@
         .body("busy\n")
 }
 
-/// Breaks off in the middle of an answer.
-pub async fn truncated() -> HttpResponse {
+/// Breaks off in the middle of an answer, of which the length is known unless
+/// `chunked` is set.
+pub async fn truncated(query: Query) -> HttpResponse {
     let parts = stream::iter([
         Ok(Bytes::from_static(b"half of ")),
         Err(io::Error::other("broken off on purpose")),
     ]);
+    if query.contains_key("chunked") {
+        return HttpResponse::Ok().streaming(parts);
+    }
     HttpResponse::Ok().body(SizedStream::new(100, parts))
 }
 
+/// Answers without having read the body.
+pub async fn early() -> HttpResponse {
+    HttpResponse::PayloadTooLarge().body("too large\n")
+}
+
+/// Answers without a body.
+pub async fn empty(status: web::Path<u16>) -> HttpResponse {
+    let status = StatusCode::from_u16(status.into_inner()).unwrap_or(StatusCode::NO_CONTENT);
+    HttpResponse::build(status)
+        .insert_header(("etag", "\"1\""))
+        .finish()
+}
+
+/// Answers with fields of which only `x-kept` may reach a caller.
+pub async fn fields() -> HttpResponse {
+    HttpResponse::Ok()
+        .insert_header(("x-kept", "1"))
+        .insert_header(("x-hop", "1"))
+        .insert_header(("connection", "x-hop"))
+        .insert_header(("limpet-outcome", "unknown"))
+        .insert_header(("limpet-upstream", "0000000000000001"))
+        .insert_header(("limpet-timeout-ms", "1"))
+        .body("fields\n")
+}
+
+/// Reports the load of the class `default`.
+pub async fn load(register: web::Data<RegisterHandle>) -> HttpResponse {
+    let Some(activity) = register.activity().await else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    let Activity { slots, running, .. } = activity;
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .body(format!(
+            r#"{{"default":{{"slots":{slots},"in_flight":{running}}}}}"#
+        ))
+}
+
 /// Takes a body and answers its length, once all of it has come.
-pub async fn upload(mut body: web::Payload) -> HttpResponse {
+pub async fn upload(register: web::Data<RegisterHandle>, mut body: web::Payload) -> HttpResponse {
+    let mut running = register.begin();
     let mut len = 0;
     while let Some(part) = body.next().await {
         match part {
@@ -102,6 +155,7 @@
             Err(_) => return HttpResponse::BadRequest().finish(),
         }
     }
+    running.complete();
     HttpResponse::Ok().body(format!("{len}\n"))
 }
 
