Test requests through real processes

Cause: the request path of the agent had no tests. Twelve tests, each on addresses of its own: at most once through every loss, truncation, cancellation, deadlines, bodies and fields, slots, an upstream that is down, load reports, isolation, the limit of connections, a frozen balancer and answers under loss.

--- a/crates/agent/src/connection/quic.rs
+++ b/crates/agent/src/connection/quic.rs
@@ -256,7 +256,11 @@
 
 impl<B: Buf> quic::SendStream<B> for SendStream<B> {
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
-        while let Some(data) = self.writing.as_mut().filter(|data| Buf::has_remaining(*data)) {
+        while let Some(data) = self
+            .writing
+            .as_mut()
+            .filter(|data| Buf::has_remaining(*data))
+        {
             let stream = Pin::new(&mut self.stream);
             let written = ready!(stream.poll_write(cx, data.chunk())).map_err(not_written)?;
             data.advance(written);
--- a/crates/caller/src/request/mod.rs
+++ b/crates/caller/src/request/mod.rs
@@ -60,7 +60,8 @@
 
     /// Cancels the request.
     pub fn cancel(mut self) {
-        self.stream.stop_sending(Code::H3_REQUEST_CANCELLED);
+        // Dropping the stream stops the answer; h3-quinn panics when it is told
+        // to while a read is pending.
         self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
     }
 }
@@ -122,7 +123,8 @@
 
     /// Cancels the request.
     pub fn cancel(mut self) {
-        self.stream.stop_sending(Code::H3_REQUEST_CANCELLED);
+        // Dropping the stream stops the answer; h3-quinn panics when it is told
+        // to while a read is pending.
         self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
     }
 }
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -308,6 +308,20 @@
         caller.send(request(method, path, body)).await
     }
 
+    /// A metric of the agent `n`; zero if it was never set.
+    pub async fn metric(&self, n: u8, name: &str) -> f64 {
+        let get = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let text = exchange(metrics_address(self.plan, n), get).await;
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.and_then(|v| v.trim().parse().ok()).unwrap_or(0.0)
+    }
+
+    /// Datagrams that the agent `n` dropped for a cause.
+    pub async fn dropped(&self, n: u8, cause: &str) -> f64 {
+        let name = format!("limpet_agent_dropped_datagrams_total{{cause=\"{cause}\"}}");
+        self.metric(n, &name).await
+    }
+
     /// Hands datagrams only to these balancers.
     pub async fn use_balancers(&self, balancers: &[u8]) {
         let addresses: BTreeSet<_> = balancers
@@ -327,6 +341,25 @@
         .expect("request")
 }
 
+/// The whole answer to a GET.
+pub async fn answer_of(caller: &mut Caller, path: &str) -> String {
+    let mut answer = caller.send(request("GET", path, "")).await.expect("answer");
+    let body = answer.body().await.expect("whole answer");
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+/// Sends a text over TCP and returns all of the answer.
+pub async fn exchange(address: SocketAddr, text: &str) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connection");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 /// The lines of a feed from `from` up to but without `to`.
 pub fn feed_lines(from: u32, to: u32) -> String {
     use std::fmt::Write;
--- /dev/null
+++ b/crates/limpetd/tests/requests.rs
@@ -0,0 +1,585 @@
+//! Requests through real processes: how often they run, what callers are told,
+//! and what happens when a caller, an upstream, an agent or a balancer goes.
+
+mod harness;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use caller::{Caller, Category, Outcome};
+use futures_util::future::join_all;
+use harness::{PATIENCE, Plan, Site, answer_of, feed_lines, request, wait_for};
+use http::Request;
+use nix::sys::signal::Signal;
+use standin::Upstream;
+use types::{Slots, UpstreamState};
+
+/// Size of a large upload in bytes.
+const UPLOAD: usize = 20 << 20;
+
+fn plan(range: u8, upstreams: u8, carry: u32) -> Plan {
+    Plan {
+        range,
+        control: 1,
+        upstreams,
+        carry,
+        ..Plan::default()
+    }
+}
+
+fn with_field(request: Request<Bytes>, name: &'static str, value: &str) -> Request<Bytes> {
+    let (mut parts, body) = request.into_parts();
+    parts.headers.insert(name, value.parse().expect("value"));
+    Request::from_parts(parts, body)
+}
+
+/// A connection whose agent has no slot left, so that its further requests are
+/// handed off. Needs a site whose upstreams carry one request each.
+async fn busy_connection(site: &Site) -> (Caller, caller::Answer) {
+    let mut caller = site.connect().await;
+    let mut feed = caller
+        .send(request("GET", "/feed", ""))
+        .await
+        .expect("feed");
+    feed.part().await.expect("line");
+    (caller, feed)
+}
+
+/// Waits until no upstream and no agent has a request in progress.
+async fn wait_until_idle(site: &Site) {
+    wait_for("idle upstreams", async || {
+        for upstream in &site.upstreams {
+            if upstream.activity().await.is_some_and(|a| a.running > 0) {
+                return false;
+            }
+        }
+        let status = site.status().await;
+        let mut classes = status.services.iter().flat_map(|s| s.classes.values());
+        classes.all(|class| class.in_flight == Slots(0) && class.queued == Slots(0))
+    })
+    .await;
+}
+
+async fn cancelled(site: &Site) -> u64 {
+    let mut count = 0;
+    for upstream in &site.upstreams {
+        count += upstream.activity().await.map_or(0, |a| a.cancelled);
+    }
+    count
+}
+
+/// Runs claims until they are used up; tells what each caller was told.
+async fn claim_all(site: &Site, lane: u32, claims: u32) -> BTreeMap<String, Outcome> {
+    let mut told = BTreeMap::new();
+    for n in 0..claims {
+        let id = format!("{lane}-{n}");
+        let claim = async {
+            let mut answer = site
+                .call("POST", &format!("/claim/{id}?ms=20"), "seat")
+                .await?;
+            let outcome = answer.outcome();
+            answer.body().await?;
+            Ok::<_, caller::Error>(outcome)
+        };
+        let outcome = match timeout(Duration::from_secs(3), claim).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(e)) if e.category() == Category::NotRun => Outcome::NotRun,
+            Ok(Err(_)) | Err(_) => Outcome::Unknown,
+        };
+        told.insert(id, outcome);
+    }
+    told
+}
+
+/// P4, P5. Guards against a claim that is sent twice, and against `not-run`
+/// for one that ran, while an agent is killed, one is frozen, an upstream goes
+/// and comes back and a balancer is killed.
+#[actix_rt::test]
+async fn a_claim_runs_at_most_once_through_every_loss() {
+    let mut site = Site::serving(plan(40, 3, 2)).await;
+    let (told, ()) = {
+        let mut agents = std::mem::take(&mut site.agents);
+        let mut balancers = std::mem::take(&mut site.balancers);
+        let site = &site;
+        let claims = join_all((0..6).map(|lane| claim_all(site, lane, 25)));
+        let losses = async move {
+            sleep(Duration::from_millis(300)).await;
+            agents[0].kill();
+            sleep(Duration::from_millis(300)).await;
+            site.upstreams[1].stop().await;
+            sleep(Duration::from_millis(300)).await;
+            balancers[0].kill();
+            site.use_balancers(&[1]).await;
+            agents[2].signal(Signal::SIGSTOP);
+            sleep(Duration::from_millis(500)).await;
+            agents[2].signal(Signal::SIGCONT);
+            sleep(PATIENCE).await;
+        };
+        let told = tokio::select! {
+            told = claims => told,
+            () = losses => panic!("claims take too long"),
+        };
+        (told, ())
+    };
+    let told: BTreeMap<String, Outcome> = told.into_iter().flatten().collect();
+
+    let mut runs: BTreeMap<String, u64> = BTreeMap::new();
+    for upstream in &site.upstreams {
+        for (id, count) in upstream.runs().await {
+            *runs
+                .entry(String::from_utf8_lossy(&id).into_owned())
+                .or_default() += count;
+        }
+    }
+    let run = |id: &String| runs.get(id).copied().unwrap_or_default();
+    for (id, outcome) in &told {
+        match outcome {
+            Outcome::Answered => assert_eq!(run(id), 1, "{id} was answered"),
+            Outcome::NotRun => assert_eq!(run(id), 0, "{id} was called not run"),
+            Outcome::Unknown => assert!(run(id) <= 1, "{id} ran {} times", run(id)),
+        }
+    }
+    let answered = told.values().filter(|o| **o == Outcome::Answered).count();
+    assert!(answered >= told.len() / 2, "{answered} of {}", told.len());
+}
+
+/// P3. Guards against a part of an answer that ends like a whole one, at the
+/// own upstream and through a peer, with a known length and without.
+#[actix_rt::test]
+async fn a_truncated_answer_ends_in_a_reset() {
+    let site = Site::serving(plan(41, 2, 1)).await;
+    let (mut busy, feed) = busy_connection(&site).await;
+    for path in ["/truncated", "/truncated?chunked=1"] {
+        let mut handed_off = busy.send(request("GET", path, "")).await.unwrap();
+        assert_eq!(handed_off.outcome(), Outcome::Answered);
+        let e = handed_off.body().await.unwrap_err();
+        assert_eq!(e.category(), Category::Unknown, "{path}: {e}");
+    }
+    feed.cancel();
+    wait_until_idle(&site).await;
+    for path in ["/truncated", "/truncated?chunked=1"] {
+        let mut local = busy.send(request("GET", path, "")).await.unwrap();
+        let e = local.body().await.unwrap_err();
+        assert_eq!(e.category(), Category::Unknown, "{path}: {e}");
+    }
+    wait_until_idle(&site).await;
+}
+
+/// Guards against requests that go on at the upstream, or keep their slot,
+/// after the caller has gone: stopped while waiting and while streaming, an
+/// upload that breaks off, a connection that closes; also through a peer.
+#[actix_rt::test]
+async fn a_cancelled_request_ends_at_the_upstream() {
+    let site = Site::serving(plan(42, 2, 1)).await;
+    let mut expected = 0;
+    for handed_off in [false, true] {
+        let (mut caller, hold) = if handed_off {
+            let (caller, feed) = busy_connection(&site).await;
+            (caller, Some(feed))
+        } else {
+            (site.connect().await, None)
+        };
+        let running = 1 + u64::from(handed_off);
+        let at_work = async |count: u64| {
+            wait_for("request at an upstream", async || {
+                let mut running = 0;
+                for upstream in &site.upstreams {
+                    running += upstream.activity().await.map_or(0, |a| a.running);
+                }
+                running == count
+            })
+            .await;
+        };
+        let slow = request("GET", "/slow?ms=30000", "").map(drop);
+        let mut waiting = caller.start(slow).await.unwrap();
+        waiting.finish().await.unwrap();
+        at_work(running).await;
+        waiting.cancel();
+        at_work(running - 1).await;
+
+        let mut feed = caller.send(request("GET", "/feed", "")).await.unwrap();
+        feed.part().await.unwrap();
+        at_work(running).await;
+        feed.cancel();
+        at_work(running - 1).await;
+
+        let upload = request("POST", "/upload", "").map(drop);
+        let mut upload = caller.start(upload).await.unwrap();
+        upload.send(Bytes::from_static(&[7; 4096])).await.unwrap();
+        at_work(running).await;
+        upload.cancel();
+        at_work(running - 1).await;
+
+        let slow = request("GET", "/slow?ms=30000", "").map(drop);
+        let mut waiting = caller.start(slow).await.unwrap();
+        waiting.finish().await.unwrap();
+        at_work(running).await;
+        caller.connection().close(0u32.into(), b"");
+        at_work(0).await;
+        drop(hold);
+        expected += 3 + u64::from(handed_off);
+    }
+    wait_until_idle(&site).await;
+    assert!(cancelled(&site).await >= expected);
+}
+
+/// Guards against a deadline that is not passed on, not enforced while the
+/// request waits for a slot or for its answer, or taken from a malformed value.
+#[actix_rt::test]
+async fn a_deadline_holds_everywhere() {
+    let site = Site::serving(plan(43, 2, 1)).await;
+    let mut caller = site.connect().await;
+    let field = "limpet-timeout-ms";
+    let head = with_field(request("GET", "/head", ""), field, "5000");
+    let text = caller.send(head).await.unwrap().body().await.unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix("limpet-timeout-ms: "));
+    let remaining: u64 = line.expect("deadline at the upstream").parse().unwrap();
+    assert!((4000..=5000).contains(&remaining), "{remaining}");
+
+    for malformed in ["soon", "-1", "+5", "", "1e3", "99999999999999999999"] {
+        let head = with_field(request("GET", "/head", ""), field, malformed);
+        let mut answer = caller.send(head).await.unwrap();
+        assert_eq!(answer.status, 200, "{malformed:?}");
+        let text = answer.body().await.unwrap();
+        let text = String::from_utf8(text.to_vec()).unwrap();
+        assert!(!text.contains(field), "{malformed:?}: {text}");
+    }
+
+    let began = Instant::now();
+    let slow = with_field(request("GET", "/slow?ms=10000", ""), field, "300");
+    let answer = caller.send(slow).await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), answer.outcome()),
+        (504, Outcome::Unknown)
+    );
+    assert!(began.elapsed() < Duration::from_secs(2));
+    wait_until_idle(&site).await;
+
+    let (mut busy, _one) = busy_connection(&site).await;
+    let _two = busy.send(request("GET", "/feed", "")).await.unwrap();
+    let began = Instant::now();
+    let queued = with_field(request("POST", "/claim/late", "x"), field, "200");
+    let answer = busy.send(queued).await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), answer.outcome()),
+        (503, Outcome::NotRun)
+    );
+    assert!(
+        began.elapsed() < Duration::from_millis(450),
+        "{:?}",
+        began.elapsed()
+    );
+    for upstream in &site.upstreams {
+        assert!(upstream.runs().await.is_empty());
+    }
+}
+
+/// P3. Guards against framing that does not fit the answer, fields that cross
+/// a hop, large bodies that are cut and answers that come before the body, at
+/// the own upstream and through a peer.
+#[actix_rt::test]
+async fn bodies_and_fields_pass_unchanged() {
+    let site = Site::serving(plan(44, 2, 1)).await;
+    let mut idle = site.connect().await;
+    check_bodies(&mut idle).await;
+    wait_until_idle(&site).await;
+    let (mut busy, _feed) = busy_connection(&site).await;
+    check_bodies(&mut busy).await;
+    check_internal_paths(&mut busy).await;
+}
+
+async fn check_bodies(caller: &mut Caller) {
+    for (method, path, status) in [
+        ("HEAD", "/", 200),
+        ("HEAD", "/feed?lines=3", 200),
+        ("GET", "/empty/204", 204),
+        ("GET", "/empty/304", 304),
+        ("GET", "/empty/200", 200),
+        ("DELETE", "/empty/204", 204),
+    ] {
+        let mut answer = caller.send(request(method, path, "")).await.unwrap();
+        assert_eq!(answer.status, status, "{method} {path}");
+        assert_eq!(answer.outcome(), Outcome::Answered, "{method} {path}");
+        assert_eq!(answer.body().await.unwrap(), "", "{method} {path}");
+    }
+
+    let large = request("POST", "/upload", "").map(|_| Bytes::from(vec![7; UPLOAD]));
+    let mut answer = caller.send(large).await.unwrap();
+    assert_eq!(answer.body().await.unwrap(), format!("{UPLOAD}\n"));
+
+    let early = request("POST", "/early", "").map(|_| Bytes::from(vec![7; UPLOAD]));
+    let answer = caller.send(early).await.unwrap();
+    let told = (answer.status.as_u16(), answer.outcome());
+    // An upstream that closes its connection may lose its answer with it.
+    assert!(
+        told == (413, Outcome::Answered) || told == (502, Outcome::Unknown),
+        "{told:?}"
+    );
+
+    let mut outside = request("GET", "/head", "");
+    for name in ["limpet-reservation", "limpet-upstream", "limpet-other"] {
+        outside = with_field(outside, name, "1");
+    }
+    let text = caller.send(outside).await.unwrap().body().await.unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    assert!(text.contains("host: localhost\n"), "{text}");
+    assert!(!text.contains("limpet-"), "{text}");
+
+    let answer = caller.send(request("GET", "/fields", "")).await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), answer.outcome()),
+        (200, Outcome::Answered)
+    );
+    assert_eq!(answer.headers["x-kept"], "1");
+    assert!(
+        !answer.headers.contains_key("x-hop"),
+        "{:?}",
+        answer.headers
+    );
+    let internal = |name: &http::HeaderName| name.as_str().starts_with("limpet-");
+    assert!(!answer.headers.keys().any(internal), "{:?}", answer.headers);
+
+    let answer = caller.send(request("GET", "/shed", "")).await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), answer.outcome()),
+        (503, Outcome::Answered)
+    );
+}
+
+/// Guards against a caller's request that reaches the messages between agents
+/// because it has the same path.
+async fn check_internal_paths(busy: &mut Caller) {
+    for path in ["/v1/reserve", "/v1/release", "/v1/offer"] {
+        let mut answer = busy.send(request("POST", path, "x")).await.unwrap();
+        assert_eq!(answer.status, 200, "{path}");
+        assert!(
+            answer.body().await.unwrap().starts_with(b"served by"),
+            "{path}"
+        );
+    }
+}
+
+/// Guards against more requests at an upstream than it has slots, and against
+/// refusals that do not say that the request was not run.
+#[actix_rt::test]
+async fn an_upstream_never_gets_more_than_its_slots() {
+    let site = Site::serving(plan(45, 2, 2)).await;
+    let mut callers = Vec::new();
+    for _ in 0..4 {
+        callers.push(site.connect().await);
+    }
+    let mut pending = Vec::new();
+    for n in 0..40 {
+        let claim = request("POST", &format!("/claim/{n}?ms=150"), "").map(drop);
+        let mut claim = callers[n % 4].start(claim).await.unwrap();
+        claim.finish().await.unwrap();
+        pending.push(async move {
+            let answer = claim.answer().await.unwrap();
+            (n, answer.status.as_u16(), answer.outcome())
+        });
+    }
+    let told = join_all(pending).await;
+    let mut runs = BTreeSet::new();
+    for upstream in &site.upstreams {
+        let activity = upstream.activity().await.unwrap();
+        assert!(activity.most <= 2, "{activity:?}");
+        runs.extend(upstream.runs().await.into_keys());
+    }
+    for (n, status, outcome) in told {
+        let ran = runs.contains(n.to_string().as_bytes());
+        match status {
+            200 => assert!(ran && outcome == Outcome::Answered, "{n}"),
+            503 => assert!(!ran && outcome == Outcome::NotRun, "{n}"),
+            other => panic!("{n}: status {other}"),
+        }
+    }
+    assert!(runs.len() >= 8, "only {} ran", runs.len());
+    wait_until_idle(&site).await;
+}
+
+/// Guards against requests that are lost to an upstream that refuses
+/// connections, and against one that is not used again when it is back.
+#[actix_rt::test]
+async fn requests_avoid_an_upstream_that_is_down() {
+    let mut site = Site::serving(plan(46, 2, 4)).await;
+    let mut caller = site.connect().await;
+    let served = answer_of(&mut caller, "/").await;
+    let own = usize::from(served.contains("upstream-1"));
+    let address = site.upstreams[own].address;
+    site.upstreams[own].stop().await;
+
+    let state = async |site: &Site| {
+        let status = site.status().await;
+        let upstreams = status.services.into_iter().flat_map(|s| s.upstreams);
+        let host = format!("agent-{own}");
+        let found = upstreams.into_iter().find(|u| u.host.as_str() == host);
+        found.map(|u| u.state)
+    };
+    for _ in 0..20 {
+        assert_ne!(answer_of(&mut caller, "/").await, served);
+    }
+    wait_for("upstream that is down", async || {
+        state(&site).await == Some(UpstreamState::Down)
+    })
+    .await;
+    site.upstreams[own] = Upstream::start(&format!("upstream-{own}"), address).unwrap();
+    wait_for("upstream that is ready", async || {
+        state(&site).await == Some(UpstreamState::Ready)
+    })
+    .await;
+    assert_eq!(answer_of(&mut caller, "/").await, served);
+}
+
+/// Guards against a load report that is not heeded.
+#[actix_rt::test]
+async fn a_load_report_lowers_the_slots() {
+    let site = Site::serving(Plan {
+        load_path: Some("/load"),
+        ..plan(47, 1, 4)
+    })
+    .await;
+    site.upstreams[0].set_slots(1);
+    // Longer than the interval between two readings.
+    sleep(Duration::from_millis(1200)).await;
+    let mut caller = site.connect().await;
+    let mut pending = Vec::new();
+    for _ in 0..6 {
+        let slow = request("GET", "/slow?ms=60", "").map(drop);
+        let mut slow = caller.start(slow).await.unwrap();
+        slow.finish().await.unwrap();
+        pending.push(slow.answer());
+    }
+    join_all(pending).await;
+    assert_eq!(site.upstreams[0].activity().await.unwrap().most, 1);
+}
+
+/// P2. Guards against datagrams and requests for another service, or for an
+/// earlier run of an agent, that are taken.
+#[actix_rt::test]
+async fn nothing_of_another_service_or_incarnation_is_taken() {
+    let mut site = Site::serving(plan(48, 1, 4)).await;
+    let mut caller = site.connect().await;
+    answer_of(&mut caller, "/").await;
+
+    // A first packet for another service's address.
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let endpoints = wire::Endpoints {
+        caller: "127.0.0.1:9".parse().unwrap(),
+        service: "127.0.0.1:9".parse().unwrap(),
+    };
+    let mut datagram = Vec::new();
+    endpoints.encode(&mut datagram);
+    datagram.extend_from_slice(&[0xc0; 1200]);
+    let agent = harness::data_address(site.plan, 0);
+    socket.send_to(&datagram, agent).await.unwrap();
+    wait_for("drop of another service", async || {
+        site.dropped(0, "other_service").await >= 1.0
+    })
+    .await;
+
+    // A request for another incarnation is refused as not run.
+    let claim = "POST /claim/foreign HTTP/1.1\r\nhost: x\r\nlimpet-upstream: 1\r\n\
+        limpet-service: 1\r\nlimpet-reservation: 1\r\ncontent-length: 0\r\n\
+        connection: close\r\n\r\n";
+    let text = harness::exchange(harness::peer_address(site.plan, 0), claim).await;
+    assert!(text.contains("limpet-outcome: not-run"), "{text}");
+    assert!(site.upstreams[0].runs().await.is_empty());
+
+    // The next run at the same address does not take the old run's packets.
+    site.agents[0].kill();
+    let agent = site.start_agent(0);
+    site.agents[0] = agent;
+    wait_for("answer of the next run", async || {
+        let call = timeout(Duration::from_secs(2), site.call("GET", "/", ""));
+        call.await.is_ok_and(|a| a.is_ok_and(|a| a.status == 200))
+    })
+    .await;
+    let old = timeout(Duration::from_secs(2), caller.send(request("GET", "/", "")));
+    assert!(!matches!(old.await, Ok(Ok(_))));
+}
+
+/// Guards against connections over the limit of an upstream, and against a
+/// count that does not sink when they close.
+#[actix_rt::test]
+async fn connections_are_limited() {
+    let site = Site::serving(Plan {
+        connections: 3,
+        ..plan(49, 1, 4)
+    })
+    .await;
+    let mut open = Vec::new();
+    for _ in 0..3 {
+        open.push(site.connect().await);
+    }
+    let e = site.try_connect().await.err().expect("refused connection");
+    assert_eq!(e.category(), Category::NotRun, "{e}");
+    assert_eq!(answer_of(&mut open[0], "/").await, "served by upstream-0\n");
+    open.clear();
+    wait_for("room for a connection", async || {
+        site.try_connect().await.is_ok()
+    })
+    .await;
+}
+
+/// P1. Guards against answers that go on being sent through a balancer that is
+/// frozen, and against a feed that breaks when it goes or comes back.
+#[actix_rt::test]
+async fn a_frozen_balancer_is_no_longer_used() {
+    let site = Site::serving(plan(50, 1, 4)).await;
+    let mut caller = site.connect().await;
+    let mut feed = caller
+        .send(request("GET", "/feed?ms=20&lines=150", ""))
+        .await
+        .unwrap();
+    site.balancers[0].signal(Signal::SIGSTOP);
+    site.use_balancers(&[1]).await;
+    // The stated time after which an agent does not use a silent balancer.
+    sleep(Duration::from_millis(300)).await;
+    let mut slowest = Duration::ZERO;
+    for _ in 0..40 {
+        let began = Instant::now();
+        answer_of(&mut caller, "/").await;
+        slowest = slowest.max(began.elapsed());
+    }
+    // An answer through the frozen balancer is lost and takes a probe timeout.
+    assert!(slowest < Duration::from_millis(150), "{slowest:?}");
+    site.balancers[0].signal(Signal::SIGCONT);
+    assert_eq!(feed.body().await.unwrap(), feed_lines(0, 150));
+}
+
+/// P3. Guards against answers that are given to another request, whatever the
+/// order in which they come, with a fabric that loses packets.
+#[actix_rt::test]
+async fn answers_do_not_mix() {
+    let site = Site::serving(plan(51, 2, 8)).await;
+    let mut caller = site.connect().await;
+    site.fabric.set_loss(0.02).await;
+    let mut pending = Vec::new();
+    for n in 0..60 {
+        let path = format!("/head?n={n}&ms={}", (n * 7) % 50);
+        let head = request("GET", &path, "").map(drop);
+        let mut head = caller.start(head).await.unwrap();
+        head.finish().await.unwrap();
+        pending.push(async move {
+            let mut answer = head.answer().await.unwrap();
+            let outcome = answer.outcome();
+            (path, outcome, answer.body().await.unwrap())
+        });
+    }
+    let mut answered = 0;
+    for (path, outcome, body) in join_all(pending).await {
+        if outcome == Outcome::Answered {
+            let first = format!("GET {path}\n");
+            assert!(body.starts_with(first.as_bytes()), "{path}: {body:?}");
+            answered += 1;
+        }
+    }
+    assert!(answered >= 30, "{answered}");
+}
