--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -89,6 +89,12 @@
     pub upstreams: u8,
     /// Slots of each upstream.
     pub carry: u32,
+    /// Connections of each upstream.
+    pub connections: u32,
+    /// Longest time that a leaving agent stays.
+    pub stay_at_most: &'static str,
+    /// Load endpoint of the upstreams, if the agents read it.
+    pub load_path: Option<&'static str>,
 }
 
 impl Default for Plan {
@@ -99,6 +105,9 @@
             balancers: 2,
             upstreams: 2,
             carry: 4,
+            connections: 2000,
+            stay_at_most: "1h",
+            load_path: None,
         }
     }
 }
@@ -221,6 +230,14 @@
             "--peer-listen={}",
             address(self.plan.range, 51 + n, 7201)
         ));
+        args.push(format!("--stay-at-most={}", self.plan.stay_at_most));
+        if let Some(path) = self.plan.load_path {
+            args.push(format!("--load-path={path}"));
+        }
+        args.push(format!(
+            "--metrics-listen={}",
+            metrics_address(self.plan, n)
+        ));
         Process::start(&args, &self.log(&format!("agent-{n}")))
     }
 
@@ -249,7 +266,7 @@
             class: "default".parse().expect("name"),
             target: Target {
                 carry: Slots(carry),
-                connections: Connections(2000),
+                connections: Connections(self.plan.connections),
                 ..Target::default()
             },
         };
@@ -291,6 +308,20 @@
         caller.send(request(method, path, body)).await
     }
 
+    /// A metric of the agent `n`; zero if it was never set.
+    pub async fn metric(&self, n: u8, name: &str) -> f64 {
+        let get = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let text = exchange(metrics_address(self.plan, n), get).await;
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.and_then(|v| v.trim().parse().ok()).unwrap_or(0.0)
+    }
+
+    /// Datagrams that the agent `n` dropped for a cause.
+    pub async fn dropped(&self, n: u8, cause: &str) -> f64 {
+        let name = format!("limpet_agent_dropped_datagrams_total{{cause=\"{cause}\"}}");
+        self.metric(n, &name).await
+    }
+
     /// Hands datagrams only to these balancers.
     pub async fn use_balancers(&self, balancers: &[u8]) {
         let addresses: BTreeSet<_> = balancers
@@ -310,6 +341,25 @@
         .expect("request")
 }
 
+/// The whole answer to a GET.
+pub async fn answer_of(caller: &mut Caller, path: &str) -> String {
+    let mut answer = caller.send(request("GET", path, "")).await.expect("answer");
+    let body = answer.body().await.expect("whole answer");
+    String::from_utf8_lossy(&body).into_owned()
+}
+
+/// Sends a text over TCP and returns all of the answer.
+pub async fn exchange(address: SocketAddr, text: &str) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connection");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("answer");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 /// The lines of a feed from `from` up to but without `to`.
 pub fn feed_lines(from: u32, to: u32) -> String {
     use std::fmt::Write;
@@ -349,6 +399,21 @@
         .collect()
 }
 
+/// Metrics of the agent `n`.
+pub fn metrics_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7300)
+}
+
+/// Where the agent `n` takes requests of peers.
+pub fn peer_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7201)
+}
+
+/// Where the agent `n` takes datagrams.
+pub fn data_address(plan: Plan, n: u8) -> SocketAddr {
+    address(plan.range, 51 + n, 7200)
+}
+
 fn fabric_address(plan: Plan, n: u8) -> SocketAddr {
     address(plan.range, 11 + n, 7101)
 }
