Check who sends answers and leave before a balancer stops

Ruled out: a goodbye message to the agents. The lease of 3 s and the held sync requests already bring the news; 5 s of lingering cover them (3 s lease, 1 s hold, 1 s for packets on their way). Closing once no datagram came for a while was ruled out too, because an idle balancer may still be chosen.

Change: an answer leaves only if its sender's address is the data address of an agent of that service in the version in force. A probe is answered only if an answer of the same sender would leave, so that no agent chooses a balancer that would drop its answers. On SIGTERM the balancer withdraws its announcement, answers no probes and forwards for 5 s. The fabric may probe its socket in the same way. The classifier applies a version by itself. A PROXY protocol version other than 2 is counted as version. A reply that a frozen process finds after its deadline is discarded.

--- a/crates/balancer/src/connection/mod.rs
+++ b/crates/balancer/src/connection/mod.rs
@@ -1,10 +1,12 @@
 //! Reading one datagram.
 
-use std::fmt;
+use std::{fmt, net::SocketAddr};
 
-use route::{Decision, DropReason, Hop, Table, flow_key};
+use route::{Decision, DropReason, Hop, flow_key};
 use types::{FlowPhase, ServiceId};
-use wire::{CidCodec, Endpoints, LongKind, QuicHeader, ServiceTag};
+use wire::{Endpoints, LongKind, QuicHeader, ServiceTag};
+
+use crate::Classifier;
 
 /// What happens to a datagram of a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,8 +26,17 @@
     Route(DropReason),
     /// Smaller than the first packet of a connection must be.
     Undersized,
+    /// With its prefix it is larger than a UDP datagram can be.
+    Oversized,
+    /// An answer from a host that is no agent of the service.
+    Sender,
+    /// A probe that is not answered: its sender is no agent, or answers cannot
+    /// leave through this balancer.
+    Probe,
     /// The socket would not take it.
     Send,
+    /// The socket returned an error instead of a datagram.
+    Receive,
 }
 
 impl DropCause {
@@ -36,7 +47,11 @@
             DropCause::Input(category) => category.as_str(),
             DropCause::Route(reason) => reason.as_str(),
             DropCause::Undersized => "undersized",
+            DropCause::Oversized => "oversized",
+            DropCause::Sender => "sender",
+            DropCause::Probe => "probe",
             DropCause::Send => "send",
+            DropCause::Receive => "receive",
         }
     }
 }
@@ -50,15 +65,6 @@
 /// Smallest datagram that may open a connection (RFC 9000, section 14.1).
 const MIN_OPENING: usize = 1200;
 
-/// Decides on the datagrams of callers with one version of table and keys.
-#[derive(Debug, Default)]
-pub struct Classifier {
-    /// Where flows go.
-    pub table: Table,
-    /// Keys of connection ids; none before the first version.
-    pub keys: Option<CidCodec>,
-}
-
 impl Classifier {
     /// Decides where the QUIC packet of a caller goes.
     #[must_use]
@@ -73,6 +79,24 @@
         }
     }
 
+    /// Checks that an answer with these endpoints may leave: `from` must be an
+    /// agent of the service, so that no host answers for another service.
+    ///
+    /// # Errors
+    ///
+    /// The service is unknown, or `from` is no agent of it.
+    pub fn check_answer(&self, from: SocketAddr, endpoints: &Endpoints) -> Result<(), DropCause> {
+        let service = self
+            .table
+            .service_by_address(endpoints.service)
+            .ok_or(DropCause::Route(DropReason::UnknownService))?;
+        if self.is_agent_of(from, service) {
+            Ok(())
+        } else {
+            Err(DropCause::Sender)
+        }
+    }
+
     fn established(&self, service: ServiceId, dcid: &[u8]) -> Verdict {
         match self.decode(dcid) {
             Some(id) => self.by_id(service, dcid, &id),
--- a/crates/balancer/src/process/datapath.rs
+++ b/crates/balancer/src/process/datapath.rs
@@ -1,45 +1,65 @@
 //! The task that owns the sockets and forwards datagrams.
 
 use std::{
-    collections::BTreeMap,
     future::poll_fn,
     io,
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     task::{Context, Poll},
     time::{Duration, Instant},
 };
 
-use client::Step;
+use client::{NodeReport, Step};
 use tokio::{
     io::ReadBuf,
     net::UdpSocket,
     sync::{mpsc, watch},
+    time::{MissedTickBehavior, interval},
 };
-use types::ServiceId;
-use wire::{CidCodec, Endpoints, Prefix, Update};
+use wire::{Prefix, Update};
 
-use super::{ingress::Ingress, metrics::Metrics};
+use super::{
+    ingress::{Ingress, Received},
+    metrics::Metrics,
+};
 use crate::{Classifier, DropCause, Verdict};
 
 /// Room for the largest UDP payload and a prefix.
 const BUFFER: usize = (64 << 10) + wire::MAX_PREFIX_LEN;
 
+/// Largest payload of a UDP datagram over IPv4.
+const MAX_DATAGRAM: usize = 65_507;
+
 /// Datagrams handled in each direction before control messages are looked at.
 const BATCH: usize = 64;
 
 /// Shortest time between two log lines about dropped datagrams.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two tries to open the addresses that are missing, and between
+/// two looks at whether a stopping balancer may end.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Channels between the data path and the sync task.
+#[derive(Debug)]
+pub struct Links {
+    /// New versions.
+    pub steps: mpsc::Receiver<Step>,
+    /// What the control group is told of this balancer.
+    pub report: watch::Sender<NodeReport>,
+}
+
 /// The task that owns the sockets and forwards datagrams.
 pub struct Datapath<I> {
     ingress: I,
     /// Socket towards the agents.
     agents: UdpSocket,
-    steps: mpsc::Receiver<Step>,
+    links: Links,
     classifier: Classifier,
-    services: BTreeMap<ServiceId, SocketAddr>,
-    /// Opens only services at this address; all if unset.
-    only: Option<IpAddr>,
+    /// Whether a version is in force.
+    has_version: bool,
+    /// When a stopping balancer ends; `None` while it is to go on.
+    end_at: Option<Instant>,
+    linger: Duration,
     metrics: Metrics,
     /// No log line about a dropped datagram before this instant.
     next_drop_log: Instant,
@@ -50,36 +70,44 @@
 enum Wake {
     Step(Option<Step>),
     Datagrams,
+    Stop,
+    Tick,
 }
 
 impl<I: Ingress> Datapath<I> {
-    /// Creates the task.
+    /// Creates the task. Once it is to stop, it goes on for `linger`.
     pub fn new(
         ingress: I,
         agents: UdpSocket,
-        steps: mpsc::Receiver<Step>,
+        links: Links,
         metrics: Metrics,
-        only: Option<IpAddr>,
+        linger: Duration,
     ) -> Self {
         Datapath {
             ingress,
             agents,
-            steps,
+            links,
             classifier: Classifier::default(),
-            services: BTreeMap::new(),
-            only,
+            has_version: false,
+            end_at: None,
+            linger,
             metrics,
             next_drop_log: Instant::now(),
             buf: vec![0; BUFFER],
         }
     }
 
-    /// Forwards until `stop` changes.
+    /// Forwards until `stop` is set or its sender is gone, and then for the
+    /// time to linger.
     pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let going_on = self.end_at.is_none();
             let wake = tokio::select! {
-                _ = stop.changed() => return,
                 wake = poll_fn(|cx| self.poll_wake(cx)) => wake,
+                _ = stop.wait_for(|stop| *stop), if going_on => Wake::Stop,
+                _ = ticks.tick() => Wake::Tick,
             };
             match wake {
                 Wake::Step(Some(Step::Update(update, done))) => {
@@ -87,13 +115,32 @@
                     let _ = done.send(());
                 }
                 Wake::Step(Some(Step::Loads(_))) | Wake::Datagrams => {}
+                Wake::Stop => self.leave(),
+                Wake::Tick => self.ingress.retry(),
                 Wake::Step(None) => return,
             }
+            if self.end_at.is_some_and(|end| Instant::now() >= end) {
+                return;
+            }
         }
     }
 
+    /// Stops being chosen: the membership no longer lists the balancer once
+    /// its lease ends, and probes of agents and fabric get no answer.
+    fn leave(&mut self) {
+        self.end_at = Some(Instant::now() + self.linger);
+        self.metrics.serving.set(0);
+        self.links.report.send_replace(NodeReport::default());
+        log::info!(event = "balancer_leaving", linger:? = self.linger; "leaving; still forwarding");
+    }
+
+    /// Whether new flows may be sent through this balancer.
+    fn is_serving(&self) -> bool {
+        self.has_version && self.end_at.is_none()
+    }
+
     fn poll_wake(&mut self, cx: &mut Context<'_>) -> Poll<Wake> {
-        if let Poll::Ready(step) = self.steps.poll_recv(cx) {
+        if let Poll::Ready(step) = self.links.steps.poll_recv(cx) {
             return Poll::Ready(Wake::Step(step));
         }
         let callers = self.poll_callers(cx);
@@ -107,39 +154,64 @@
     /// Forwards up to a batch of datagrams of callers; pending when the
     /// sockets are empty.
     fn poll_callers(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut errors = 0;
         for _ in 0..BATCH {
+            let serving = self.is_serving();
             let received = match self.ingress.poll_recv(cx, &mut self.buf) {
                 Poll::Pending => return Poll::Pending,
                 // Errors of earlier sends show up here and concern no datagram.
-                Poll::Ready(Err(_)) => continue,
+                Poll::Ready(Err(_)) => {
+                    errors += 1;
+                    self.count_drop(DropCause::Receive);
+                    continue;
+                }
                 Poll::Ready(Ok(received)) => received,
             };
-            let verdict = match &received {
-                Ok(r) => self.classifier.classify(&r.endpoints, r.packet),
-                Err(e) => Verdict::Drop(DropCause::Input(e.category())),
-            };
-            match (verdict, received) {
-                (Verdict::Forward(hop), Ok(r)) => {
-                    match self.agents.try_send_to(r.datagram, hop.address) {
-                        Ok(_) => self.metrics.forwarded.inc(),
-                        Err(_) => self.count_drop(DropCause::Send),
+            let result = match received {
+                Ok(Received::Packet {
+                    from,
+                    endpoints,
+                    datagram,
+                    packet,
+                }) => match self.classifier.classify(&endpoints, packet) {
+                    Verdict::Forward(_) if datagram.len() > MAX_DATAGRAM => {
+                        Err(DropCause::Oversized)
                     }
-                }
-                (Verdict::Drop(cause), _) => self.count_drop(cause),
-                (Verdict::Forward(_), Err(_)) => {}
+                    Verdict::Forward(hop) => {
+                        self.ingress.note_forwarded(from);
+                        let sent = self.agents.try_send_to(datagram, hop.address);
+                        sent.map(|_| self.metrics.forwarded.inc())
+                            .map_err(|_| DropCause::Send)
+                    }
+                    Verdict::Drop(cause) => Err(cause),
+                },
+                Ok(Received::Probe { from, datagram }) if serving => self
+                    .ingress
+                    .try_echo(from, datagram)
+                    .map_err(|_| DropCause::Send),
+                Ok(Received::Probe { .. }) => Err(DropCause::Probe),
+                Err(e) => Err(DropCause::Input(e.category())),
+            };
+            if let Err(cause) = result {
+                self.count_drop(cause);
             }
         }
-        Poll::Ready(())
+        after_batch(errors)
     }
 
     /// Sends up to a batch of answers to callers; pending when the socket is
     /// empty.
     fn poll_agents(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut errors = 0;
         for _ in 0..BATCH {
             let mut read = ReadBuf::new(&mut self.buf);
             let from = match self.agents.poll_recv_from(cx, &mut read) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(Err(_)) => continue,
+                Poll::Ready(Err(_)) => {
+                    errors += 1;
+                    self.count_drop(DropCause::Receive);
+                    continue;
+                }
                 Poll::Ready(Ok(from)) => from,
             };
             let len = read.filled().len();
@@ -147,7 +219,7 @@
                 self.count_drop(cause);
             }
         }
-        Poll::Ready(())
+        after_batch(errors)
     }
 
     /// Handles the datagram of an agent in the first `len` bytes of the buffer.
@@ -158,11 +230,19 @@
         let send = |_: io::Error| DropCause::Send;
         match prefix {
             Prefix::Local => {
+                // An agent whose answers could not leave here must not choose
+                // this balancer.
+                let useful = self.is_serving()
+                    && self.ingress.can_answer()
+                    && self.classifier.is_agent(from);
+                if !useful {
+                    return Err(DropCause::Probe);
+                }
                 self.agents.try_send_to(datagram, from).map_err(send)?;
                 self.metrics.probes.inc();
             }
             Prefix::Proxy(endpoints) => {
-                self.check_service(&endpoints)?;
+                self.classifier.check_answer(from, &endpoints)?;
                 self.ingress
                     .try_send(&endpoints, datagram, packet)
                     .map_err(send)?;
@@ -173,36 +253,18 @@
         Ok(())
     }
 
-    /// Only answers of known services leave through the balancer.
-    fn check_service(&self, endpoints: &Endpoints) -> Result<(), DropCause> {
-        match self.classifier.table.service_by_address(endpoints.service) {
-            Some(_) => Ok(()),
-            None => Err(DropCause::Route(route::DropReason::UnknownService)),
-        }
-    }
-
+    /// Goes to the version of `update`. No datagram is handled meanwhile, so
+    /// each is decided with one version.
     fn apply(&mut self, update: Update) {
-        if update.snapshot {
-            self.classifier = Classifier::default();
-            self.services.clear();
-        }
-        for id in &update.removed {
-            self.services.remove(id);
-        }
-        let only = self.only;
-        self.services.extend(
-            update
-                .services
-                .iter()
-                .map(|state| (state.service.id, state.service.address))
-                .filter(|(_, address)| only.is_none_or(|ip| ip == address.ip())),
-        );
-        self.classifier.keys = update.keys.as_ref().map(CidCodec::new);
-        self.classifier.table.apply(update.services, update.removed);
-        self.ingress.set_services(&self.services);
-        let revision = i64::try_from(update.version.revision.0).unwrap_or(i64::MAX);
+        let version = update.version;
+        self.classifier.apply(update);
+        self.ingress
+            .set_services(self.classifier.service_addresses().collect());
+        self.has_version = true;
+        self.metrics.serving.set(i64::from(self.is_serving()));
+        let revision = i64::try_from(version.revision.0).unwrap_or(i64::MAX);
         self.metrics.revision.set(revision);
-        log::info!(event = "version_applied", version:% = update.version; "version applied");
+        log::info!(event = "version_applied", version:% = version; "version applied");
     }
 
     /// Counts a dropped datagram and logs it at a bounded rate.
@@ -215,3 +277,14 @@
         }
     }
 }
+
+/// Ready after a whole batch, so that the task comes back at once; pending if
+/// all of it were errors, so that a socket that only fails is tried again at
+/// the next tick and the task does not spin.
+fn after_batch(errors: usize) -> Poll<()> {
+    if errors == BATCH {
+        Poll::Pending
+    } else {
+        Poll::Ready(())
+    }
+}
--- a/crates/balancer/src/process/ingress.rs
+++ b/crates/balancer/src/process/ingress.rs
@@ -1,15 +1,15 @@
 //! Sockets towards the callers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::Bound,
     task::{Context, Poll, ready},
 };
 
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{io::ReadBuf, net::UdpSocket};
-use types::ServiceId;
 use wire::{Endpoints, Prefix};
 
 use crate::{Error, Result};
@@ -17,8 +17,15 @@
 /// Buffer of each socket in bytes, for bursts while the task is busy.
 const SOCKET_BUFFER: usize = 4 << 20;
 
+/// The least address, which no service has.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Opens a UDP socket with large buffers.
-pub(crate) fn bind(address: SocketAddr) -> Result<UdpSocket> {
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub fn bind(address: SocketAddr) -> Result<UdpSocket> {
     open(address).map_err(|e| Error::Bind(address, e))
 }
 
@@ -36,15 +43,27 @@
     UdpSocket::from_std(socket.into())
 }
 
-/// A datagram of a caller, already with its prefix.
+/// What came from the side of the callers.
 #[derive(Debug)]
-pub struct Received<'a> {
-    /// Caller and service.
-    pub endpoints: Endpoints,
-    /// Prefix and packet, as they are sent to an agent.
-    pub datagram: &'a [u8],
-    /// The packet alone.
-    pub packet: &'a [u8],
+pub enum Received<'a> {
+    /// A datagram of a caller, already with its prefix.
+    Packet {
+        /// Who handed it over: the fabric or the caller.
+        from: SocketAddr,
+        /// Caller and service.
+        endpoints: Endpoints,
+        /// Prefix and packet, as they are sent to an agent.
+        datagram: &'a [u8],
+        /// The packet alone.
+        packet: &'a [u8],
+    },
+    /// A probe of the fabric.
+    Probe {
+        /// Who asks.
+        from: SocketAddr,
+        /// The probe, to be sent back.
+        datagram: &'a [u8],
+    },
 }
 
 /// Where datagrams of callers come from and answers go to.
@@ -60,6 +79,9 @@
         buf: &'a mut [u8],
     ) -> Poll<io::Result<wire::Result<Received<'a>>>>;
 
+    /// Notes that a datagram handed over by `from` was forwarded.
+    fn note_forwarded(&mut self, from: SocketAddr);
+
     /// Sends the answer in `datagram`, which has its prefix, to the caller.
     ///
     /// # Errors
@@ -68,15 +90,29 @@
     fn try_send(&mut self, endpoints: &Endpoints, datagram: &[u8], packet: &[u8])
     -> io::Result<()>;
 
-    /// Opens and closes sockets so that they match the services.
-    fn set_services(&mut self, services: &BTreeMap<ServiceId, SocketAddr>);
+    /// Sends a probe of the fabric back.
+    ///
+    /// # Errors
+    ///
+    /// The socket does not take it.
+    fn try_echo(&mut self, from: SocketAddr, datagram: &[u8]) -> io::Result<()>;
+
+    /// Whether answers can leave.
+    fn can_answer(&self) -> bool;
+
+    /// Opens and closes sockets so that they match the addresses of the
+    /// services.
+    fn set_services(&mut self, addresses: BTreeSet<SocketAddr>);
+
+    /// Tries again to open what could not be opened.
+    fn retry(&mut self);
 }
 
 /// One socket towards a fabric that encapsulates.
 #[derive(Debug)]
 pub struct FabricIngress {
     socket: UdpSocket,
-    /// Where the last datagram came from; answers go there.
+    /// Who handed over the last datagram that was forwarded; answers go there.
     fabric: Option<SocketAddr>,
 }
 
@@ -93,6 +129,15 @@
             fabric: None,
         })
     }
+
+    /// Address of the socket.
+    ///
+    /// # Errors
+    ///
+    /// The socket has none.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
 }
 
 impl Ingress for FabricIngress {
@@ -106,31 +151,50 @@
         let len = read.filled().len();
         let datagram = &buf[..len];
         Poll::Ready(Ok(match Prefix::decode(datagram) {
-            Ok((Prefix::Proxy(endpoints), packet)) => {
-                self.fabric = Some(from);
-                Ok(Received {
-                    endpoints,
-                    datagram,
-                    packet,
-                })
-            }
-            Ok(_) => Err(wire::Error::unexpected_prefix()),
+            Ok((Prefix::Proxy(endpoints), packet)) => Ok(Received::Packet {
+                from,
+                endpoints,
+                datagram,
+                packet,
+            }),
+            Ok((Prefix::Local, _)) => Ok(Received::Probe { from, datagram }),
+            Ok((Prefix::PassedOn(_), _)) => Err(wire::Error::unexpected_prefix()),
             Err(e) => Err(e),
         }))
     }
 
+    fn note_forwarded(&mut self, from: SocketAddr) {
+        self.fabric = Some(from);
+    }
+
     fn try_send(&mut self, _: &Endpoints, datagram: &[u8], _: &[u8]) -> io::Result<()> {
         let fabric = self.fabric.ok_or(io::ErrorKind::NotConnected)?;
         self.socket.try_send_to(datagram, fabric).map(drop)
     }
 
-    fn set_services(&mut self, _: &BTreeMap<ServiceId, SocketAddr>) {}
+    fn try_echo(&mut self, from: SocketAddr, datagram: &[u8]) -> io::Result<()> {
+        self.socket.try_send_to(datagram, from).map(drop)
+    }
+
+    fn can_answer(&self) -> bool {
+        self.fabric.is_some()
+    }
+
+    fn set_services(&mut self, _: BTreeSet<SocketAddr>) {}
+
+    fn retry(&mut self) {}
 }
 
 /// One socket for each service address.
 #[derive(Debug, Default)]
 pub struct DirectIngress {
+    /// Opens only services at this address; all if unset.
+    only: Option<IpAddr>,
     sockets: BTreeMap<SocketAddr, UdpSocket>,
+    /// Addresses that could not be opened yet.
+    missing: BTreeSet<SocketAddr>,
+    /// Those of `missing` whose failure was logged.
+    logged: BTreeSet<SocketAddr>,
     /// Address polled last, so that a busy service cannot starve the others.
     last: Option<SocketAddr>,
     /// Prefix of the datagram that is being received.
@@ -138,18 +202,12 @@
 }
 
 impl DirectIngress {
-    fn open_missing(&mut self, address: SocketAddr) {
-        if self.sockets.contains_key(&address) {
-            return;
-        }
-        match bind(address) {
-            Ok(socket) => {
-                log::info!(event = "service_opened", address:% = address; "service address opened");
-                self.sockets.insert(address, socket);
-            }
-            Err(e) => {
-                log::error!(event = "service_not_opened", address:% = address, error:% = e; "service address cannot be opened");
-            }
+    /// Opens services at `only`, or all if it is unset.
+    #[must_use]
+    pub fn new(only: Option<IpAddr>) -> Self {
+        DirectIngress {
+            only,
+            ..DirectIngress::default()
         }
     }
 
@@ -159,12 +217,14 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<(Endpoints, usize)>> {
-        let last = self.last.unwrap_or((IpAddr::from([0, 0, 0, 0]), 0).into());
-        let (before, after): (Vec<_>, Vec<_>) = self
+        let last = self.last.unwrap_or(NO_ADDRESS);
+        let after = (Bound::Excluded(last), Bound::Unbounded);
+        let before = (Bound::Unbounded, Bound::Included(last));
+        let in_turn = self
             .sockets
-            .iter()
-            .partition(|(address, _)| **address <= last);
-        for (&service, socket) in after.into_iter().chain(before) {
+            .range::<SocketAddr, _>(after)
+            .chain(self.sockets.range::<SocketAddr, _>(before));
+        for (&service, socket) in in_turn {
             let mut read = ReadBuf::new(buf);
             if let Poll::Ready(result) = socket.poll_recv_from(cx, &mut read) {
                 self.last = Some(service);
@@ -191,13 +251,16 @@
         let start = packet_start - self.prefix.len();
         let end = packet_start + len;
         buf[start..packet_start].copy_from_slice(&self.prefix);
-        Poll::Ready(Ok(Ok(Received {
+        Poll::Ready(Ok(Ok(Received::Packet {
+            from: endpoints.caller,
             endpoints,
             datagram: &buf[start..end],
             packet: &buf[packet_start..end],
         })))
     }
 
+    fn note_forwarded(&mut self, _: SocketAddr) {}
+
     fn try_send(&mut self, endpoints: &Endpoints, _: &[u8], packet: &[u8]) -> io::Result<()> {
         let socket = self
             .sockets
@@ -206,11 +269,40 @@
         socket.try_send_to(packet, endpoints.caller).map(drop)
     }
 
-    fn set_services(&mut self, services: &BTreeMap<ServiceId, SocketAddr>) {
+    /// Callers send no probes.
+    fn try_echo(&mut self, _: SocketAddr, _: &[u8]) -> io::Result<()> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn can_answer(&self) -> bool {
+        !self.sockets.is_empty()
+    }
+
+    fn set_services(&mut self, mut addresses: BTreeSet<SocketAddr>) {
+        addresses.retain(|address| self.only.is_none_or(|ip| ip == address.ip()));
         self.sockets
-            .retain(|address, _| services.values().any(|wanted| wanted == address));
-        for &address in services.values() {
-            self.open_missing(address);
+            .retain(|address, _| addresses.contains(address));
+        addresses.retain(|address| !self.sockets.contains_key(address));
+        self.logged.retain(|address| addresses.contains(address));
+        self.missing = addresses;
+        self.retry();
+    }
+
+    fn retry(&mut self) {
+        for address in std::mem::take(&mut self.missing) {
+            match bind(address) {
+                Ok(socket) => {
+                    log::info!(event = "service_opened", address:% = address; "service address opened");
+                    self.sockets.insert(address, socket);
+                    self.logged.remove(&address);
+                }
+                Err(e) => {
+                    self.missing.insert(address);
+                    if self.logged.insert(address) {
+                        log::error!(event = "service_not_opened", address:% = address, error:% = e; "service address cannot be opened; trying again");
+                    }
+                }
+            }
         }
     }
 }
--- a/crates/balancer/src/process/metrics.rs
+++ b/crates/balancer/src/process/metrics.rs
@@ -17,6 +17,8 @@
     pub probes: IntCounter,
     /// Revision of the configuration that is in force.
     pub revision: IntGauge,
+    /// 1 while the balancer has a version and is not stopping.
+    pub serving: IntGauge,
     dropped: IntCounterVec,
     /// Counters by cause, looked up once.
     causes: BTreeMap<DropCause, IntCounter>,
@@ -24,17 +26,21 @@
 
 impl Metrics {
     /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// The registry already has a metric of the same name.
     pub fn new(registry: &Registry) -> Result<Self> {
         let counter = |name: &str, help: &str| -> Result<IntCounter> {
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
-        let revision = IntGauge::new(
-            "limpet_balancer_revision",
-            "Revision of the configuration that is in force.",
-        )?;
-        registry.register(Box::new(revision.clone()))?;
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
         let dropped = IntCounterVec::new(
             Opts::new(
                 "limpet_balancer_dropped_datagrams_total",
@@ -56,7 +62,14 @@
                 "limpet_balancer_probes_total",
                 "Health probes of agents that were answered.",
             )?,
-            revision,
+            revision: gauge(
+                "limpet_balancer_revision",
+                "Revision of the configuration that is in force.",
+            )?,
+            serving: gauge(
+                "limpet_balancer_serving",
+                "1 while the balancer has a version and is not stopping.",
+            )?,
             dropped,
             causes: BTreeMap::new(),
         })
--- a/crates/balancer/src/process/mod.rs
+++ b/crates/balancer/src/process/mod.rs
@@ -10,30 +10,29 @@
 use tokio::sync::{mpsc, watch};
 use types::{Balancer, Role};
 
-pub use ingress::{DirectIngress, FabricIngress, Ingress};
+pub use datapath::{Datapath, Links};
+pub use ingress::{DirectIngress, FabricIngress, Ingress, Received, bind};
+pub use metrics::Metrics;
 pub use settings::Settings;
 
 use crate::{Error, Result};
-use datapath::Datapath;
-use ingress::bind;
-use metrics::Metrics;
 
 /// Steps that may wait for the data path.
 const STEPS: usize = 4;
 
-/// Runs a balancer until `stop` changes.
+/// Runs a balancer until `stop` is set, and then for the time to linger.
 ///
 /// # Errors
 ///
 /// A socket cannot be opened.
 pub async fn run(cfg: Settings, registry: &Registry, stop: watch::Receiver<bool>) -> Result<()> {
     let metrics = Metrics::new(registry)?;
-    match cfg.fabric_listen {
-        Some(address) => {
-            let ingress = FabricIngress::open(address)?;
-            serve(cfg, ingress, metrics, stop).await
-        }
-        None => serve(cfg, DirectIngress::default(), metrics, stop).await,
+    if let Some(address) = cfg.fabric_listen {
+        let ingress = FabricIngress::open(address)?;
+        serve(cfg, ingress, metrics, stop).await
+    } else {
+        let ingress = DirectIngress::new(cfg.services_listen);
+        serve(cfg, ingress, metrics, stop).await
     }
 }
 
@@ -50,7 +49,7 @@
     log::info!(event = "balancer_started", return_address:% = return_address; "balancer started");
 
     let balancer = Some(Balancer { return_address });
-    let (_report_tx, report_rx) = watch::channel(NodeReport {
+    let (report_tx, report_rx) = watch::channel(NodeReport {
         balancer,
         upstream: None,
     });
@@ -58,9 +57,14 @@
     let sync = SyncSettings::new(cfg.host, Role::Balancer, cfg.data_centre, cfg.control);
     let sync = actix_rt::spawn(SyncTask::new(sync, Http::default(), report_rx, step_tx).run());
 
-    Datapath::new(ingress, agents, step_rx, metrics, cfg.services_listen)
+    let links = Links {
+        steps: step_rx,
+        report: report_tx,
+    };
+    Datapath::new(ingress, agents, links, metrics, cfg.linger)
         .run(stop)
         .await;
     sync.abort();
+    log::info!(event = "balancer_stopped"; "balancer stopped");
     Ok(())
 }
--- a/crates/balancer/src/process/settings.rs
+++ b/crates/balancer/src/process/settings.rs
@@ -1,9 +1,17 @@
 //! Settings of a balancer.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use types::{DataCentre, HostName};
 
+/// Default of [`Settings::linger`]. A lease of 3 s ends, the news takes at most
+/// the 1 s that a sync request is held, and 1 s is left for the packets on
+/// their way.
+const LINGER: Duration = Duration::from_secs(5);
+
 /// Settings of a balancer.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -21,6 +29,9 @@
     /// Opens only services at this address; all if unset. Used without
     /// `fabric_listen`.
     pub services_listen: Option<IpAddr>,
+    /// Time for which a stopping balancer goes on forwarding, so that agents
+    /// and fabric can turn to others. Longer than the lease of a balancer.
+    pub linger: Duration,
 }
 
 impl Settings {
@@ -34,6 +45,7 @@
             fabric_listen: None,
             return_listen: (Ipv4Addr::LOCALHOST, 0).into(),
             services_listen: None,
+            linger: LINGER,
         }
     }
 }
--- a/crates/client/src/process/mod.rs
+++ b/crates/client/src/process/mod.rs
@@ -44,6 +44,10 @@
         let reply = timeout_at(deadline.into(), exchange)
             .await
             .map_err(|_| ErrorKind::Timeout(host))??;
+        // A process that was frozen finds the reply before its timer.
+        if Instant::now() > deadline {
+            return Err(ErrorKind::Timeout(host).into());
+        }
         Ok(wire::decode(&reply).map_err(|e| ErrorKind::Decode(host, e))?)
     }
 
--- a/crates/limpetd/src/process/local.rs
+++ b/crates/limpetd/src/process/local.rs
@@ -71,7 +71,11 @@
 
 fn balancer_settings(args: &LocalArgs) -> balancer::Settings {
     let (host, data_centre) = place();
-    balancer::Settings::new(host, data_centre, vec![args.control])
+    balancer::Settings {
+        // The agent in the same process has already ended.
+        linger: Duration::ZERO,
+        ..balancer::Settings::new(host, data_centre, vec![args.control])
+    }
 }
 
 fn agent_settings(args: &LocalArgs, upstream: SocketAddr) -> agent::Settings {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -69,7 +69,9 @@
     #[must_use]
     pub fn category(&self) -> Category {
         match *self.0 {
-            ErrorKind::Version(..) => Category::Version,
+            ErrorKind::Version(..) | ErrorKind::Prefix(ppp::v2::ParseError::Version(_)) => {
+                Category::Version
+            }
             ErrorKind::Size(..) => Category::Size,
             ErrorKind::UnknownId => Category::UnknownId,
             _ => Category::Malformed,
