Separate the decisions about datagrams and test them directly

Cause: where a packet belongs and what becomes of a first packet were decided inside socket tasks, where no test reached them.

Change: process/placement.rs decides by address, id and version without a socket; FirstPacket::judge by the handshakes under way.

--- a/crates/agent/src/connection/accept.rs
+++ b/crates/agent/src/connection/accept.rs
@@ -22,6 +22,33 @@
 /// Longest time for a handshake.
 const HANDSHAKE: Duration = Duration::from_secs(10);
 
+/// What becomes of a first packet, before the limit of connections is looked
+/// at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FirstPacket {
+    /// A handshake may begin.
+    Admit,
+    /// The caller must first show that it receives at its address.
+    Retry,
+    /// It is dropped without an answer.
+    Ignore,
+}
+
+impl FirstPacket {
+    /// Decides by the number of handshakes under way. `may_retry` says that the
+    /// caller's address is not validated yet.
+    #[must_use]
+    pub fn judge(handshakes: usize, may_retry: bool) -> Self {
+        if handshakes >= MAX_HANDSHAKES {
+            FirstPacket::Ignore
+        } else if handshakes >= HANDSHAKES_BEFORE_RETRY && may_retry {
+            FirstPacket::Retry
+        } else {
+            FirstPacket::Admit
+        }
+    }
+}
+
 /// The task that accepts connections and owns their tasks.
 pub struct AcceptTask {
     endpoint: Endpoint,
@@ -78,16 +105,19 @@
 
     /// Decides about a first packet.
     async fn admit(&self, incoming: Incoming, handshakes: usize) -> Option<Connecting> {
-        if handshakes >= MAX_HANDSHAKES {
-            self.count_refused("handshakes");
-            incoming.ignore();
-            return None;
-        }
-        if handshakes >= HANDSHAKES_BEFORE_RETRY && incoming.may_retry() {
-            self.count_refused("retry");
-            // Fails only if the address is validated, which was just checked.
-            let _ = incoming.retry();
-            return None;
+        match FirstPacket::judge(handshakes, incoming.may_retry()) {
+            FirstPacket::Ignore => {
+                self.count_refused("handshakes");
+                incoming.ignore();
+                return None;
+            }
+            FirstPacket::Retry => {
+                self.count_refused("retry");
+                // Fails only if the address is validated, which was checked.
+                let _ = incoming.retry();
+                return None;
+            }
+            FirstPacket::Admit => {}
         }
         if !self.open_connection().await {
             self.count_refused("limit");
--- a/crates/agent/src/connection/mod.rs
+++ b/crates/agent/src/connection/mod.rs
@@ -5,7 +5,7 @@
 mod quic;
 mod serve;
 
-pub use accept::AcceptTask;
+pub use accept::{AcceptTask, FirstPacket};
 pub use cid::{CidGenerator, CidSource};
 pub use quic::{BidiStream, Link, Opener, RecvStream, SendStream, StreamEnd, StreamEnds};
 pub use serve::serve;
--- a/crates/agent/src/process/datagram.rs
+++ b/crates/agent/src/process/datagram.rs
@@ -10,12 +10,17 @@
 
 use bytes::Bytes;
 use rand::Rng;
-use route::{Arrival, Decision, Hop, Table, flow_key};
+use route::{Arrival, Hop};
 use tokio::{io::ReadBuf, net::UdpSocket, sync::mpsc, time::sleep_until};
-use types::{FlowKey, FlowPhase, ServiceId, ServiceState, UpstreamId};
-use wire::{CidCodec, Endpoints, LongKind, Prefix, QuicHeader, ServiceTag};
-
-use super::{balancers::Balancers, metrics::Metrics, openers::Openers, port::Packet};
+use types::{ServiceState, UpstreamId};
+use wire::{CidCodec, Endpoints, Prefix};
+
+use super::{
+    balancers::Balancers,
+    metrics::Metrics,
+    placement::{Placement, Placements},
+    port::Packet,
+};
 
 /// Room for the largest UDP payload and a prefix.
 const BUFFER: usize = (64 << 10) + wire::MAX_PREFIX_LEN;
@@ -49,18 +54,12 @@
 
 /// The task that owns the data socket.
 pub struct DatagramTask {
-    own: UpstreamId,
     socket: UdpSocket,
     commands: mpsc::Receiver<DatagramCommand>,
     to_endpoint: mpsc::Sender<Packet>,
     from_endpoint: mpsc::Receiver<Packet>,
-    /// The service and its address; none while it is not configured.
-    service: Option<(ServiceId, SocketAddr)>,
-    table: Table,
-    keys: Option<CidCodec>,
+    placements: Placements,
     balancers: Balancers,
-    openers: Openers,
-    leaving: bool,
     metrics: Metrics,
     buf: Vec<u8>,
     /// Datagram that is being put together.
@@ -84,17 +83,12 @@
         metrics: Metrics,
     ) -> Self {
         DatagramTask {
-            own,
             socket,
             commands,
             to_endpoint,
             from_endpoint,
-            service: None,
-            table: Table::default(),
-            keys: None,
+            placements: Placements::new(Instant::now(), own),
             balancers: Balancers::default(),
-            openers: Openers::new(Instant::now()),
-            leaving: false,
             metrics,
             buf: vec![0; BUFFER],
             out: Vec::with_capacity(BUFFER),
@@ -168,59 +162,16 @@
         };
         let payload = Bytes::copy_from_slice(payload);
         self.balancers.heard(now, from);
-        let Some((service, _)) = self.service.filter(|(_, addr)| *addr == endpoints.service) else {
-            return self.metrics.count_drop("other_service");
-        };
-        match self.placement(now, service, arrival, &payload) {
+        let placement = self
+            .placements
+            .decide(now, endpoints.service, arrival, &payload);
+        match placement {
             Placement::Own => self.deliver(endpoints.caller, payload),
             Placement::Other(hop) => self.pass_on(&endpoints, &payload, hop),
             Placement::None(cause) => self.metrics.count_drop(cause),
         }
     }
 
-    /// Decides whether a packet is for this agent.
-    fn placement(
-        &mut self,
-        now: Instant,
-        service: ServiceId,
-        arrival: Arrival,
-        packet: &[u8],
-    ) -> Placement {
-        let (kind, dcid) = match QuicHeader::decode(packet) {
-            Ok(QuicHeader::Short { dcid }) => (LongKind::Handshake, dcid),
-            Ok(QuicHeader::Long { kind, dcid }) => (kind, dcid),
-            Err(e) => return Placement::None(e.category().as_str()),
-        };
-        match self.keys.as_ref().map(|keys| keys.decode(dcid)) {
-            Some(Ok(id)) if id.upstream != self.own => Placement::None("other_incarnation"),
-            Some(Ok(id)) if id.tag != ServiceTag::from(service) => Placement::None("other_service"),
-            Some(Ok(_)) => Placement::Own,
-            _ if kind == LongKind::Handshake => Placement::None("unknown_id"),
-            _ => self.opening(now, service, flow_key(service, dcid), arrival),
-        }
-    }
-
-    /// Decides about a first packet.
-    fn opening(
-        &mut self,
-        now: Instant,
-        service: ServiceId,
-        flow: FlowKey,
-        arrival: Arrival,
-    ) -> Placement {
-        if self.leaving && !self.openers.contains(flow) {
-            return match self
-                .table
-                .pass_on(service, flow, self.own, FlowPhase::Opens, arrival)
-            {
-                Decision::PassOn(hop) | Decision::Forward(hop) => Placement::Other(hop),
-                Decision::Drop(reason) => Placement::None(reason.as_str()),
-            };
-        }
-        self.openers.insert(now, flow);
-        Placement::Own
-    }
-
     fn deliver(&mut self, caller: SocketAddr, payload: Bytes) {
         let packet = Packet { caller, payload };
         match self.to_endpoint.try_send(packet) {
@@ -241,7 +192,7 @@
 
     /// Sends a packet of the endpoint to its caller, through a balancer.
     fn answer(&mut self, packet: &Packet) {
-        let Some((_, service)) = self.service else {
+        let Some(service) = self.placements.service_address() else {
             return self.metrics.count_drop("unknown_service");
         };
         let random = rand::rng().random_range(0..usize::MAX);
@@ -271,25 +222,11 @@
 
     fn apply(&mut self, command: DatagramCommand) {
         match command {
-            DatagramCommand::Leaving(leaving) => self.leaving = leaving,
+            DatagramCommand::Leaving(leaving) => self.placements.set_leaving(leaving),
             DatagramCommand::View(view) => {
                 self.balancers.set(Instant::now(), &view.balancers);
-                self.keys = view.keys;
-                self.table = Table::default();
-                if let Some(state) = view.service {
-                    self.service = Some((state.service.id, state.service.address));
-                    self.table.apply([state], []);
-                } else {
-                    self.service = None;
-                }
+                self.placements.set(view.service, view.keys);
             }
         }
     }
 }
-
-/// Where a packet belongs.
-enum Placement {
-    Own,
-    Other(Hop),
-    None(&'static str),
-}
--- a/crates/limpetd/tests/requests.rs
+++ b/crates/limpetd/tests/requests.rs
@@ -252,6 +252,9 @@
         assert!(!text.contains(field), "{malformed:?}: {text}");
     }
 
+    let far = with_field(request("GET", "/", ""), field, "18446744073709551615");
+    assert_eq!(caller.send(far).await.unwrap().status, 200);
+
     let began = Instant::now();
     let slow = with_field(request("GET", "/slow?ms=10000", ""), field, "300");
     let answer = caller.send(slow).await.unwrap();
