Keep results under idempotency keys in the agents

Cause: the decisions on keys were not wired; a resent claim still ran twice.

Change: the agent asks a key's home before it runs a non-idempotent request with a dated key, and reports the end. Such a request runs on when its caller goes away, so that the result is there for the resend. A task owns the records; the control leader tells whether its membership is settled, because a home may only act on a confirmed one. The start of an agent is split into smaller parts.

--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -3,7 +3,9 @@
 mod admission;
 mod balancers;
 mod datagram;
+mod endpoint;
 mod identity;
+mod keys;
 mod load;
 mod metrics;
 mod node;
@@ -17,6 +19,7 @@
 pub use admission::{AdmissionCommand, AdmissionHandle, Grant};
 pub use balancers::Balancers;
 pub use identity::Identity;
+pub use keys::{Asked, KeysCommand, KeysHandle};
 pub use metrics::Metrics;
 pub use openers::Openers;
 pub use placement::{Placement, Placements};
--- a/crates/agent/src/process/node.rs
+++ b/crates/agent/src/process/node.rs
@@ -11,7 +11,7 @@
 use wire::{CidCodec, ServiceTag, Update};
 
 use super::{
-    AdmissionCommand, AdmissionHandle, Settings,
+    AdmissionCommand, AdmissionHandle, KeysCommand, KeysHandle, Settings,
     admission::{AdmissionView, Summary},
     datagram::{DatagramCommand, DatagramView},
 };
@@ -32,6 +32,8 @@
     pub report: watch::Sender<NodeReport>,
     /// The admission task.
     pub admission: AdmissionHandle,
+    /// The task that keeps results under idempotency keys.
+    pub keys: KeysHandle,
     /// The datagram task.
     pub datagrams: mpsc::Sender<DatagramCommand>,
     /// State of the service, for requests.
@@ -67,6 +69,10 @@
                         self.admission.send(AdmissionCommand::PeerLoads(loads));
                         continue;
                     }
+                    Some(Step::Confirmed(began)) => {
+                        self.keys.send(KeysCommand::Confirmed(began));
+                        continue;
+                    }
                     None => return,
                 },
                 changed = self.stop.changed(), if !stopping => {
@@ -92,6 +98,7 @@
             self.cids.send_replace(Some(CidSource { codec, tag }));
         }
         self.service.send_replace(service.clone());
+        self.keys.send(KeysCommand::View(service.clone()));
         let datagrams = DatagramView {
             service,
             balancers: view.balancers.clone(),
--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -24,14 +24,20 @@
 use serde::Serialize;
 use tokio::sync::watch;
 use types::{ReservationId, ServiceId, ServiceState, UpstreamId};
-use wire::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
+use wire::{
+    ClaimHeader, OfferRequest, ReserveReply, ReserveRequest,
+    request::{BeginRequest, EndRequest},
+};
 
-use super::{AdmissionCommand, AdmissionHandle};
+use super::{
+    AdmissionCommand, AdmissionHandle, KeysCommand, KeysHandle,
+    keys::{BEGIN_PATH, END_PATH},
+};
 use crate::{
     Error, Result,
     request::{
-        Answer, Call, Connection, Head, RequestIds, Slot, Target, deadline_of, ended, outcome_of,
-        status_of,
+        Answer, Call, Connection, Head, RequestContext, RequestIds, Slot, Target, deadline_of,
+        ended, outcome_of, status_of,
     },
 };
 
@@ -52,40 +58,45 @@
 
 /// What the handlers share; each worker has a copy.
 #[derive(Clone)]
-struct PeerContext {
+pub struct PeerContext {
     admission: AdmissionHandle,
+    keys: KeysHandle,
     ids: RequestIds,
     own: UpstreamId,
     upstream: SocketAddr,
     service: watch::Receiver<Option<ServiceState>>,
 }
 
+impl PeerContext {
+    /// The same tasks that callers' requests use.
+    #[must_use]
+    pub fn new(own: UpstreamId, cx: &RequestContext) -> Self {
+        PeerContext {
+            admission: cx.admission.clone(),
+            keys: cx.keys.clone(),
+            ids: cx.ids.clone(),
+            own,
+            upstream: cx.upstream,
+            service: cx.service.clone(),
+        }
+    }
+}
+
 /// Starts the server on `listener`.
 ///
 /// # Errors
 ///
 /// The listener cannot be used.
-pub fn serve(
-    listener: TcpListener,
-    admission: AdmissionHandle,
-    ids: RequestIds,
-    own: UpstreamId,
-    upstream: SocketAddr,
-    service: watch::Receiver<Option<ServiceState>>,
-) -> Result<Server> {
+pub fn serve(listener: TcpListener, cx: PeerContext) -> Result<Server> {
     let address = listener.local_addr();
-    let cx = PeerContext {
-        admission,
-        ids,
-        own,
-        upstream,
-        service,
-    };
+    let upstream = cx.upstream;
     let factory = move || {
         App::new()
             .app_data(web::Data::new(cx.clone()))
             .service(message_at(RESERVE_PATH).route(web::post().to(reserve)))
             .service(message_at(OFFER_PATH).route(web::post().to(offer)))
+            .service(message_at(BEGIN_PATH).route(web::post().to(begin)))
+            .service(message_at(END_PATH).route(web::post().to(end)))
             .service(message_at(RELEASE_PATH).route(web::post().to(release)))
             .default_service(web::to(run_claimed))
     };
@@ -128,6 +139,21 @@
     message(&())
 }
 
+async fn begin(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
+    let Ok(req) = wire::decode::<BeginRequest>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    message(&cx.keys.begin(req).await)
+}
+
+async fn end(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
+    let Ok(req) = wire::decode::<EndRequest>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    cx.keys.send(KeysCommand::End(req));
+    message(&())
+}
+
 async fn offer(cx: web::Data<PeerContext>, body: Bytes) -> HttpResponse {
     let Ok(offer) = wire::decode::<OfferRequest>(&body) else {
         return HttpResponse::BadRequest().finish();
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -3,18 +3,14 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 use actix_web::dev::ServerHandle;
 use client::{Http, NodeReport, SyncSettings, SyncTask};
 use prometheus::Registry;
-use quinn::{
-    Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig, ServerConfig, TransportConfig,
-    VarInt,
-};
-use rand::{Rng, RngCore};
+use quinn::VarInt;
+use rand::Rng;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     net::UdpSocket,
@@ -26,12 +22,19 @@
 use wire::Subset;
 
 use super::{
-    AdmissionHandle, Identity, Metrics, Settings, admission::AdmissionTask, datagram::DatagramTask,
-    load::LoadTask, node::NodeTask, peer, port::Port,
+    AdmissionHandle, Identity, KeysHandle, Metrics, Settings,
+    admission::AdmissionTask,
+    datagram::DatagramTask,
+    endpoint::{first_cid_source, open_endpoint},
+    keys::KeysTask,
+    load::LoadTask,
+    node::NodeTask,
+    peer::{self, PeerContext},
+    port::Port,
 };
 use crate::{
     Error, Result,
-    connection::{AcceptTask, CidGenerator, CidSource},
+    connection::{AcceptTask, CidSource},
     request::{RequestContext, RequestIds},
 };
 
@@ -41,24 +44,6 @@
 /// Versions and commands that may wait for a task.
 const STEPS: usize = 4;
 
-/// Time after which a silent caller is given up.
-const IDLE_MILLIS: u32 = 60_000;
-
-/// Time between packets that keep a quiet feed open on its way.
-const KEEP_ALIVE: Duration = Duration::from_secs(10);
-
-/// Largest UDP payload towards callers: with the prefix and an IPv6 header it
-/// fits into an Ethernet frame between the hosts.
-const MAX_UDP_PAYLOAD: u16 = 1400;
-
-/// First packets that may wait for the task that accepts connections, and the
-/// bytes that may wait with them; bounds the memory in a flood.
-const MAX_INCOMING: usize = 4096;
-const MAX_INCOMING_BYTES: u64 = 16 << 20;
-
-/// Concurrent requests of one connection.
-const MAX_STREAMS: u32 = 1000;
-
 /// Buffer of the data socket in bytes.
 const SOCKET_BUFFER: usize = 4 << 20;
 
@@ -77,102 +62,141 @@
     registry: &Registry,
     stop: watch::Receiver<bool>,
 ) -> Result<()> {
+    let (started, serving) = start(&cfg, registry, stop.clone())?;
+    let result = serving.run(&cfg, identity, &started.peers, stop).await;
+    actix_rt::time::sleep(FAREWELL).await;
+    // A graceful stop that is under way would hold this one up until requests
+    // of peers have ended, which may be after the end of the stay.
+    let _ = timeout(FAREWELL, started.peers.stop(false)).await;
+    for task in started.tasks {
+        task.abort();
+    }
+    log::info!(event = "agent_stopped"; "agent stopped");
+    result
+}
+
+/// The tasks that live as long as the agent.
+struct Started {
+    tasks: Vec<JoinHandle<()>>,
+    peers: ServerHandle,
+}
+
+/// What serving connections needs.
+struct Serving {
+    own: UpstreamId,
+    cx: RequestContext,
+    /// The endpoint's end of the datagram task.
+    port: Port,
+    cids: watch::Receiver<Option<CidSource>>,
+    leaving: watch::Receiver<bool>,
+}
+
+/// Opens the sockets and starts the tasks.
+fn start(
+    cfg: &Settings,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
+) -> Result<(Started, Serving)> {
     let metrics = Metrics::new(registry)?;
     let own = UpstreamId(rand::rng().random());
-    let data = open_data_socket(&cfg)?;
+    let data = open_data_socket(cfg)?;
     let listener =
         TcpListener::bind(cfg.peer_listen).map_err(|e| Error::Bind(cfg.peer_listen, e))?;
-    let announcement = announcement(&cfg, own, &data, &listener)?;
+    let announcement = announcement(cfg, own, &data, &listener)?;
     log::info!(
         event = "agent_started", upstream:% = own, data:% = announcement.data,
         peer:% = announcement.peer; "agent started"
     );
 
     let (admission, admission_rx) = AdmissionHandle::channel();
-    let ids = RequestIds::default();
+    let (keys, keys_rx) = KeysHandle::channel();
     let (datagram_tx, datagram_rx) = mpsc::channel(STEPS);
     let (in_tx, in_rx) = mpsc::channel(PACKETS);
     let (out_tx, out_rx) = mpsc::channel(PACKETS);
     let (step_tx, step_rx) = mpsc::channel(STEPS);
-    let (service_tx, service_rx) = watch::channel(None);
-    let peers = peer::serve(
-        listener,
-        admission.clone(),
-        ids.clone(),
-        own,
-        cfg.upstream,
-        service_rx.clone(),
-    )?;
-    let peers_handle = peers.handle();
-    let (cid_tx, cid_rx) = watch::channel(None);
-    let (leaving_tx, leaving_rx) = watch::channel(false);
+    let (service_tx, service) = watch::channel(None);
+    let (cid_tx, cids) = watch::channel(None);
+    let (leaving_tx, leaving) = watch::channel(false);
     let (report_tx, report_rx) = watch::channel(NodeReport {
         upstream: Some(announcement.clone()),
         balancer: None,
     });
+    let cx = RequestContext {
+        admission: admission.clone(),
+        ids: RequestIds::default(),
+        upstream: cfg.upstream,
+        service,
+        keys: keys.clone(),
+        metrics: metrics.clone(),
+    };
 
     let http = Http::default();
+    let server = peer::serve(listener, PeerContext::new(own, &cx))?;
+    let peers = server.handle();
     let node = NodeTask {
         cfg: cfg.clone(),
         announcement,
         steps: step_rx,
         report: report_tx,
         admission: admission.clone(),
+        keys: keys.clone(),
         datagrams: datagram_tx,
         service: service_tx,
         cids: cid_tx,
         leaving: leaving_tx,
-        stop: stop.clone(),
+        stop,
         ready_since: None,
     };
+    let settings = dedup::Settings::default();
+    let keys_task = KeysTask::new(settings, own, http.clone(), keys, keys_rx);
     let admission_task =
-        AdmissionTask::new(&cfg, own, http.clone(), admission.clone(), admission_rx);
-    let datagram_task = DatagramTask::new(own, data, datagram_rx, in_tx, out_rx, metrics.clone());
-    let sync_task = SyncTask::new(sync_settings(&cfg), http, report_rx, step_tx);
-    let tasks = [
+        AdmissionTask::new(cfg, own, http.clone(), admission.clone(), admission_rx);
+    let datagram_task = DatagramTask::new(own, data, datagram_rx, in_tx, out_rx, metrics);
+    let sync_task = SyncTask::new(sync_settings(cfg), http, report_rx, step_tx);
+    let mut tasks = vec![
         actix_rt::spawn(sync_task.run()),
         actix_rt::spawn(node.run()),
         actix_rt::spawn(admission_task.run()),
+        actix_rt::spawn(keys_task.run()),
         actix_rt::spawn(datagram_task.run()),
         actix_rt::spawn(async move {
-            let _ = peers.await;
+            let _ = server.await;
         }),
     ];
-
-    let load_task = cfg.load_path.as_ref().map(|path| {
-        let task = LoadTask::new(cfg.upstream, &path.to_string(), admission.clone());
+    tasks.extend(cfg.load_path.as_ref().map(|path| {
+        let task = LoadTask::new(cfg.upstream, &path.to_string(), admission);
         actix_rt::spawn(task.run())
-    });
-
-    let cx = RequestContext {
-        admission,
-        ids,
-        upstream: cfg.upstream,
-        service: service_rx,
-        metrics,
-    };
-    let port = Port::new(in_rx, out_tx);
-    let mut stopping = stop.clone();
-    let result = match first_cid_source(cid_rx, &mut stopping).await {
-        Some(cids) => {
-            let endpoint = open_endpoint(identity, own, cids, port)?;
-            let accept = AcceptTask::new(endpoint.clone(), cx, leaving_rx, stop);
-            let accept = actix_rt::spawn(accept.run());
-            stay(&cfg, stopping, accept, &peers_handle).await;
-            endpoint.close(VarInt::from_u32(0), b"");
-            Ok(())
-        }
-        None => Ok(()),
+    }));
+    let serving = Serving {
+        own,
+        cx,
+        port: Port::new(in_rx, out_tx),
+        cids,
+        leaving,
     };
-    actix_rt::time::sleep(FAREWELL).await;
-    // A graceful stop that is under way would hold this one up until requests
-    // of peers have ended, which may be after the end of the stay.
-    let _ = timeout(FAREWELL, peers_handle.stop(false)).await;
-    for task in tasks.into_iter().chain(load_task) {
-        task.abort();
+    Ok((Started { tasks, peers }, serving))
+}
+
+impl Serving {
+    /// Serves connections once the service is known, until the agent has left.
+    async fn run(
+        self,
+        cfg: &Settings,
+        identity: Identity,
+        peers: &ServerHandle,
+        stop: watch::Receiver<bool>,
+    ) -> Result<()> {
+        let mut stopping = stop.clone();
+        let Some(cids) = first_cid_source(self.cids, &mut stopping).await else {
+            return Ok(());
+        };
+        let endpoint = open_endpoint(identity, self.own, cids, self.port)?;
+        let accept = AcceptTask::new(endpoint.clone(), self.cx, self.leaving, stop);
+        let accept = actix_rt::spawn(accept.run());
+        stay(cfg, stopping, accept, peers).await;
+        endpoint.close(VarInt::from_u32(0), b"");
+        Ok(())
     }
-    log::info!(event = "agent_stopped"; "agent stopped");
-    result
 }
 
 fn sync_settings(cfg: &Settings) -> SyncSettings {
@@ -228,57 +252,6 @@
     })
 }
 
-/// Waits until the service and its keys are known; `None` if the agent is to
-/// stop before.
-async fn first_cid_source(
-    mut rx: watch::Receiver<Option<CidSource>>,
-    stop: &mut watch::Receiver<bool>,
-) -> Option<watch::Receiver<CidSource>> {
-    let first = tokio::select! {
-        source = rx.wait_for(Option::is_some) => source.ok()?.clone()?,
-        _ = stop.wait_for(|stop| *stop) => return None,
-    };
-    let (tx, known) = watch::channel(first);
-    actix_rt::spawn(async move {
-        while rx.changed().await.is_ok() {
-            if let Some(source) = rx.borrow_and_update().clone() {
-                tx.send_replace(source);
-            }
-        }
-    });
-    Some(known)
-}
-
-fn open_endpoint(
-    identity: Identity,
-    own: UpstreamId,
-    cids: watch::Receiver<CidSource>,
-    port: Port,
-) -> Result<Endpoint> {
-    let mut transport = TransportConfig::default();
-    let mut mtu = MtuDiscoveryConfig::default();
-    mtu.upper_bound(MAX_UDP_PAYLOAD);
-    transport
-        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MILLIS))))
-        .keep_alive_interval(Some(KEEP_ALIVE))
-        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
-        .mtu_discovery_config(Some(mtu));
-    let mut server = ServerConfig::with_crypto(Arc::new(identity.into_crypto()?));
-    server
-        .transport_config(Arc::new(transport))
-        .max_incoming(MAX_INCOMING)
-        .incoming_buffer_size_total(MAX_INCOMING_BYTES);
-
-    let mut reset_key = [0; 64];
-    rand::rng().fill_bytes(&mut reset_key);
-    let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &reset_key);
-    let mut endpoint = EndpointConfig::new(Arc::new(reset_key));
-    endpoint.cid_generator(move || Box::new(CidGenerator::new(own, cids.clone())));
-    let runtime = Arc::new(quinn::TokioRuntime);
-    Endpoint::new_with_abstract_socket(endpoint, Some(server), Arc::new(port), runtime)
-        .map_err(Error::Endpoint)
-}
-
 /// Waits for the order to stop and then for the requests in progress, at most
 /// `stay_at_most`.
 async fn stay(
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -19,11 +19,11 @@
 
 use super::{
     Answer, Call, CallerBody, Failed, Head, RequestIds, Slot, Target, body::RecvStream,
-    deadline_of, is_idempotent,
+    deadline_of, is_idempotent, keyed,
 };
 use crate::{
     connection::{self, Link, StreamEnds},
-    process::{AdmissionCommand, AdmissionHandle, Grant, Metrics},
+    process::{AdmissionCommand, AdmissionHandle, Grant, KeysHandle, Metrics},
 };
 
 /// Seconds after which a caller may try again when nothing is free.
@@ -34,7 +34,7 @@
 const BODY_END: Duration = Duration::from_secs(1);
 
 /// Sending half of a caller's stream.
-type SendStream = RequestStream<connection::SendStream<Bytes>, Bytes>;
+pub(super) type SendStream = RequestStream<connection::SendStream<Bytes>, Bytes>;
 
 /// What the requests of an agent share.
 #[derive(Clone)]
@@ -47,17 +47,20 @@
     pub upstream: SocketAddr,
     /// State of the service; none while it is not configured.
     pub service: watch::Receiver<Option<ServiceState>>,
+    /// The task that keeps results under idempotency keys.
+    pub keys: KeysHandle,
     /// Metrics of the agent.
     pub metrics: Metrics,
 }
 
 /// A request as the caller sent it.
-struct Exchange {
-    cx: RequestContext,
+pub(super) struct Exchange {
+    pub(super) cx: RequestContext,
     service: ServiceId,
     class: ClassName,
-    method: Method,
-    uri: Uri,
+    pub(super) method: Method,
+    /// Path and query.
+    pub(super) uri: Uri,
     head: Head,
     deadline: Option<Instant>,
     body: CallerBody,
@@ -65,7 +68,7 @@
 }
 
 /// What the caller gets when there is no answer to pass on.
-enum Refusal {
+pub(super) enum Refusal {
     /// The request was not run.
     NotRun(Option<Reason>),
     /// The request may have run.
@@ -137,6 +140,9 @@
     {
         ahead?;
     }
+    if let Some(key) = keyed::key_of(req) {
+        return keyed::serve(exchange, key, send).await;
+    }
     match exchange.run().await {
         Ok((answer, slot)) => exchange.pass(answer, slot, send).await,
         Err(refusal) => {
@@ -148,7 +154,7 @@
 
 impl Exchange {
     /// Attempts the request until there is an answer or a refusal.
-    async fn run(&self) -> Result<(Answer, Option<Slot>), Refusal> {
+    pub(super) async fn run(&self) -> Result<(Answer, Option<Slot>), Refusal> {
         let mut elsewhere = false;
         loop {
             let id = self.cx.ids.next();
@@ -284,13 +290,13 @@
         send.finish().await
     }
 
-    fn count(&self, result: &str) {
+    pub(super) fn count(&self, result: &str) {
         self.cx.metrics.count_request(self.class.as_str(), result);
     }
 }
 
 impl Refusal {
-    fn label(&self) -> &'static str {
+    pub(super) fn label(&self) -> &'static str {
         match self {
             Refusal::NotRun(_) => "not_run",
             Refusal::Unknown(_) => "unknown",
@@ -357,7 +363,7 @@
     length.is_none() && bodiless
 }
 
-async fn refuse(send: &mut SendStream, refusal: &Refusal) -> Result<(), StreamError> {
+pub(super) async fn refuse(send: &mut SendStream, refusal: &Refusal) -> Result<(), StreamError> {
     let (status, outcome, text) = match refusal {
         Refusal::Gone => {
             send.stop_stream(Code::H3_REQUEST_CANCELLED);
@@ -366,7 +372,10 @@
         Refusal::NotRun(reason) => (
             StatusCode::SERVICE_UNAVAILABLE,
             ClaimHeader::NOT_RUN,
-            reason.map_or_else(|| "no upstream could be reached".into(), |r| r.to_string()),
+            reason.map_or_else(
+                || "no upstream could be reached".to_owned(),
+                |r| r.to_string(),
+            ),
         ),
         Refusal::Unknown(failure) => {
             let failed = Failed {
@@ -381,16 +390,26 @@
             )
         }
     };
+    answer_text(send, status, outcome, &text).await
+}
+
+/// Answers in the name of the system.
+pub(super) async fn answer_text(
+    send: &mut SendStream,
+    status: StatusCode,
+    outcome: &'static str,
+    text: &str,
+) -> Result<(), StreamError> {
     let mut head = Head::default();
     head.set(ClaimHeader::OUTCOME, &outcome);
     head.set(header::CONTENT_TYPE.as_str(), &"text/plain");
-    if outcome == ClaimHeader::NOT_RUN {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         head.set(header::RETRY_AFTER.as_str(), &RETRY_AFTER_SECS);
     }
     let mut response = Response::new(());
     *response.status_mut() = status;
     *response.headers_mut() = head.headers;
     send.send_response(response).await?;
-    send.send_data(Bytes::from(text + "\n")).await?;
+    send.send_data(Bytes::from(format!("{text}\n"))).await?;
     send.finish().await
 }
--- a/crates/client/src/version/sync.rs
+++ b/crates/client/src/version/sync.rs
@@ -77,6 +77,9 @@
     Update(Box<Update>, oneshot::Sender<()>),
     /// New loads of the peers.
     Loads(BTreeMap<UpstreamId, Loads>),
+    /// The version in force was current at this instant, when an exchange
+    /// began that a majority has confirmed.
+    Confirmed(Instant),
 }
 
 /// Keeps a node on the newest version.
@@ -119,8 +122,9 @@
     pub async fn run(mut self) {
         while !self.tx.is_closed() {
             let host = self.host();
+            let began = Instant::now();
             match self.exchange(host).await {
-                Some(Ok(reply)) => self.handle(host, reply).await,
+                Some(Ok(reply)) => self.handle(host, began, reply).await,
                 Some(Err(e)) => {
                     log::debug!(event = "sync_failed", host:% = host, error:% = e; "sync failed");
                     self.move_on().await;
@@ -171,15 +175,23 @@
         }
     }
 
-    async fn handle(&mut self, host: SocketAddr, reply: SyncReply) {
+    async fn handle(&mut self, host: SocketAddr, began: Instant, reply: SyncReply) {
+        // The owner goes away only when the process ends.
         match reply {
-            SyncReply::Current { loads } => {
+            SyncReply::Current { loads, settled } => {
                 self.hint = Some(host);
                 let _ = self.tx.send(Step::Loads(loads)).await;
+                if settled {
+                    let _ = self.tx.send(Step::Confirmed(began)).await;
+                }
             }
             SyncReply::Update(update) => {
                 self.hint = Some(host);
+                let version = Some(update.version);
                 self.apply(update).await;
+                if self.have == version {
+                    let _ = self.tx.send(Step::Confirmed(began)).await;
+                }
             }
             SyncReply::NotLeader {
                 leader: Some(leader),
--- a/crates/control/src/version/mod.rs
+++ b/crates/control/src/version/mod.rs
@@ -63,7 +63,10 @@
             Some(version) if req.have != Some(version) => {
                 SyncReply::Update(Box::new(self.update(req, version, loads)))
             }
-            _ => SyncReply::Current { loads },
+            version => SyncReply::Current {
+                loads,
+                settled: version.is_some(),
+            },
         }
     }
 
--- a/crates/wire/src/request/reserve.rs
+++ b/crates/wire/src/request/reserve.rs
@@ -73,6 +73,9 @@
     pub const OUTCOME: &'static str = "limpet-outcome";
     /// Value of [`Self::OUTCOME`]: no upstream has seen the request.
     pub const NOT_RUN: &'static str = "not-run";
+    /// Value of [`Self::OUTCOME`]: an upstream has run a request with the same
+    /// idempotency key; its answer is not kept.
+    pub const RAN: &'static str = "ran";
     /// Value of [`Self::OUTCOME`]: an upstream may have run the request.
     pub const UNKNOWN: &'static str = "unknown";
 }
--- a/crates/wire/src/version/sync.rs
+++ b/crates/wire/src/version/sync.rs
@@ -63,6 +63,9 @@
     Current {
         /// Present loads of the upstreams in the subset.
         loads: BTreeMap<UpstreamId, Loads>,
+        /// Whether the leader has published a membership. Before that, other
+        /// nodes may have another membership in force.
+        settled: bool,
     },
     /// Something newer, as a majority has confirmed.
     Update(Box<Update>),
