Check that no confirmed read is stale

Cause: the random test asked for reads and did not look at their index. Change: a confirmed read must cover all that was accepted when it was asked for, must have been handed out, and must get one answer.

--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -48,6 +48,8 @@
     /// All that was ever committed, with its group.
     pub committed: BTreeMap<Revision, Entry>,
     pub accepted: BTreeMap<Token, Revision>,
+    /// The last index accepted when each open read was asked for.
+    reads: BTreeMap<Token, Revision>,
     leaders: BTreeMap<Term, MemberId>,
     random: u64,
     token: u64,
@@ -73,6 +75,7 @@
             events: Vec::new(),
             committed: BTreeMap::new(),
             accepted: BTreeMap::new(),
+            reads: BTreeMap::new(),
             leaders: BTreeMap::new(),
             random: seed | 1,
             token: 0,
@@ -199,6 +202,14 @@
                 }
                 self.assert_on_majority(id, index);
             }
+            if let Event::ReadConfirmed { token, index } = event {
+                let asked = self.reads.remove(&token).expect("one answer");
+                assert!(index >= asked, "a stale read at {id}");
+                assert!(
+                    self.nodes[&id].applied >= index,
+                    "{index} is not handed out"
+                );
+            }
             self.events.push((id, event));
         }
         self.queue.extend(out.messages);
@@ -369,6 +380,8 @@
 
     pub fn ask_read(&mut self, id: MemberId) -> Token {
         let token = self.token();
+        let accepted = self.accepted.values().max().copied();
+        self.reads.insert(token, accepted.unwrap_or_default());
         self.input(id, Input::ConfirmRead { token });
         token
     }
