Count the leader among the members that are caught up

Cause: limpetctl status showed a group of one as not caught up.

Change: the report names the leader too.

--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -57,7 +57,12 @@
         term: status.term,
         voters: group.voters,
         learners: group.learners,
-        caught_up: status.caught_up.clone(),
+        caught_up: status
+            .caught_up
+            .iter()
+            .copied()
+            .chain([status.id])
+            .collect(),
     }
 }
 
