client: tell unreachable hosts from lost answers

Cause: an attempt that timed out while connecting counted as lost, because awc does not tell whether the request was sent. A change that no host could receive, as behind a partition, was reported as unknown.

Change: changes connect first; a connect that fails or takes too long counts as not sent. The steps of group changes are split into shorter functions.

Guards taken out on a scratch edit, each failing the named test, then put back: the connect before a change (only_unreachable), and the difference between not sent and lost (only_declined, only_unreachable).

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -25,6 +25,10 @@
 pub(crate) enum ErrorKind {
     #[error("cannot connect to {0}: {1}")]
     Connect(SocketAddr, awc::error::ConnectError),
+    #[error("cannot connect to {0}: {1}")]
+    Unreachable(SocketAddr, std::io::Error),
+    #[error("no connection to {0} in time")]
+    ConnectTimeout(SocketAddr),
     #[error("cannot send a request to {0}: {1}")]
     Request(SocketAddr, awc::error::SendRequestError),
     #[error("{0} did not answer in time")]
@@ -46,9 +50,11 @@
     #[must_use]
     pub fn category(&self) -> Category {
         match *self.0 {
-            ErrorKind::Connect(..) | ErrorKind::Encode(..) | ErrorKind::NoLeader => {
-                Category::NotSent
-            }
+            ErrorKind::Connect(..)
+            | ErrorKind::Unreachable(..)
+            | ErrorKind::ConnectTimeout(_)
+            | ErrorKind::Encode(..)
+            | ErrorKind::NoLeader => Category::NotSent,
             ErrorKind::Request(..) | ErrorKind::Timeout(_) | ErrorKind::Body(..) => Category::Lost,
             ErrorKind::Status(..) | ErrorKind::Decode(..) => Category::Invalid,
         }
--- a/crates/client/src/request/mod.rs
+++ b/crates/client/src/request/mod.rs
@@ -11,6 +11,7 @@
 use actix_rt::time::sleep;
 use round::Round;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout_at};
 use types::ChangeRequest;
 use wire::request::{ChangeReply, GroupRefusal, GroupReply, GroupRequest};
 
@@ -76,7 +77,7 @@
         loop {
             let mut round = Round::new(hint.take(), &self.control);
             while let Some(host) = round.next_before(deadline) {
-                match self.attempt(host, "/v1/change", req, deadline).await {
+                match self.attempt_change(host, "/v1/change", req, deadline).await {
                     Ok(ChangeReply::Final(answer)) => return ChangeReply::Final(answer),
                     Ok(ChangeReply::NotLeader { leader }) => {
                         round.prefer(leader);
@@ -107,7 +108,7 @@
         loop {
             let mut round = Round::new(hint.take(), &self.control);
             while let Some(host) = round.next_before(deadline) {
-                match self.attempt(host, "/v1/group", &req, deadline).await {
+                match self.attempt_change(host, "/v1/group", &req, deadline).await {
                     Ok(GroupReply::Done) => return GroupOutcome::Done,
                     Ok(GroupReply::Refused(refusal)) => return GroupOutcome::Refused(refusal),
                     Ok(GroupReply::NotLeader { leader }) => {
@@ -126,6 +127,8 @@
 
     /// Sends a query until a host answers it or the deadline passes.
     ///
+    /// The message may reach several hosts, so it must not change anything.
+    ///
     /// # Errors
     ///
     /// No host answered by the deadline.
@@ -160,6 +163,26 @@
         }
     }
 
+    /// Sends a change to one host once it accepts connections.
+    ///
+    /// The HTTP client does not tell whether a request that timed out was
+    /// sent. Connecting first keeps a host behind a partition, which has
+    /// certainly not received the change, from making its outcome unknown.
+    async fn attempt_change<Message: Serialize, Reply: DeserializeOwned>(
+        &self,
+        host: SocketAddr,
+        path: &str,
+        message: &Message,
+        deadline: Instant,
+    ) -> Result<Reply> {
+        let connect_by = deadline.min(Instant::now() + ATTEMPT);
+        timeout_at(connect_by.into(), TcpStream::connect(host))
+            .await
+            .map_err(|_| ErrorKind::ConnectTimeout(host))?
+            .map_err(|e| ErrorKind::Unreachable(host, e))?;
+        self.attempt(host, path, message, deadline).await
+    }
+
     async fn attempt<Message: Serialize, Reply: DeserializeOwned>(
         &self,
         host: SocketAddr,
--- a/crates/limpetctl/src/request/control.rs
+++ b/crates/limpetctl/src/request/control.rs
@@ -59,6 +59,44 @@
     }
 }
 
+/// How far one change of the group has come.
+struct Course {
+    /// Whether a request was sent whose answer is lost.
+    sent: bool,
+    /// Why the change was not made so far.
+    stop: Stop,
+}
+
+impl Default for Course {
+    fn default() -> Self {
+        Course {
+            sent: false,
+            stop: Stop::Unavailable,
+        }
+    }
+}
+
+impl Course {
+    /// Notes the outcome of an attempt; `true` if the change is in force.
+    fn note(&mut self, outcome: GroupOutcome) -> Result<bool, Stop> {
+        match outcome {
+            GroupOutcome::Done => return Ok(true),
+            GroupOutcome::Unknown => self.sent = true,
+            GroupOutcome::Unavailable => self.stop = Stop::Unavailable,
+            GroupOutcome::Refused(refusal) if self.sent || passes(refusal) => {
+                self.stop = refusal.into();
+            }
+            GroupOutcome::Refused(refusal) => return Err(refusal.into()),
+        }
+        Ok(false)
+    }
+
+    /// Why the change ends here.
+    fn end(self) -> Stop {
+        if self.sent { Stop::Unknown } else { self.stop }
+    }
+}
+
 /// The steps of one command.
 struct Steps<'a> {
     cx: &'a Context<'a>,
@@ -125,36 +163,26 @@
     /// Group changes have no id: after a lost answer only the group itself
     /// tells what became of the change, never the refusal of a second attempt.
     async fn run(&mut self, req: GroupRequest) -> Result<(), Stop> {
-        let mut sent = false;
-        let mut stop = Stop::Unavailable;
+        let mut course = Course::default();
         loop {
             let Ok(status) = self.cx.status().await else {
-                return Err(if sent { Stop::Unknown } else { stop });
+                return Err(course.end());
             };
             if in_force(&req, &status.group) {
-                if sent {
-                    self.made.push(describe(&req));
-                }
+                self.made.extend(course.sent.then(|| describe(&req)));
                 return Ok(());
             }
             if ready(&req, &status.group) {
-                match self.cx.operator.change_group(req, self.cx.deadline).await {
-                    GroupOutcome::Done => {
-                        self.made.push(describe(&req));
-                        return Ok(());
-                    }
-                    GroupOutcome::Unknown => sent = true,
-                    GroupOutcome::Unavailable => stop = Stop::Unavailable,
-                    GroupOutcome::Refused(refusal) if sent || passes(refusal) => {
-                        stop = refusal.into();
-                    }
-                    GroupOutcome::Refused(refusal) => return Err(refusal.into()),
+                let outcome = self.cx.operator.change_group(req, self.cx.deadline);
+                if course.note(outcome.await)? {
+                    self.made.push(describe(&req));
+                    return Ok(());
                 }
             } else {
-                stop = GroupRefusal::NotCaughtUp.into();
+                course.stop = GroupRefusal::NotCaughtUp.into();
             }
             if Instant::now() + POLL >= self.cx.deadline {
-                return Err(if sent { Stop::Unknown } else { stop });
+                return Err(course.end());
             }
             sleep(POLL).await;
         }
--- a/crates/limpetctl/tests/common/mod.rs
+++ b/crates/limpetctl/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::{
     fmt::Write,
     io::{Read, Write as _},
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
     process::{Command, Output},
     thread,
 };
@@ -18,6 +18,18 @@
     listener.local_addr().unwrap()
 }
 
+/// A host that does not answer attempts to connect, as behind a partition.
+pub fn partitioned() -> (SocketAddr, (socket2::Socket, TcpStream)) {
+    let any = "127.0.0.1:0".parse::<SocketAddr>().unwrap();
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // Fills the queue of connections that nobody accepts.
+    let queued = TcpStream::connect(address).unwrap();
+    (address, (socket, queued))
+}
+
 /// A host that takes whole requests and closes without an answer.
 pub fn closing() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/limpetctl/tests/lost_answers.rs
+++ b/crates/limpetctl/tests/lost_answers.rs
@@ -11,7 +11,7 @@
 use common::{
     closing,
     host::{Fault, Host},
-    limpetctl, refusing,
+    limpetctl, partitioned, refusing,
 };
 
 /// Ways in which a host takes a change and does not say what became of it.
@@ -153,6 +153,15 @@
     assert_eq!(output.status.code(), Some(1), "{output:?}");
 }
 
+/// Guards against a host behind a partition that makes every change that
+/// nobody has received an unknown one.
+#[test]
+fn only_unreachable() {
+    let (address, _queue) = partitioned();
+    let output = create(&[address], "3s");
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+}
+
 /// Guards against a host that names a dead leader over and over, and so keeps
 /// the new leader from being asked.
 #[test]
