Base the target change of a test on the service's revision

Cause: a_frozen_balancer_breaks_nothing_and_catches_up took the revision of the whole configuration as its base.

Change: the test asks for the service's revision. The check is as strict.

--- a/crates/limpetd/tests/balancer.rs
+++ b/crates/limpetd/tests/balancer.rs
@@ -205,7 +205,7 @@
     sleep(Duration::from_millis(500)).await;
     site.balancers[0].signal(Signal::SIGSTOP);
     sleep(Duration::from_secs(1)).await;
-    let before = site.status().await.version.revision;
+    let before = site.service_revision().await;
     let revision = site.set_target(before, CARRY + 1).await;
     sleep(Duration::from_secs(2)).await;
     site.balancers[0].signal(Signal::SIGCONT);
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -282,6 +282,17 @@
         }
     }
 
+    /// Revision of the last change of the service.
+    pub async fn service_revision(&self) -> Revision {
+        let query = Query::Service(SERVICE.parse().expect("name"));
+        let deadline = Instant::now() + PATIENCE;
+        let reply = self.operator.query("/v1/query", &query, deadline);
+        match reply.await.expect("service") {
+            QueryReply::Service(Some(service)) => service.revision,
+            other => panic!("unexpected reply {other:?}"),
+        }
+    }
+
     /// Waits until `count` upstreams get new flows.
     pub async fn wait_until_shared(&self, count: usize) {
         wait_for("upstreams with a share", async || {
