Join cookies, send small parts at once, test a flood and foreign claims

Cause: HTTP/3 splits cookies and an HTTP/1.1 upstream gets them in parts (RFC 9114, section 4.2.1 forbids it); small parts of a feed waited for acknowledgements; no test showed address validation at work or a valid reservation used under another identity.

--- a/crates/agent/src/process/balancers.rs
+++ b/crates/agent/src/process/balancers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    marker::PhantomData,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -21,16 +22,44 @@
     probe_at: Instant,
 }
 
+/// Which of the known balancers may take an answer.
+pub trait Choice: Default {
+    /// Whether a balancer may be used that is silent from `silent_at` on,
+    /// unless it is heard again.
+    fn may_use(now: Instant, silent_at: Instant) -> bool;
+}
+
+/// Only balancers that were heard lately.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Heard;
+
+impl Choice for Heard {
+    fn may_use(now: Instant, silent_at: Instant) -> bool {
+        now < silent_at
+    }
+}
+
+/// All known balancers; the baseline of benchmarks.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Known;
+
+impl Choice for Known {
+    fn may_use(_: Instant, _: Instant) -> bool {
+        true
+    }
+}
+
 /// The balancers that the agent knows, and which of them it hears.
 #[derive(Debug, Default)]
-pub struct Balancers {
+pub struct Balancers<C: Choice = Heard> {
+    choice: PhantomData<C>,
     known: BTreeMap<SocketAddr, Deadlines>,
     /// Counts the answers that were sent while no balancer was heard, to try
     /// all in turn.
     turn: usize,
 }
 
-impl Balancers {
+impl<C: Choice> Balancers<C> {
     /// Replaces the known balancers. A new one is used once it is heard.
     pub fn set(&mut self, now: Instant, addresses: &BTreeSet<SocketAddr>) {
         self.known.retain(|address, _| addresses.contains(address));
@@ -54,7 +83,8 @@
     /// Chooses a balancer for an answer. `random` spreads the choice over the
     /// balancers that are heard; if there is none, all are tried in turn.
     pub fn choose(&mut self, now: Instant, random: usize) -> Option<SocketAddr> {
-        let live = self.known.values().filter(|d| now < d.silent_at).count();
+        let usable = |d: &Deadlines| C::may_use(now, d.silent_at);
+        let live = self.known.values().filter(|d| usable(d)).count();
         if live == 0 {
             self.turn += 1;
             let nth = self.turn % self.known.len().max(1);
@@ -62,7 +92,7 @@
         }
         self.known
             .iter()
-            .filter(|(_, d)| now < d.silent_at)
+            .filter(|(_, d)| usable(d))
             .nth(random % live)
             .map(|(&address, _)| address)
     }
--- a/crates/agent/src/process/datagram.rs
+++ b/crates/agent/src/process/datagram.rs
@@ -16,7 +16,7 @@
 use wire::{CidCodec, Endpoints, Prefix};
 
 use super::{
-    balancers::Balancers,
+    balancers::{Balancers, Choice},
     metrics::Metrics,
     placement::{Placement, Placements},
     port::Packet,
@@ -53,13 +53,13 @@
 }
 
 /// The task that owns the data socket.
-pub struct DatagramTask {
+pub struct DatagramTask<C: Choice> {
     socket: UdpSocket,
     commands: mpsc::Receiver<DatagramCommand>,
     to_endpoint: mpsc::Sender<Packet>,
     from_endpoint: mpsc::Receiver<Packet>,
     placements: Placements,
-    balancers: Balancers,
+    balancers: Balancers<C>,
     metrics: Metrics,
     buf: Vec<u8>,
     /// Datagram that is being put together.
@@ -72,7 +72,7 @@
     Datagrams,
 }
 
-impl DatagramTask {
+impl<C: Choice> DatagramTask<C> {
     /// Creates the task.
     pub fn new(
         own: UpstreamId,
--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -15,10 +15,10 @@
 mod settings;
 
 pub use admission::{AdmissionCommand, AdmissionHandle, Grant};
-pub use balancers::Balancers;
+pub use balancers::{Balancers, Choice, Heard, Known};
 pub use identity::Identity;
 pub use metrics::Metrics;
 pub use openers::Openers;
 pub use placement::{Placement, Placements};
-pub use run::run;
+pub use run::{run, run_with};
 pub use settings::Settings;
--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -92,6 +92,7 @@
     let server = HttpServer::new(factory)
         .workers(1)
         .disable_signals()
+        .tcp_nodelay(true)
         // A peer that closes its connection has cancelled the request.
         .h1_allow_half_closed(false)
         .shutdown_timeout(STOP_TIMEOUT_SECS)
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -26,8 +26,8 @@
 use wire::Subset;
 
 use super::{
-    AdmissionHandle, Identity, Metrics, Settings, admission::AdmissionTask, datagram::DatagramTask,
-    load::LoadTask, node::NodeTask, peer, port::Port,
+    AdmissionHandle, Choice, Heard, Identity, Metrics, Settings, admission::AdmissionTask,
+    datagram::DatagramTask, load::LoadTask, node::NodeTask, peer, port::Port,
 };
 use crate::{
     Error, Result,
@@ -76,6 +76,20 @@
     identity: Identity,
     registry: &Registry,
     stop: watch::Receiver<bool>,
+) -> Result<()> {
+    run_with::<Heard>(cfg, identity, registry, stop).await
+}
+
+/// Runs an agent as [`run`] does, with another choice of balancers.
+///
+/// # Errors
+///
+/// A socket cannot be opened, or the certificate cannot be used.
+pub async fn run_with<C: Choice + 'static>(
+    cfg: Settings,
+    identity: Identity,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
 ) -> Result<()> {
     let metrics = Metrics::new(registry)?;
     let own = UpstreamId(rand::rng().random());
@@ -127,7 +141,8 @@
     };
     let admission_task =
         AdmissionTask::new(&cfg, own, http.clone(), admission.clone(), admission_rx);
-    let datagram_task = DatagramTask::new(own, data, datagram_rx, in_tx, out_rx, metrics.clone());
+    let datagram_task =
+        DatagramTask::<C>::new(own, data, datagram_rx, in_tx, out_rx, metrics.clone());
     let sync_task = SyncTask::new(sync_settings(&cfg), http, report_rx, step_tx);
     let tasks = [
         actix_rt::spawn(sync_task.run()),
--- a/crates/agent/src/request/call.rs
+++ b/crates/agent/src/request/call.rs
@@ -163,6 +163,9 @@
     /// Nothing was sent, or the answer was lost, as the progress says.
     pub async fn send(mut self) -> Result<Answer, Failed> {
         let stream = self.connect().await?;
+        // A small part of a feed must not wait for the last one's
+        // acknowledgement; it is only slower if that fails.
+        let _ = stream.set_nodelay(true);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) =
             handshake.map_err(|_| Failed::not_started(Failure::Connect))?;
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -340,6 +340,7 @@
 /// fields, HTTP/1.1 in `Host`.
 fn head_of(req: &Request<()>) -> Head {
     let mut head = Head::of(req.headers());
+    head.join_cookies();
     if let Some(authority) = req.uri().authority() {
         head.set(header::HOST.as_str(), authority);
     }
--- a/crates/agent/src/request/head.rs
+++ b/crates/agent/src/request/head.rs
@@ -84,6 +84,22 @@
         Head::copy(fields.map(|(name, value)| (name.as_str(), value.as_bytes())))
     }
 
+    /// Joins the parts into which HTTP/3 may split a cookie field; HTTP/1.1 has
+    /// one such field (RFC 9114, section 4.2.1).
+    pub fn join_cookies(&mut self) {
+        let parts: Vec<&[u8]> = self
+            .headers
+            .get_all(header::COOKIE)
+            .into_iter()
+            .map(HeaderValue::as_bytes)
+            .collect();
+        if parts.len() > 1
+            && let Ok(joined) = HeaderValue::from_bytes(&parts.join(&b"; "[..]))
+        {
+            self.headers.insert(header::COOKIE, joined);
+        }
+    }
+
     /// Replaces the caller's deadline by the time that remains.
     pub fn set_remaining(&mut self, now: Instant, deadline: Option<Instant>) {
         match deadline {
--- a/crates/agent/tests/calls.rs
+++ b/crates/agent/tests/calls.rs
@@ -194,6 +194,16 @@
     assert_eq!(head.get_all("accept").iter().count(), 2);
 }
 
+/// Guards against a cookie that reaches an upstream in parts, of which most
+/// servers read only the first.
+#[test]
+fn cookies_are_joined() {
+    let mut head = Head::copy([("cookie", &b"a=1"[..]), ("x", b"1"), ("cookie", b"b=2")]);
+    head.join_cookies();
+    let cookies: Vec<_> = head.headers.get_all("cookie").iter().collect();
+    assert_eq!(cookies, ["a=1; b=2"]);
+}
+
 /// Guards against a deadline from a malformed value.
 #[test]
 fn a_deadline_is_read_strictly() {
--- a/crates/agent/tests/datagrams.rs
+++ b/crates/agent/tests/datagrams.rs
@@ -43,7 +43,7 @@
 fn only_heard_balancers_are_used() {
     let start = Instant::now();
     let all = BTreeSet::from([address(1), address(2), address(3)]);
-    let mut balancers = Balancers::default();
+    let mut balancers: Balancers = Balancers::default();
     assert_eq!(balancers.choose(start, 0), None);
     balancers.set(start, &all);
     assert_eq!(chosen(&mut balancers, start), all, "none is heard yet");
@@ -68,7 +68,7 @@
 #[test]
 fn silent_balancers_are_probed_in_time() {
     let start = Instant::now();
-    let mut balancers = Balancers::default();
+    let mut balancers: Balancers = Balancers::default();
     balancers.set(start, &BTreeSet::from([address(1), address(2)]));
     assert_eq!(balancers.due_probes(start), [address(1), address(2)]);
     assert!(balancers.due_probes(start).is_empty());
--- a/crates/limpetd/tests/requests.rs
+++ b/crates/limpetd/tests/requests.rs
@@ -10,13 +10,19 @@
 
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
-use caller::{Caller, Category, Outcome};
+use caller::{Caller, Category, Endpoint, Outcome, Trust};
+use client::Http;
 use futures_util::future::join_all;
 use harness::{PATIENCE, Plan, Site, answer_of, feed_lines, request, wait_for};
 use http::Request;
 use nix::sys::signal::Signal;
 use standin::Upstream;
-use types::{Slots, UpstreamState};
+use tokio::task::JoinSet;
+use types::{ReservationId, ServiceId, Slots, UpstreamId, UpstreamState};
+use wire::{
+    ReserveReply, ReserveRequest,
+    request::{Query, QueryReply},
+};
 
 /// Size of a large upload in bytes.
 const UPLOAD: usize = 20 << 20;
@@ -487,13 +493,7 @@
     })
     .await;
 
-    // A request for another incarnation is refused as not run.
-    let claim = "POST /claim/foreign HTTP/1.1\r\nhost: x\r\nlimpet-upstream: 1\r\n\
-        limpet-service: 1\r\nlimpet-reservation: 1\r\ncontent-length: 0\r\n\
-        connection: close\r\n\r\n";
-    let text = harness::exchange(harness::peer_address(site.plan, 0), claim).await;
-    assert!(text.contains("limpet-outcome: not-run"), "{text}");
-    assert!(site.upstreams[0].runs().await.is_empty());
+    check_claims(&site).await;
 
     // The next run at the same address does not take the old run's packets.
     site.agents[0].kill();
@@ -508,6 +508,49 @@
     assert!(!matches!(old.await, Ok(Ok(_))));
 }
 
+/// A claim for another service or incarnation must be refused as not run, even
+/// when its reservation is valid.
+async fn check_claims(site: &Site) {
+    let status = site.status().await;
+    let upstream = status.services[0].upstreams[0].id;
+    let deadline = Instant::now() + PATIENCE;
+    let reply = site.operator.query("/v1/query", &Query::Services, deadline);
+    let QueryReply::Services(services) = reply.await.unwrap() else {
+        panic!("no services");
+    };
+    let service = services[0].id;
+    let agent = harness::peer_address(site.plan, 0);
+    let cases = [
+        (UpstreamId(upstream.0 ^ 1), service, false),
+        (upstream, ServiceId(service.0 ^ 1), false),
+        (upstream, service, true),
+    ];
+    for (n, (upstream_field, service_field, runs)) in (1..).zip(cases) {
+        let id = ReservationId(n);
+        let reserve = ReserveRequest {
+            id,
+            service,
+            upstream,
+            from: UpstreamId(9),
+            class: "default".parse().unwrap(),
+            hold: Duration::from_millis(200),
+        };
+        let http = Http::default();
+        let reply = http.post::<_, ReserveReply>(agent, "/v1/reserve", &reserve, deadline);
+        assert_eq!(reply.await.unwrap(), ReserveReply::Granted);
+        let claim = format!(
+            "POST /claim/{n} HTTP/1.1\r\nhost: x\r\nlimpet-upstream: {upstream_field}\r\n\
+            limpet-service: {service_field}\r\nlimpet-reservation: {id}\r\n\
+            content-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        let text = harness::exchange(agent, &claim).await;
+        assert_eq!(!text.contains("limpet-outcome: not-run"), runs, "{text}");
+        let name = n.to_string();
+        let ran = site.upstreams[0].runs().await;
+        assert_eq!(ran.contains_key(name.as_bytes()), runs, "{n}");
+    }
+}
+
 /// Guards against connections over the limit of an upstream, and against a
 /// count that does not sink when they close.
 #[actix_rt::test]
@@ -531,6 +574,45 @@
     .await;
 }
 
+/// Guards against a flood of first packets from addresses that do not answer:
+/// it must not take all connections, and callers that answer get theirs.
+#[actix_rt::test]
+async fn a_flood_of_first_packets_does_not_keep_callers_out() {
+    let site = Site::serving(Plan {
+        connections: 400,
+        ..plan(52, 1, 4)
+    })
+    .await;
+    let sink = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let away = sink.local_addr().unwrap();
+    let endpoint = Endpoint::open(away, Trust::Any).unwrap();
+    let agent = harness::data_address(site.plan, 0);
+    let mut buf = vec![0; 2048];
+    let mut connecting = JoinSet::new();
+    for _ in 0..600 {
+        let endpoint = endpoint.clone();
+        connecting.spawn_local(async move {
+            let _ = Caller::connect(&endpoint, away, "localhost").await;
+        });
+        let (len, _) = sink.recv_from(&mut buf).await.unwrap();
+        let endpoints = wire::Endpoints {
+            caller: "127.0.0.1:9".parse().unwrap(),
+            service: site.fabric.service,
+        };
+        let mut datagram = Vec::new();
+        endpoints.encode(&mut datagram);
+        datagram.extend_from_slice(&buf[..len]);
+        sink.send_to(&datagram, agent).await.unwrap();
+    }
+    wait_for("address validation", async || {
+        let name = "limpet_agent_refused_connections_total{reason=\"retry\"}";
+        site.metric(0, name).await > 0.0
+    })
+    .await;
+    let mut caller = site.connect().await;
+    assert_eq!(answer_of(&mut caller, "/").await, "served by upstream-0\n");
+}
+
 /// P1. Guards against answers that go on being sent through a balancer that is
 /// frozen, and against a feed that breaks when it goes or comes back.
 #[actix_rt::test]
