--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -103,6 +103,7 @@
     let server = HttpServer::new(factory)
         .workers(1)
         .disable_signals()
+        .tcp_nodelay(true)
         // A peer that closes its connection has cancelled the request.
         .h1_allow_half_closed(false)
         .shutdown_timeout(STOP_TIMEOUT_SECS)
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -22,7 +22,7 @@
 use wire::Subset;
 
 use super::{
-    AdmissionHandle, Identity, KeysHandle, Metrics, Settings,
+    AdmissionHandle, Choice, Heard, Identity, KeysHandle, Metrics, Settings,
     admission::AdmissionTask,
     datagram::DatagramTask,
     endpoint::{first_cid_source, open_endpoint},
@@ -62,7 +62,21 @@
     registry: &Registry,
     stop: watch::Receiver<bool>,
 ) -> Result<()> {
-    let (started, serving) = start(&cfg, registry, stop.clone())?;
+    run_with::<Heard>(cfg, identity, registry, stop).await
+}
+
+/// Runs an agent as [`run`] does, with another choice of balancers.
+///
+/// # Errors
+///
+/// A socket cannot be opened, or the certificate cannot be used.
+pub async fn run_with<C: Choice + 'static>(
+    cfg: Settings,
+    identity: Identity,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
+) -> Result<()> {
+    let (started, serving) = start::<C>(&cfg, registry, stop.clone())?;
     let result = serving.run(&cfg, identity, &started.peers, stop).await;
     actix_rt::time::sleep(FAREWELL).await;
     // A graceful stop that is under way would hold this one up until requests
@@ -92,7 +106,7 @@
 }
 
 /// Opens the sockets and starts the tasks.
-fn start(
+fn start<C: Choice + 'static>(
     cfg: &Settings,
     registry: &Registry,
     stop: watch::Receiver<bool>,
@@ -151,7 +165,7 @@
     let keys_task = KeysTask::new(settings, own, http.clone(), keys, keys_rx);
     let admission_task =
         AdmissionTask::new(cfg, own, http.clone(), admission.clone(), admission_rx);
-    let datagram_task = DatagramTask::new(own, data, datagram_rx, in_tx, out_rx, metrics);
+    let datagram_task = DatagramTask::<C>::new(own, data, datagram_rx, in_tx, out_rx, metrics);
     let sync_task = SyncTask::new(sync_settings(cfg), http, report_rx, step_tx);
     let mut tasks = vec![
         actix_rt::spawn(sync_task.run()),
