--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -41,7 +41,7 @@
 }
 
 impl Process {
-    fn start(args: &[String], log: &Path) -> Process {
+    pub fn start(args: &[String], log: &Path) -> Process {
         let log = std::fs::File::create(log).expect("log file");
         let child = Command::new(env!("CARGO_BIN_EXE_limpetd"))
             .args(args)
@@ -166,7 +166,7 @@
         site
     }
 
-    fn log(&mut self, name: &str) -> std::path::PathBuf {
+    pub fn log(&mut self, name: &str) -> std::path::PathBuf {
         self.starts += 1;
         self.dir.path().join(format!("{name}.{}.log", self.starts))
     }
@@ -186,7 +186,7 @@
         Process::start(&args, &self.log(&format!("control-{n}")))
     }
 
-    fn node_args(&self, host: &str, n: u8) -> [String; 3] {
+    pub fn node_args(&self, host: &str, n: u8) -> [String; 3] {
         let control: Vec<String> = control_addresses(self.plan)
             .iter()
             .map(ToString::to_string)
@@ -335,7 +335,7 @@
     }
 }
 
-fn address(range: u8, host: u8, port: u16) -> SocketAddr {
+pub fn address(range: u8, host: u8, port: u16) -> SocketAddr {
     (Ipv4Addr::new(127, 77, range, host), port).into()
 }
 
