limpetd: test the control group as real processes

Cause: nothing showed that a group of processes keeps what it accepted through races, crashes, freezes and lost folders.

A fault found by the stream of changes and fixed here: awc reports a connection that ends before the answer as a connect error, so the client called a change not sent that the killed leader may have accepted, and limpetctl would have said that nothing was done. It counts as lost now.

--- a/crates/client/src/process/mod.rs
+++ b/crates/client/src/process/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout_at;
 
@@ -65,6 +65,9 @@
 
 fn send_error(host: SocketAddr, error: SendRequestError) -> ErrorKind {
     match error {
+        // awc reports a connection that ended before the answer as a connect
+        // error, but the host may have taken the request.
+        SendRequestError::Connect(ConnectError::Disconnected) => ErrorKind::Request(host, error),
         SendRequestError::Connect(e) => ErrorKind::Connect(host, e),
         e => ErrorKind::Request(host, e),
     }
--- /dev/null
+++ b/crates/limpetd/tests/control.rs
@@ -0,0 +1,580 @@
+//! The control group as real processes: races, crashes, freezes and lost
+//! folders.
+
+mod harness;
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_rt::time::sleep;
+use client::{Http, NodeReport, Operator, Step, SyncSettings, SyncTask};
+use harness::{PATIENCE, Plan, SERVICE, Site, accepted, control_address, wait_for};
+use nix::sys::signal::Signal;
+use tokio::sync::{mpsc, watch};
+use types::{
+    Answer, Change, ChangeId, ChangeRequest, HostName, Revision, Role, ServiceId, ServiceState,
+    Version,
+};
+use wire::{
+    Subset, SyncReply, SyncRequest,
+    request::{
+        ChangeReply, GroupRefusal, GroupReply, GroupRequest, Hello, HelloReply, Query, QueryReply,
+    },
+};
+
+/// Time for which nothing may be accepted by a minority. Several elections.
+const MINORITY: Duration = Duration::from_secs(3);
+
+/// A site with control hosts only.
+fn control_only(range: u8, control: u8) -> Plan {
+    Plan {
+        range,
+        control,
+        balancers: 0,
+        upstreams: 0,
+        ..Plan::default()
+    }
+}
+
+fn drain(host: &str, drain: bool) -> Change {
+    Change::SetDrain {
+        host: host.parse().unwrap(),
+        drain,
+    }
+}
+
+fn request(author: &str, base: Revision, change: Change) -> ChangeRequest {
+    ChangeRequest {
+        id: ChangeId::generate(),
+        author: author.parse().unwrap(),
+        base,
+        change,
+    }
+}
+
+fn soon(millis: u64) -> Instant {
+    Instant::now() + Duration::from_millis(millis)
+}
+
+async fn query(site: &Site, query: Query) -> QueryReply {
+    let deadline = Instant::now() + PATIENCE;
+    let reply = site.operator.query("/v1/query", &query, deadline);
+    reply.await.unwrap()
+}
+
+async fn drain_revision(site: &Site, host: HostName) -> Option<Revision> {
+    match query(site, Query::Drain(host)).await {
+        QueryReply::Drain(mark) => mark.map(|mark| mark.revision),
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+/// Number of the host that leads.
+async fn leader(site: &Site) -> u8 {
+    let group = site.status().await.group;
+    let address = group.voters[&group.leader];
+    let mut numbers = 0..site.plan.control;
+    numbers
+        .find(|n| control_address(site.plan, *n) == address)
+        .unwrap()
+}
+
+/// Waits until a change is accepted.
+async fn change_until_accepted(site: &Site, change: Change) -> Revision {
+    accepted(&site.change(Revision(0), change).await)
+}
+
+/// Versions and the services after each.
+type Applied = Vec<(Version, BTreeMap<ServiceId, ServiceState>)>;
+
+/// A node of the test that records what it applies.
+struct Subscriber {
+    applied: Rc<RefCell<Applied>>,
+}
+
+impl Subscriber {
+    fn start(plan: Plan, host: &str) -> Self {
+        let control = (0..plan.control).map(|n| control_address(plan, n));
+        let cfg = SyncSettings::new(
+            host.parse().unwrap(),
+            Role::Balancer,
+            "dc0".parse().unwrap(),
+            control.collect(),
+        );
+        let (report, reports) = watch::channel(NodeReport::default());
+        let (tx, mut rx) = mpsc::channel(4);
+        actix_rt::spawn(SyncTask::new(cfg, Http::default(), reports, tx).run());
+        let applied = Rc::new(RefCell::new(Vec::new()));
+        let record = applied.clone();
+        actix_rt::spawn(async move {
+            // The sender lives as long as the node.
+            let _report = report;
+            let mut services = BTreeMap::new();
+            while let Some(step) = rx.recv().await {
+                let Step::Update(update, done) = step else {
+                    continue;
+                };
+                if update.snapshot {
+                    services.clear();
+                }
+                services.retain(|id, _| !update.removed.contains(id));
+                services.extend(update.services.into_iter().map(|s| (s.service.id, s)));
+                record.borrow_mut().push((update.version, services.clone()));
+                let _ = done.send(());
+            }
+        });
+        Subscriber { applied }
+    }
+
+    fn version(&self) -> Option<Version> {
+        self.applied.borrow().last().map(|(version, _)| *version)
+    }
+
+    async fn wait_for_revision(&self, revision: Revision) {
+        wait_for("revision at the node", async || {
+            self.version().is_some_and(|v| v.revision >= revision)
+        })
+        .await;
+    }
+
+    fn assert_never_went_back(&self) {
+        let applied = self.applied.borrow();
+        for pair in applied.windows(2) {
+            assert!(!pair[1].0.is_behind(&pair[0].0), "{pair:?}");
+        }
+    }
+}
+
+/// Guards against two racing changes that both win or both lose, and against
+/// a conflict that does not tell who won.
+#[actix_rt::test]
+async fn exactly_one_of_two_racing_changes_wins() {
+    let site = Site::start(control_only(20, 3)).await;
+    let mut hosts: Vec<SocketAddr> = (0..3).map(|n| control_address(site.plan, n)).collect();
+    let mira = Operator::new(Http::default(), hosts.clone());
+    hosts.reverse();
+    let ivo = Operator::new(Http::default(), hosts);
+    let mut base = change_until_accepted(&site, drain("app-1", true)).await;
+    for round in 0..20 {
+        let change = drain("app-1", round % 2 == 0);
+        let first = request("mira", base, change.clone());
+        let second = request("ivo", base, change);
+        let deadline = Instant::now() + PATIENCE;
+        let (first, second) =
+            tokio::join!(mira.change(&first, deadline), ivo.change(&second, deadline));
+        let (winner, revision, loser) = match (first, second) {
+            (ChangeReply::Final(Answer::Accepted(r)), loser) => ("mira", r, loser),
+            (loser, ChangeReply::Final(Answer::Accepted(r))) => ("ivo", r, loser),
+            other => panic!("nobody won round {round}: {other:?}"),
+        };
+        let ChangeReply::Final(Answer::Conflict(conflict)) = loser else {
+            panic!("no conflict in round {round}: {loser:?}");
+        };
+        assert_eq!(conflict.winner, revision);
+        assert_eq!(conflict.author.to_string(), winner);
+        base = revision;
+    }
+}
+
+/// Sends each change once and to one host, until it does not answer.
+async fn stream(http: Http, host: SocketAddr, name: u32) -> Vec<(ChangeRequest, ChangeReply)> {
+    let mut sent = Vec::new();
+    for n in 0.. {
+        let req = request("mira", Revision(0), drain(&format!("app-{name}-{n}"), true));
+        let reply: client::Result<ChangeReply> =
+            http.post(host, "/v1/change", &req, soon(3000)).await;
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(e) if e.category() == client::Category::NotSent => return sent,
+            Err(_) => ChangeReply::Unknown,
+        };
+        let ended = !matches!(reply, ChangeReply::Final(_));
+        sent.push((req, reply));
+        if ended {
+            return sent;
+        }
+    }
+    sent
+}
+
+/// Guards against accepted changes that die with the leader, and against a
+/// change of unknown outcome that is run twice or answered in two ways.
+#[actix_rt::test]
+async fn accepted_changes_survive_the_death_of_the_leader() {
+    let mut site = Site::start(control_only(21, 3)).await;
+    change_until_accepted(&site, drain("app-1", true)).await;
+    let first = leader(&site).await;
+    let host = control_address(site.plan, first);
+    let streams: Vec<_> = (0..8)
+        .map(|name| actix_rt::spawn(stream(Http::default(), host, name)))
+        .collect();
+    sleep(Duration::from_millis(200)).await;
+    site.control[usize::from(first)].kill();
+    let mut sent = Vec::new();
+    for stream in streams {
+        sent.extend(stream.await.unwrap());
+    }
+    let known = |reply: &ChangeReply| matches!(reply, ChangeReply::Final(_));
+    let unknown = sent.iter().filter(|(_, reply)| !known(reply)).count();
+    let answered = sent.len() - unknown;
+    assert!(answered > 20 && unknown > 0, "{answered} and {unknown}");
+
+    let QueryReply::Audit(records) = query(&site, Query::Audit { limit: 10_000 }).await else {
+        panic!("no audit trail");
+    };
+    let recorded: BTreeMap<_, _> = records.into_iter().map(|r| (r.id, r.answer)).collect();
+    for (req, reply) in &sent {
+        if let ChangeReply::Final(answer) = reply {
+            assert_eq!(recorded.get(&req.id), Some(answer));
+            continue;
+        }
+        let deadline = Instant::now() + PATIENCE;
+        let again = site.operator.change(req, deadline).await;
+        let revision = accepted(&again);
+        assert_eq!(site.operator.change(req, deadline).await, again);
+        let Change::SetDrain { host, .. } = &req.change else {
+            unreachable!("only drain marks were sent");
+        };
+        assert_eq!(drain_revision(&site, host.clone()).await, Some(revision));
+    }
+}
+
+/// Guards against configuration, answers or audit records that only live in
+/// memory.
+#[actix_rt::test]
+async fn configuration_and_answers_outlive_all_processes() {
+    let mut site = Site::start(control_only(22, 3)).await;
+    site.create_service().await;
+    // The leader adds the first key by itself, which is a record as well.
+    wait_for("first key", async || {
+        matches!(query(&site, Query::Keys).await, QueryReply::Keys(Some(_)))
+    })
+    .await;
+    let mut sent = Vec::new();
+    for n in 0..30 {
+        // Every third one conflicts.
+        let host = format!("app-{}", n - n % 3 / 2);
+        let req = request("mira", Revision(0), drain(&host, true));
+        let reply = site.operator.change(&req, Instant::now() + PATIENCE).await;
+        sent.push((req, reply));
+    }
+    let conflict = |reply: &ChangeReply| matches!(reply, ChangeReply::Final(Answer::Conflict(_)));
+    assert_eq!(sent.iter().filter(|(_, r)| conflict(r)).count(), 10);
+    let services = query(&site, Query::Services).await;
+    let audit = query(&site, Query::Audit { limit: 100 }).await;
+
+    for process in &mut site.control {
+        process.kill();
+    }
+    for n in 0..3 {
+        site.control[usize::from(n)] = site.start_control(n);
+    }
+    assert_eq!(query(&site, Query::Services).await, services);
+    assert_eq!(query(&site, Query::Audit { limit: 100 }).await, audit);
+    for (req, reply) in sent {
+        let again = site.operator.change(&req, Instant::now() + PATIENCE).await;
+        assert_eq!(again, reply);
+    }
+}
+
+fn sync_request(host: &str, have: Option<Version>) -> SyncRequest {
+    SyncRequest {
+        host: host.parse().unwrap(),
+        role: Role::Balancer,
+        data_centre: "dc0".parse().unwrap(),
+        have,
+        subset: Subset::All,
+        hold: Duration::from_millis(200),
+        upstream: None,
+        balancer: None,
+    }
+}
+
+/// Guards against a leader that wakes after its group went on and passes off
+/// what it holds as fresh, or accepts a change.
+#[actix_rt::test]
+async fn a_leader_that_wakes_answers_nobody() {
+    let site = Site::start(control_only(23, 3)).await;
+    let before = change_until_accepted(&site, drain("app-1", true)).await;
+    let node = Subscriber::start(site.plan, "lb-1");
+    node.wait_for_revision(before).await;
+    let frozen = leader(&site).await;
+    let host = control_address(site.plan, frozen);
+    let http = Http::default();
+    let others = (0..3).map(|n| control_address(site.plan, n));
+    let others = others.filter(|other| *other != host).collect();
+    let others = Operator::new(http.clone(), others);
+    let frozen = &site.control[usize::from(frozen)];
+    frozen.signal(Signal::SIGSTOP);
+
+    // These wait in the socket until the leader wakes.
+    let (req, have) = (request("ivo", Revision(0), drain("app-2", true)), None);
+    let sync = sync_request("lb-2", have);
+    let early = async {
+        let deadline = soon(15_000);
+        tokio::join!(
+            http.post::<_, SyncReply>(host, "/v1/sync", &sync, deadline),
+            http.post::<_, QueryReply>(host, "/v1/query", &Query::Services, deadline),
+            http.post::<_, ChangeReply>(host, "/v1/change", &req, deadline),
+        )
+    };
+    let go_on = async {
+        let mut last = before;
+        for n in 0..5 {
+            let host = format!("app-9-{n}");
+            let req = request("mira", Revision(0), drain(&host, true));
+            last = accepted(&others.change(&req, Instant::now() + PATIENCE).await);
+        }
+        node.wait_for_revision(last).await;
+        frozen.signal(Signal::SIGCONT);
+        last
+    };
+    let ((synced, queried, changed), last) = tokio::join!(early, go_on);
+    // The HTTP server may find that the request came in too slowly: no answer.
+    assert!(
+        matches!(synced, Ok(SyncReply::NotLeader { .. }) | Err(_)),
+        "{synced:?}"
+    );
+    assert!(
+        matches!(queried, Ok(QueryReply::NotLeader { .. }) | Err(_)),
+        "{queried:?}"
+    );
+    assert!(
+        matches!(
+            changed,
+            Ok(ChangeReply::NotLeader { .. } | ChangeReply::Unknown) | Err(_)
+        ),
+        "{changed:?}"
+    );
+
+    // Afterwards it names the leader, or leads again with everything.
+    for _ in 0..20 {
+        let sync = sync_request("lb-2", None);
+        let reply: SyncReply = http
+            .post(host, "/v1/sync", &sync, soon(5000))
+            .await
+            .unwrap();
+        if let SyncReply::Update(update) = &reply {
+            assert!(update.version.revision >= last, "{reply:?}");
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    node.assert_never_went_back();
+    assert!(drain_revision(&site, "app-9-4".parse().unwrap()).await == Some(last));
+}
+
+/// Half of an even group accepts nothing while the data plane goes on.
+async fn even_group(range: u8, control: u8) {
+    let mut site = Site::serving(Plan {
+        range,
+        control,
+        balancers: 1,
+        upstreams: 1,
+        ..Plan::default()
+    })
+    .await;
+    for n in 0..control / 2 {
+        site.control[usize::from(n)].kill();
+    }
+    let req = request("mira", Revision(0), drain("app-1", true));
+    let reply = site.operator.change(&req, Instant::now() + MINORITY).await;
+    assert!(
+        matches!(reply, ChangeReply::Unavailable | ChangeReply::Unknown),
+        "{reply:?}"
+    );
+    let answer = site.call("GET", "/", "").await.unwrap();
+    assert_eq!(answer.status, 200);
+    let declined = site
+        .operator
+        .query::<_, QueryReply>("/v1/query", &Query::Services, soon(500))
+        .await;
+    assert!(declined.is_err(), "{declined:?}");
+
+    for n in 0..control / 2 {
+        site.control[usize::from(n)] = site.start_control(n);
+    }
+    let reply = site.operator.change(&req, Instant::now() + PATIENCE).await;
+    let revision = accepted(&reply);
+    let host = "app-1".parse().unwrap();
+    assert_eq!(drain_revision(&site, host).await, Some(revision));
+}
+
+/// Guards against a half that counts itself as a majority.
+#[actix_rt::test]
+async fn one_of_two_hosts_accepts_nothing() {
+    even_group(24, 2).await;
+}
+
+/// Guards against a half that counts itself as a majority.
+#[actix_rt::test]
+async fn two_of_four_hosts_accept_nothing() {
+    even_group(25, 4).await;
+}
+
+/// Changes the group, again while the leader says that it is too early.
+async fn change_group(site: &Site, change: GroupRequest) {
+    let http = Http::default();
+    wait_for("change of the group", async || {
+        let host = control_address(site.plan, leader(site).await);
+        let reply: client::Result<GroupReply> =
+            http.post(host, "/v1/group", &change, soon(3000)).await;
+        match reply.unwrap() {
+            GroupReply::Done => true,
+            GroupReply::NotLeader { .. }
+            | GroupReply::Refused(GroupRefusal::Busy | GroupRefusal::NotCaughtUp) => false,
+            other => panic!("{change:?}: {other:?}"),
+        }
+    })
+    .await;
+}
+
+/// Guards against a host that lost its folder and votes under its earlier id
+/// or forms a second group, and against a repair that leaves the group with
+/// one copy of what it accepted.
+#[actix_rt::test]
+async fn a_host_that_lost_its_folder_is_replaced_and_a_second_one_lost() {
+    let mut site = Site::start(control_only(26, 3)).await;
+    let mut revisions = BTreeMap::new();
+    for n in 0..20 {
+        let host = format!("app-{n}");
+        let revision = change_until_accepted(&site, drain(&host, true)).await;
+        revisions.insert(host, revision);
+    }
+    // The lowest address is the one that forms groups.
+    let (address, folder) = (
+        control_address(site.plan, 0),
+        site.dir.path().join("control-0"),
+    );
+    let group = site.status().await.group;
+    let old = *group.voters.iter().find(|(_, a)| **a == address).unwrap().0;
+    site.control[0].kill();
+    std::fs::remove_dir_all(folder).unwrap();
+    site.control[0] = site.start_control(0);
+    let http = Http::default();
+    let mut hello = None;
+    wait_for("answer of the blank host", async || {
+        let reply: client::Result<HelloReply> =
+            http.post(address, "/v1/hello", &Hello, soon(1000)).await;
+        hello = reply.ok();
+        hello.is_some()
+    })
+    .await;
+    let id = hello.unwrap().id;
+    assert_ne!(id, old);
+
+    // One voter and the blank host are no majority.
+    wait_for("leader among the others", async || leader(&site).await != 0).await;
+    let other = leader(&site).await;
+    site.control[usize::from(other)].signal(Signal::SIGSTOP);
+    let req = request("mira", Revision(0), drain("app-20", true));
+    let reply = site.operator.change(&req, Instant::now() + MINORITY).await;
+    assert!(
+        matches!(reply, ChangeReply::Unavailable | ChangeReply::Unknown),
+        "{reply:?}"
+    );
+    let reply: HelloReply = http
+        .post(address, "/v1/hello", &Hello, soon(1000))
+        .await
+        .unwrap();
+    assert!(reply.blank, "it joined a group by itself");
+    site.control[usize::from(other)].signal(Signal::SIGCONT);
+
+    change_group(&site, GroupRequest::AddLearner(id, address)).await;
+    change_group(&site, GroupRequest::Promote(id)).await;
+    change_group(&site, GroupRequest::Remove(old)).await;
+    let voters = site.status().await.group.voters;
+    assert!(voters.len() == 3 && voters.contains_key(&id), "{voters:?}");
+    site.control[1].kill();
+    for (host, revision) in revisions {
+        let host = host.parse().unwrap();
+        assert_eq!(drain_revision(&site, host).await, Some(revision));
+    }
+    let reply = site.operator.change(&req, Instant::now() + PATIENCE).await;
+    accepted(&reply);
+}
+
+/// Guards against a node that is led through every version that it missed.
+#[actix_rt::test]
+async fn a_node_that_missed_500_changes_gets_one_update() {
+    let site = Site::start(control_only(27, 3)).await;
+    let first = change_until_accepted(&site, drain("app-0-0", true)).await;
+    let node = Subscriber::start(site.plan, "lb-1");
+    node.wait_for_revision(first).await;
+    let have = node.version().unwrap();
+    let streams = (0..10).map(|name| {
+        let operator = site.operator.clone();
+        async move {
+            let mut last = Revision(0);
+            for n in 1..=50 {
+                let change = drain(&format!("app-{name}-{n}"), true);
+                let req = request("mira", Revision(0), change);
+                let reply = operator.change(&req, Instant::now() + PATIENCE).await;
+                last = last.max(accepted(&reply));
+            }
+            last
+        }
+    });
+    let tasks: Vec<_> = streams.map(actix_rt::spawn).collect();
+    let mut last = Revision(0);
+    for task in tasks {
+        last = last.max(task.await.unwrap());
+    }
+    assert!(last.0 >= first.0 + 500);
+
+    // One that restarts has nothing.
+    let restarted = Subscriber::start(site.plan, "lb-2");
+    restarted.wait_for_revision(last).await;
+    assert_eq!(restarted.applied.borrow().len(), 1);
+    // One that was cut off has what it had.
+    let host = control_address(site.plan, leader(&site).await);
+    let sync = sync_request("lb-3", Some(have));
+    let reply: SyncReply = Http::default()
+        .post(host, "/v1/sync", &sync, soon(5000))
+        .await
+        .unwrap();
+    let SyncReply::Update(update) = reply else {
+        panic!("no update: {reply:?}");
+    };
+    assert!(!update.snapshot);
+    assert!(update.version.revision >= last);
+    node.assert_never_went_back();
+}
+
+/// Guards against a new leader that takes upstreams for dead because it has
+/// not heard them yet.
+#[actix_rt::test]
+async fn a_new_leader_takes_no_live_upstream_out() {
+    let mut site = Site::serving(Plan {
+        range: 28,
+        balancers: 1,
+        ..Plan::default()
+    })
+    .await;
+    let node = Subscriber::start(site.plan, "lb-9");
+    wait_for("version at the node", async || node.version().is_some()).await;
+    let epoch = node.version().unwrap().epoch;
+    let first = leader(&site).await;
+    site.control[usize::from(first)].kill();
+    wait_for("version of the new leader", async || {
+        node.version().is_some_and(|v| v.epoch > epoch)
+    })
+    .await;
+    // A lease more, in which upstreams that were not heard would be dropped.
+    sleep(Duration::from_secs(4)).await;
+    for (version, services) in node.applied.borrow().iter() {
+        let service = services
+            .values()
+            .find(|s| s.service.name.to_string() == SERVICE);
+        let members = service.map(|s| &s.members).unwrap();
+        let shared = members.values().filter(|m| m.share.0 > 0).count();
+        assert_eq!(shared, 2, "{version}: {members:?}");
+    }
+    node.assert_never_went_back();
+    let answer = site.call("GET", "/", "").await.unwrap();
+    assert_eq!(answer.status, 200);
+}
