--- a/crates/balancer/src/process/ingress.rs
+++ b/crates/balancer/src/process/ingress.rs
@@ -109,6 +109,11 @@
 }
 
 /// One socket towards a fabric that encapsulates.
+///
+/// Whoever can send to it is taken for the fabric, so it must be reachable from
+/// the fabric only. Answers go to the sender of the last datagram that was
+/// forwarded; all senders must belong to one fabric, each of which takes any
+/// answer.
 #[derive(Debug)]
 pub struct FabricIngress {
     socket: UdpSocket,
