Split the admission by job

Cause: one file of 674 lines held arrivals, waiting requests, reservations and offers.

Change: waiting requests and reservations have modules of their own; no code was changed.

--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -2,19 +2,18 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use types::{
     ClassName, DataCentre, Loads, RequestId, ReservationId, Target, UpstreamId, UpstreamState,
 };
 
 use crate::{
-    Claim, Decision, Offer, Outcome, PeerAnswer, Reason, Report, RequestInfo, Reserve, Settings,
-    Wake,
+    Decision, Outcome, PeerAnswer, Reason, Report, RequestInfo, Settings, Wake,
     process::health::Health,
-    request::state::{Reservation, Running, State, Waiting},
+    request::state::{Reservation, Running, State},
     version::{Class, Peers},
 };
 
@@ -25,20 +24,20 @@
 /// first, so a reservation is granted only while no local request is queued.
 #[derive(Debug, Clone)]
 pub struct Admission {
-    settings: Settings,
-    rng: SmallRng,
-    leaving: bool,
-    health: Health,
-    connections: u32,
-    max_connections: u32,
+    pub(crate) settings: Settings,
+    pub(crate) rng: SmallRng,
+    pub(crate) leaving: bool,
+    pub(crate) health: Health,
+    pub(crate) connections: u32,
+    pub(crate) max_connections: u32,
     /// Every class with a target, and deleted ones until nothing is left.
-    classes: BTreeMap<ClassName, Class>,
-    peers: Peers,
+    pub(crate) classes: BTreeMap<ClassName, Class>,
+    pub(crate) peers: Peers,
     /// Requests that wait or run here.
-    requests: BTreeMap<RequestId, State>,
+    pub(crate) requests: BTreeMap<RequestId, State>,
     /// `until` of every waiting request.
-    timeouts: BTreeSet<(Instant, RequestId)>,
-    reservations: BTreeMap<ReservationId, Reservation>,
+    pub(crate) timeouts: BTreeSet<(Instant, RequestId)>,
+    pub(crate) reservations: BTreeMap<ReservationId, Reservation>,
 }
 
 impl Admission {
@@ -287,105 +286,6 @@
         }
     }
 
-    /// Holds a slot for a request of the peer `from` until `deadline`, at most
-    /// for `reservation_limit`. The same id again gets the same answer. A peer
-    /// that is refused may get an [`Offer`] within `offer_within`.
-    pub fn reserve(
-        &mut self,
-        now: Instant,
-        id: ReservationId,
-        from: UpstreamId,
-        class: &ClassName,
-        deadline: Instant,
-    ) -> Reserve {
-        if let Some(held) = self.reservations.get(&id) {
-            return Reserve::Granted {
-                expires: held.expires,
-            };
-        }
-        // A peer asks because its own slots are taken.
-        self.peers.note_full(now, from, class, &self.settings);
-        let serving = self.is_serving();
-        match self.classes.get_mut(class) {
-            Some(known) if serving && now < deadline && known.has_free_slot() => {
-                let expires = deadline.min(now + self.settings.reservation_limit);
-                known.reserved += 1;
-                let class = class.clone();
-                self.reservations.insert(id, Reservation { class, expires });
-                Reserve::Granted { expires }
-            }
-            Some(known) if serving => {
-                known.note_asked(from, now + self.settings.offer_within);
-                Reserve::Refused(self.loads())
-            }
-            _ => Reserve::Refused(self.loads()),
-        }
-    }
-
-    /// Slots that became free while no local request was queued, held for
-    /// peers that were refused shortly before. Call it after each input that
-    /// can free a slot, and send each offer to its peer.
-    pub fn take_offers(&mut self, now: Instant) -> Vec<Offer> {
-        let mut offers = Vec::new();
-        if !self.is_serving() {
-            return offers;
-        }
-        let expires = now + self.settings.reservation_limit;
-        for (name, known) in &mut self.classes {
-            while known.has_free_slot()
-                && let Some(peer) = known.take_asker(now)
-            {
-                let id = ReservationId(self.rng.random());
-                known.reserved += 1;
-                let class = name.clone();
-                self.reservations.insert(id, Reservation { class, expires });
-                let class = name.clone();
-                offers.push(Offer { peer, class, id });
-            }
-        }
-        offers
-    }
-
-    /// Notes that `peer` offers a slot. Returns the queued request that is
-    /// passed to it; `None` if the offer is to be released.
-    pub fn offered(&mut self, peer: UpstreamId, class: &ClassName) -> Option<Wake> {
-        let id = self.classes.get(class)?.queued().next()?;
-        self.peers.note_granted(peer, class);
-        self.stop_waiting(id);
-        let decision = Decision::Pass { peer };
-        Some(Wake { id, decision })
-    }
-
-    /// Turns a reservation into the request `request` that runs here. An
-    /// upstream that began to leave still takes it; one that is down does not.
-    pub fn claim(&mut self, now: Instant, id: ReservationId, request: RequestId) -> Claim {
-        let valid = self
-            .reservations
-            .get(&id)
-            .is_some_and(|held| now < held.expires);
-        if !valid || self.health.is_down() || self.requests.contains_key(&request) {
-            return Claim::Lapsed;
-        }
-        if let Some(held) = self.reservations.remove(&id) {
-            if let Some(class) = self.classes.get_mut(&held.class) {
-                class.reserved -= 1;
-            }
-            self.run(now, request, held.class);
-        }
-        Claim::Run
-    }
-
-    /// Gives back a reservation that the peer does not need.
-    pub fn release(&mut self, now: Instant, id: ReservationId) -> Vec<Wake> {
-        let Some(held) = self.reservations.remove(&id) else {
-            return Vec::new();
-        };
-        if let Some(class) = self.classes.get_mut(&held.class) {
-            class.reserved -= 1;
-        }
-        self.start_queued(now, &held.class)
-    }
-
     /// Ends what has passed its deadline and asks peers again.
     pub fn tick(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = self.refuse_overdue(now);
@@ -426,15 +326,15 @@
             .min()
     }
 
-    fn is_serving(&self) -> bool {
+    pub(crate) fn is_serving(&self) -> bool {
         self.state() == UpstreamState::Ready
     }
 
-    fn may_ask(&self) -> bool {
+    pub(crate) fn may_ask(&self) -> bool {
         self.settings.hand_off && !self.peers.is_empty()
     }
 
-    fn run(&mut self, now: Instant, id: RequestId, class: ClassName) {
+    pub(crate) fn run(&mut self, now: Instant, id: RequestId, class: ClassName) {
         if let Some(known) = self.classes.get_mut(&class) {
             known.in_flight += 1;
         }
@@ -442,231 +342,7 @@
         self.requests.insert(id, State::Running(running));
     }
 
-    /// Queues a request, or lets it ask peers when the queue has no room or
-    /// would keep it for too long.
-    fn wait(&mut self, now: Instant, request: RequestInfo) -> Decision {
-        if !self.may_ask() && (self.leaving || request.elsewhere) {
-            return Decision::Refuse(Reason::NotServing);
-        }
-        let limit = now + self.settings.queue_limit;
-        let until = request.deadline.map_or(limit, |at| at.min(limit));
-        let waiting = Waiting {
-            class: request.class,
-            until,
-            deadline: request.deadline,
-            place: None,
-            asked: None,
-            tried: Vec::new(),
-            round_over: false,
-            elsewhere: request.elsewhere,
-        };
-        if let Some(class) = self.classes.get_mut(&waiting.class) {
-            class.asking += 1;
-        }
-        self.timeouts.insert((until, request.id));
-        self.requests.insert(request.id, State::Waiting(waiting));
-        let refusal = self.enqueue(now, request.id).err();
-        if refusal.is_some() && self.too_many_asking(request.id) {
-            self.stop_waiting(request.id);
-            return Decision::Refuse(Reason::QueueFull);
-        }
-        self.ask_next(now, request.id)
-    }
-
-    fn too_many_asking(&self, id: RequestId) -> bool {
-        let class = match self.requests.get(&id) {
-            Some(State::Waiting(waiting)) => self.classes.get(&waiting.class),
-            _ => None,
-        };
-        class.is_some_and(|class| class.asking > self.settings.max_asking)
-    }
-
-    /// Gives a waiting request a place in the queue, unless it has one.
-    fn enqueue(&mut self, now: Instant, id: RequestId) -> Result<(), Reason> {
-        let Some(State::Waiting(waiting)) = self.requests.get_mut(&id) else {
-            return Ok(());
-        };
-        let Some(class) = self.classes.get_mut(&waiting.class) else {
-            return Err(Reason::UnknownClass);
-        };
-        if waiting.place.is_some() {
-            return Ok(());
-        }
-        if waiting.elsewhere {
-            return Err(Reason::NotServing);
-        }
-        if !class.has_queue_room(&self.settings) {
-            return Err(Reason::QueueFull);
-        }
-        let wait = class.expected_wait(&self.settings);
-        if !class.can_meet(now, wait, waiting.deadline) {
-            return Err(Reason::Deadline);
-        }
-        class.asking -= 1;
-        waiting.place = Some(class.enqueue(now, id));
-        Ok(())
-    }
-
-    /// Goes on with the first round of questions; after it, the request stays
-    /// queued or is refused.
-    fn ask_next(&mut self, now: Instant, id: RequestId) -> Decision {
-        let may_ask = self.may_ask();
-        let Some(State::Waiting(waiting)) = self.requests.get_mut(&id) else {
-            return Decision::Refuse(Reason::QueueTimeout);
-        };
-        if may_ask && !waiting.round_over {
-            let class = &waiting.class;
-            if let Some(peer) = self.peers.choose(now, class, &waiting.tried, &mut self.rng) {
-                waiting.asked = Some(peer);
-                waiting.tried.push(peer);
-                return Decision::HandOff { peer };
-            }
-        }
-        waiting.round_over = true;
-        waiting.tried = Vec::new();
-        let until = waiting.until;
-        match self.enqueue(now, id) {
-            Ok(()) => Decision::Queue { until },
-            Err(reason) => {
-                self.stop_waiting(id);
-                Decision::Refuse(reason)
-            }
-        }
-    }
-
-    /// Lets the oldest queued request that awaits no answer ask one peer.
-    fn ask_again(&mut self, now: Instant, name: &ClassName) -> Option<Wake> {
-        let pause = self.settings.ask_again.filter(|_| self.may_ask())?;
-        let class = self.classes.get_mut(name)?;
-        class.ask_at = now + pause.mul_f64(self.rng.random_range(0.75..1.25));
-        let idle = |id: &RequestId| matches!(self.requests.get(id), Some(State::Waiting(w)) if w.asked.is_none());
-        let id = class.queued().find(idle)?;
-        let peer = self.peers.choose(now, name, &[], &mut self.rng)?;
-        if let Some(State::Waiting(waiting)) = self.requests.get_mut(&id) {
-            waiting.asked = Some(peer);
-        }
-        let decision = Decision::HandOff { peer };
-        Some(Wake { id, decision })
-    }
-
-    /// Removes a waiting request from every index.
-    fn stop_waiting(&mut self, id: RequestId) -> Option<Waiting> {
-        let Some(State::Waiting(waiting)) = self.requests.remove(&id) else {
-            return None;
-        };
-        self.timeouts.remove(&(waiting.until, id));
-        if let Some(class) = self.classes.get_mut(&waiting.class) {
-            match waiting.place {
-                Some(place) => class.dequeue(place),
-                None => class.asking -= 1,
-            }
-        }
-        Some(waiting)
-    }
-
-    fn free_slot(&mut self, now: Instant, name: &ClassName) -> Vec<Wake> {
-        if let Some(class) = self.classes.get_mut(name) {
-            class.in_flight -= 1;
-        }
-        let wakes = self.start_queued(now, name);
-        self.forget_if_gone(name);
-        wakes
-    }
-
-    /// Gives free slots to queued requests, and refuses those whose deadline
-    /// can no longer be met.
-    fn start_queued(&mut self, now: Instant, name: &ClassName) -> Vec<Wake> {
-        let mut wakes = Vec::new();
-        while let Some(id) = self.next_to_start(now, name) {
-            let deadline = self.stop_waiting(id).and_then(|waiting| waiting.deadline);
-            let class = self.classes.get(name);
-            let in_time = class.is_some_and(|c| c.can_meet(now, Duration::ZERO, deadline));
-            let decision = if in_time {
-                self.run(now, id, name.clone());
-                Decision::Run
-            } else {
-                Decision::Refuse(Reason::Deadline)
-            };
-            wakes.push(Wake { id, decision });
-        }
-        wakes
-    }
-
-    fn next_to_start(&self, now: Instant, name: &ClassName) -> Option<RequestId> {
-        let class = self.classes.get(name)?;
-        let may_start = self.is_serving() && class.has_free_slot();
-        class.next_queued(now, &self.settings).filter(|_| may_start)
-    }
-
-    fn refuse_overdue(&mut self, now: Instant) -> Vec<Wake> {
-        let mut wakes = Vec::new();
-        while let Some((until, id)) = self.timeouts.first().copied() {
-            if until > now {
-                break;
-            }
-            let deadline = self.stop_waiting(id).and_then(|waiting| waiting.deadline);
-            let reason = if deadline.is_some_and(|at| at <= now) {
-                Reason::Deadline
-            } else if self.is_serving() {
-                Reason::QueueTimeout
-            } else {
-                Reason::NotServing
-            };
-            let decision = Decision::Refuse(reason);
-            wakes.push(Wake { id, decision });
-        }
-        wakes
-    }
-
-    fn refuse_waiting(&mut self, name: &ClassName, reason: Reason) -> Vec<Wake> {
-        let decision = Decision::Refuse(reason);
-        let ids = self.waiting_of(name);
-        for &id in &ids {
-            self.stop_waiting(id);
-        }
-        ids.into_iter().map(|id| Wake { id, decision }).collect()
-    }
-
-    fn waiting_of(&self, name: &ClassName) -> Vec<RequestId> {
-        let of_class = |id: &RequestId| matches!(self.requests.get(id), Some(State::Waiting(w)) if w.class == *name);
-        let ids = self.timeouts.iter().map(|(_, id)| *id);
-        ids.filter(of_class).collect()
-    }
-
-    /// Starts queued requests when the upstream takes new work again, and lets
-    /// them ask peers when it no longer does.
-    fn serving_changed(&mut self, now: Instant) -> Vec<Wake> {
-        let names: Vec<ClassName> = self.classes.keys().cloned().collect();
-        let mut wakes = Vec::new();
-        for name in names {
-            if self.is_serving() {
-                wakes.extend(self.start_queued(now, &name));
-            } else {
-                wakes.extend(self.hand_off_queued(now, &name));
-            }
-        }
-        wakes
-    }
-
-    fn hand_off_queued(&mut self, now: Instant, name: &ClassName) -> Vec<Wake> {
-        let mut wakes = Vec::new();
-        for id in self.waiting_of(name) {
-            let Some(State::Waiting(waiting)) = self.requests.get_mut(&id) else {
-                continue;
-            };
-            waiting.round_over = false;
-            if waiting.asked.is_some() {
-                continue;
-            }
-            let decision = self.ask_next(now, id);
-            if !matches!(decision, Decision::Queue { .. }) {
-                wakes.push(Wake { id, decision });
-            }
-        }
-        wakes
-    }
-
-    fn forget_if_gone(&mut self, name: &ClassName) {
+    pub(crate) fn forget_if_gone(&mut self, name: &ClassName) {
         if self.classes.get(name).is_some_and(Class::is_gone) {
             self.classes.remove(name);
         }
--- a/crates/admit/src/request/mod.rs
+++ b/crates/admit/src/request/mod.rs
@@ -2,7 +2,9 @@
 
 mod decision;
 mod outcome;
+mod reserve;
 pub(crate) mod state;
+mod waiting;
 
 pub use decision::{
     Claim, Decision, Offer, Outcome, PeerAnswer, Reason, RequestInfo, Reserve, Wake,
--- /dev/null
+++ b/crates/admit/src/request/reserve.rs
@@ -0,0 +1,110 @@
+//! Slots that are held for peers, and slots that are offered to them.
+
+use std::time::Instant;
+
+use rand::Rng;
+use types::{ClassName, RequestId, ReservationId, UpstreamId};
+
+use super::state::Reservation;
+use crate::{Admission, Claim, Decision, Offer, Reserve, Wake};
+
+impl Admission {
+    /// Holds a slot for a request of the peer `from` until `deadline`, at most
+    /// for `reservation_limit`. The same id again gets the same answer. A peer
+    /// that is refused may get an [`Offer`] within `offer_within`.
+    pub fn reserve(
+        &mut self,
+        now: Instant,
+        id: ReservationId,
+        from: UpstreamId,
+        class: &ClassName,
+        deadline: Instant,
+    ) -> Reserve {
+        if let Some(held) = self.reservations.get(&id) {
+            return Reserve::Granted {
+                expires: held.expires,
+            };
+        }
+        // A peer asks because its own slots are taken.
+        self.peers.note_full(now, from, class, &self.settings);
+        let serving = self.is_serving();
+        match self.classes.get_mut(class) {
+            Some(known) if serving && now < deadline && known.has_free_slot() => {
+                let expires = deadline.min(now + self.settings.reservation_limit);
+                known.reserved += 1;
+                let class = class.clone();
+                self.reservations.insert(id, Reservation { class, expires });
+                Reserve::Granted { expires }
+            }
+            Some(known) if serving => {
+                known.note_asked(from, now + self.settings.offer_within);
+                Reserve::Refused(self.loads())
+            }
+            _ => Reserve::Refused(self.loads()),
+        }
+    }
+
+    /// Slots that became free while no local request was queued, held for
+    /// peers that were refused shortly before. Call it after each input that
+    /// can free a slot, and send each offer to its peer.
+    pub fn take_offers(&mut self, now: Instant) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        if !self.is_serving() {
+            return offers;
+        }
+        let expires = now + self.settings.reservation_limit;
+        for (name, known) in &mut self.classes {
+            while known.has_free_slot()
+                && let Some(peer) = known.take_asker(now)
+            {
+                let id = ReservationId(self.rng.random());
+                known.reserved += 1;
+                let class = name.clone();
+                self.reservations.insert(id, Reservation { class, expires });
+                let class = name.clone();
+                offers.push(Offer { peer, class, id });
+            }
+        }
+        offers
+    }
+
+    /// Notes that `peer` offers a slot. Returns the queued request that is
+    /// passed to it; `None` if the offer is to be released.
+    pub fn offered(&mut self, peer: UpstreamId, class: &ClassName) -> Option<Wake> {
+        let id = self.classes.get(class)?.queued().next()?;
+        self.peers.note_granted(peer, class);
+        self.stop_waiting(id);
+        let decision = Decision::Pass { peer };
+        Some(Wake { id, decision })
+    }
+
+    /// Turns a reservation into the request `request` that runs here. An
+    /// upstream that began to leave still takes it; one that is down does not.
+    pub fn claim(&mut self, now: Instant, id: ReservationId, request: RequestId) -> Claim {
+        let valid = self
+            .reservations
+            .get(&id)
+            .is_some_and(|held| now < held.expires);
+        if !valid || self.health.is_down() || self.requests.contains_key(&request) {
+            return Claim::Lapsed;
+        }
+        if let Some(held) = self.reservations.remove(&id) {
+            if let Some(class) = self.classes.get_mut(&held.class) {
+                class.reserved -= 1;
+            }
+            self.run(now, request, held.class);
+        }
+        Claim::Run
+    }
+
+    /// Gives back a reservation that the peer does not need.
+    pub fn release(&mut self, now: Instant, id: ReservationId) -> Vec<Wake> {
+        let Some(held) = self.reservations.remove(&id) else {
+            return Vec::new();
+        };
+        if let Some(class) = self.classes.get_mut(&held.class) {
+            class.reserved -= 1;
+        }
+        self.start_queued(now, &held.class)
+    }
+}
