--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -14,6 +14,6 @@
 pub mod version;
 
 pub use error::{Category, Error, Result};
-pub use process::Http;
+pub use process::{Http, Traffic};
 pub use request::Operator;
 pub use version::{NodeReport, Step, SyncSettings, SyncTask};
--- a/crates/client/src/process/mod.rs
+++ b/crates/client/src/process/mod.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of a process.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Instant};
 
 use awc::error::{ConnectError, SendRequestError};
 use serde::{Serialize, de::DeserializeOwned};
@@ -8,10 +8,23 @@
 
 use crate::{Result, error::ErrorKind};
 
+/// Messages that went through a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Traffic {
+    /// Requests that were sent.
+    pub requests: u64,
+    /// Bytes of their bodies.
+    pub sent: u64,
+    /// Bytes of the bodies of replies.
+    pub received: u64,
+}
+
 /// Sends control messages over HTTP.
 #[derive(Clone)]
 pub struct Http {
     client: awc::Client,
+    /// Counted over all clones.
+    traffic: Rc<Cell<Traffic>>,
 }
 
 impl Default for Http {
@@ -21,11 +34,27 @@
             .disable_timeout()
             .disable_redirects()
             .finish();
-        Http { client }
+        let traffic = Rc::default();
+        Http { client, traffic }
     }
 }
 
 impl Http {
+    /// Messages that went through this client and its clones.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.get()
+    }
+
+    fn count(&self, sent: usize, received: usize) {
+        let traffic = self.traffic.get();
+        self.traffic.set(Traffic {
+            requests: traffic.requests + u64::from(sent > 0),
+            sent: traffic.sent + sent as u64,
+            received: traffic.received + received as u64,
+        });
+    }
+
     /// Sends `message` to `path` at `host` and waits for the reply.
     ///
     /// # Errors
@@ -48,6 +77,7 @@
     }
 
     async fn exchange(&self, host: SocketAddr, path: &str, body: Vec<u8>) -> Result<bytes::Bytes> {
+        self.count(body.len(), 0);
         let mut response = self
             .client
             .post(format!("http://{host}{path}"))
@@ -59,7 +89,9 @@
             return Err(ErrorKind::Status(host, response.status()).into());
         }
         let body = response.body().limit(wire::MAX_MESSAGE).await;
-        Ok(body.map_err(|e| ErrorKind::Body(host, e))?)
+        let body = body.map_err(|e| ErrorKind::Body(host, e))?;
+        self.count(0, body.len());
+        Ok(body)
     }
 }
 
