Put no close of a connection down to a fault in the soak

A process that is killed or frozen closes no connection, so a flow that the other side closed was broken by a planned event, whatever else happened around it. Before, such a break beside a kill was counted as unplanned.

--- a/crates/bench/src/soak/load.rs
+++ b/crates/bench/src/soak/load.rs
@@ -10,12 +10,13 @@
 use bytes::Bytes;
 use caller::{Answer, Caller, Category, Endpoint, Outcome, Trust};
 use http::Request;
+use quinn::ConnectionError;
 use tokio::{
     sync::{mpsc, watch},
     time::timeout,
 };
 
-use super::Note;
+use super::{Note, tally::Break};
 
 /// Tasks of each kind.
 const FEEDS: usize = 8;
@@ -63,7 +64,7 @@
     NotRun,
     Unknown,
     /// The answer or the connection broke off.
-    Broken(String),
+    Broken(Break),
 }
 
 impl Load {
@@ -168,7 +169,10 @@
                 self.note(Note::Wrong("part of a feed was mixed".into()))
                     .await;
             }
-            Err(e) => self.note(Note::Broken(last, format!("feed: {e}"))).await,
+            Err(e) => {
+                self.note(Note::Broken(broken(caller, last, "feed", &e)))
+                    .await;
+            }
         }
     }
 
@@ -197,9 +201,7 @@
                     End::Broken(_) => End::Unknown,
                     end => end,
                 };
-                let start = Instant::now();
-                self.note_end(end, start, Some(id), |body| body == b"1\n")
-                    .await;
+                self.note_end(end, Some(id), |body| body == b"1\n").await;
                 sleep(PAUSE).await;
                 if is_last {
                     break;
@@ -255,14 +257,14 @@
     async fn single(&self, request: Request<Bytes>, matches: impl Fn(&[u8]) -> bool) {
         self.note(Note::Sent).await;
         if let Some(mut caller) = self.connect().await {
-            let start = Instant::now();
             let end = self.exchange(&mut caller, request).await;
-            self.note_end(end, start, None, matches).await;
+            self.note_end(end, None, matches).await;
         }
         sleep(PAUSE).await;
     }
 
     async fn exchange(&self, caller: &mut Caller, request: Request<Bytes>) -> End {
+        let start = Instant::now();
         let exchange = async {
             let mut answer = caller.send(request).await?;
             let body = answer.body().await?;
@@ -274,19 +276,13 @@
             Ok(Ok((Outcome::Unknown, _))) => End::Unknown,
             Ok(Err(e)) => match caller::Error::category(&e) {
                 Category::NotRun => End::NotRun,
-                Category::Unknown => End::Broken(e.to_string()),
+                Category::Unknown => End::Broken(broken(caller, start, "request", &e.to_string())),
             },
-            Err(e) => End::Broken(e.to_string()),
+            Err(e) => End::Broken(broken(caller, start, "request", &e.to_string())),
         }
     }
 
-    async fn note_end(
-        &self,
-        end: End,
-        start: Instant,
-        claim: Option<Bytes>,
-        matches: impl Fn(&[u8]) -> bool,
-    ) {
+    async fn note_end(&self, end: End, claim: Option<Bytes>, matches: impl Fn(&[u8]) -> bool) {
         match end {
             End::Whole(body) if matches(&body) => self.note(Note::Answered).await,
             End::Whole(body) => {
@@ -294,10 +290,9 @@
             }
             End::NotRun => self.note(Note::NotRun(claim)).await,
             End::Unknown => self.note(Note::Unknown).await,
-            End::Broken(e) => {
+            End::Broken(broken) => {
                 self.note(Note::Unknown).await;
-                self.note(Note::Broken(start, format!("request: {e}")))
-                    .await;
+                self.note(Note::Broken(broken)).await;
             }
         }
     }
@@ -310,6 +305,15 @@
     }
 }
 
+fn broken(caller: &Caller, at: Instant, kind: &str, error: &str) -> Break {
+    let reason = caller.connection().close_reason();
+    Break {
+        at,
+        closed: matches!(reason, Some(ConnectionError::ApplicationClosed(_))),
+        what: format!("{kind}: {error}"),
+    }
+}
+
 /// The text of a whole feed.
 fn lines() -> String {
     let lines: Vec<String> = (0..LINES).map(|line| line.to_string()).collect();
--- a/crates/bench/src/soak/tally.rs
+++ b/crates/bench/src/soak/tally.rs
@@ -32,8 +32,8 @@
     SeenAsCut,
     /// No more requests begin.
     Stopping,
-    /// A flow broke that last got something at this instant.
-    Broken(Instant, String),
+    /// A flow broke.
+    Broken(Break),
     /// An answer was not the one to the request, or was cut and passed as
     /// whole.
     Wrong(String),
@@ -43,6 +43,17 @@
     NotGraceful(String),
 }
 
+/// A flow that broke.
+#[derive(Debug)]
+pub struct Break {
+    /// When it last got something.
+    pub at: Instant,
+    /// Whether the other side closed the connection.
+    pub closed: bool,
+    /// What the caller saw.
+    pub what: String,
+}
+
 /// An event of the schedule.
 #[derive(Debug, Clone)]
 pub struct Event {
@@ -67,7 +78,7 @@
     seen_as_cut: u64,
     stopping: bool,
     not_run_claims: BTreeSet<Bytes>,
-    broken: Vec<(Instant, String)>,
+    broken: Vec<Break>,
     wrong: Vec<String>,
     events: Vec<Event>,
     not_graceful: Vec<String>,
@@ -116,7 +127,7 @@
             Note::Unknown => self.unknown += 1,
             Note::SeenAsCut => self.seen_as_cut += 1,
             Note::Stopping => self.stopping = true,
-            Note::Broken(at, what) => self.broken.push((at, what)),
+            Note::Broken(broken) => self.broken.push(broken),
             Note::Wrong(what) => self.wrong.push(what),
             Note::Event(event) => self.events.push(event),
             Note::NotGraceful(what) => self.not_graceful.push(what),
@@ -136,18 +147,11 @@
         let (by_unplanned, by_planned): (Vec<_>, Vec<_>) = self
             .broken
             .iter()
-            .partition(|(at, _)| self.is_unplanned(*at));
+            .partition(|broken| self.is_unplanned(broken));
         let planned = self.events.iter().filter(|event| event.planned).count();
         let mut details: Vec<String> = self.wrong.clone();
         details.extend(ran.iter().map(|id| format!("said not-run but ran: {id:?}")));
-        details.extend(by_planned.iter().map(|(at, what)| {
-            let near = self
-                .events
-                .iter()
-                .filter(|e| e.from <= *at + AFTER && e.until + AFTER >= *at);
-            let near: Vec<_> = near.map(|event| event.what.as_str()).collect();
-            format!("broken: {what}; near: {}", near.join(", "))
-        }));
+        details.extend(by_planned.iter().map(|broken| self.describe(broken)));
         details.extend(self.not_graceful.clone());
         details.extend(changes.details.clone());
         let passed = doubled == 0
@@ -194,10 +198,20 @@
         }
     }
 
-    /// Whether a flow that stood still at `at` may be put down to an unplanned
-    /// event.
-    fn is_unplanned(&self, at: Instant) -> bool {
+    /// What broke, and the events around it.
+    fn describe(&self, Break { at, what, .. }: &Break) -> String {
+        let around = |event: &&Event| event.from <= *at + AFTER && *at <= event.until + AFTER;
+        let near = self.events.iter().filter(around);
+        let near: Vec<_> = near.map(|event| event.what.as_str()).collect();
+        format!("broken: {what}; near: {}", near.join(", "))
+    }
+
+    /// Whether a flow may have broken by an unplanned event. A process that is
+    /// killed or frozen closes no connection.
+    fn is_unplanned(&self, broken: &Break) -> bool {
+        let at = broken.at;
         let mut unplanned = self.events.iter().filter(|event| !event.planned);
-        unplanned.any(|event| event.from <= at + BEFORE && at <= event.until + AFTER)
+        !broken.closed
+            && unplanned.any(|event| event.from <= at + BEFORE && at <= event.until + AFTER)
     }
 }
