control: send bursts of changes together

Cause: at 5 changes a second each change was an update of its own, with the members of the service and 280 bytes of HTTP heads: 3,755 B/s for an agent and 3,958 B/s for a balancer, where the target is 2,000.

Ruled out: smaller heads, which alone save under a third; a pause before each update, which would slow down the single change.

Change: all waiting nodes are reviewed at most every 500 ms. The first change after a quiet time still goes out at once, and a node that missed the last review, or has nothing, is answered at once.

--- a/crates/control/src/process/waiters.rs
+++ b/crates/control/src/process/waiters.rs
@@ -2,17 +2,23 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use types::Version;
 
 use crate::{request::Waiter, version::View};
 
+/// Shortest time between two reviews of all nodes. A change after a quiet time
+/// goes out at once; more changes go together in the next review. At 5 changes
+/// a second, one update for each cost a node 4 KB/s, twice its budget.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Nodes that wait for something newer.
 ///
-/// A node is looked at when it arrives, when the version changes and when its
-/// hold ends, so that other messages cost nothing for each waiting node.
+/// A node is looked at when it arrives, in a review after the version changed
+/// and when its hold ends, so that other messages cost nothing for each
+/// waiting node.
 #[derive(Debug, Default)]
 pub struct Waiters {
     waiting: BTreeMap<u64, Waiter>,
@@ -22,6 +28,11 @@
     fresh: Vec<u64>,
     /// Version for which every other node was looked at.
     reviewed: Option<Version>,
+    /// The version has changed since; the next review comes at
+    /// `next_review`.
+    outdated: bool,
+    /// No review before this instant.
+    next_review: Option<Instant>,
     next: u64,
 }
 
@@ -35,22 +46,17 @@
         self.waiting.insert(number, waiter);
     }
 
-    /// When the first hold ends.
+    /// When the first hold ends or a review is due.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.holds.first().map(|(until, _)| *until)
+        let hold = self.holds.first().map(|(until, _)| *until);
+        let review = self.next_review.filter(|_| self.outdated);
+        hold.into_iter().chain(review).min()
     }
 
     /// Takes the nodes that are to be answered now.
     pub fn take_due(&mut self, now: Instant, view: View<'_>) -> Vec<Waiter> {
-        let version = view.version();
-        let candidates: Vec<u64> = if version == self.reviewed {
-            std::mem::take(&mut self.fresh)
-        } else {
-            self.reviewed = version;
-            self.fresh.clear();
-            self.waiting.keys().copied().collect()
-        };
+        let candidates = self.candidates(now, view.version());
         let has_news = |number: &u64| {
             let waiter = self.waiting.get(number);
             waiter.is_some_and(|waiter| view.has_news(&waiter.req))
@@ -61,6 +67,34 @@
         due.into_iter().filter_map(|n| self.take(n)).collect()
     }
 
+    /// The nodes to look at.
+    fn candidates(&mut self, now: Instant, version: Option<Version>) -> Vec<u64> {
+        self.outdated = version != self.reviewed;
+        let fresh = std::mem::take(&mut self.fresh);
+        if !self.outdated {
+            return fresh;
+        }
+        if self.next_review.is_some_and(|at| now < at) {
+            // One that missed the last review need not wait for the next.
+            let missed = |number: &u64| {
+                let waiter = self.waiting.get(number);
+                waiter.is_some_and(|waiter| self.missed_review(waiter.req.have))
+            };
+            return fresh.into_iter().filter(missed).collect();
+        }
+        self.outdated = false;
+        self.reviewed = version;
+        self.next_review = Some(now + REVIEW_INTERVAL);
+        self.waiting.keys().copied().collect()
+    }
+
+    fn missed_review(&self, have: Option<Version>) -> bool {
+        match (have, self.reviewed) {
+            (Some(have), Some(reviewed)) => have.is_behind(&reviewed),
+            _ => true,
+        }
+    }
+
     /// Takes every node.
     pub fn take_all(&mut self) -> impl Iterator<Item = Waiter> {
         std::mem::take(self).waiting.into_values()
