limpetd: wait for the data plane before control hosts are killed

The leader shows a share at once, the balancer has it in force up to 500 ms later; killing the majority in between leaves the balancer without a place for new flows, for as long as there is no leader.

Ruled out: a longer time limit for the handshake, since no version comes without a leader.

Change: the test waits for an answer through the balancer, then kills.

--- a/crates/limpetd/tests/control.rs
+++ b/crates/limpetd/tests/control.rs
@@ -378,6 +378,11 @@
         ..Plan::default()
     })
     .await;
+    // The leader shows a share before the balancer has it in force.
+    wait_for("answer through the balancer", async || {
+        site.call("GET", "/", "").await.is_ok()
+    })
+    .await;
     for n in 0..control / 2 {
         site.control[usize::from(n)].kill();
     }
