--- a/crates/bench/src/bin/requests.rs
+++ b/crates/bench/src/bin/requests.rs
@@ -77,6 +77,9 @@
 async fn lose(choice: &str, seed: u64, site: Site) {
     let mut callers = site.connect_all().await;
     for (fabric, lost) in [("aware", 0), ("unaware", 1)] {
+        // The loss before this one is known everywhere by now.
+        site.use_balancers(lost).await;
+        sleep(LEASE * u32::from(lost > 0)).await;
         let before = load(&mut callers).await;
         if fabric == "aware" {
             site.use_balancers(1).await;
@@ -91,9 +94,6 @@
             millis(&after, 0.99),
             millis(&after, 1.0),
         );
-        // The next loss begins once this one is known everywhere.
-        site.use_balancers(lost + 1).await;
-        sleep(LEASE).await;
     }
     site.stop();
 }
