auth: decide by certificate who may ask for what

Cause: the ports of control hosts and the peer ports of agents took requests of anyone who could reach them, and the author in the audit trail was whatever the tool said.

Ruled out: reading the role from the subject of a certificate (free text, outside name constraints); x509-parser (webpki, which rustls uses to verify the certificate, lists the DNS names); session resumption (a resumed session is not verified again and each use renews it, so an expired certificate would go on counting).

Change: a crate that reads the TLS files (errors name flag and file), reads the role out of a verified certificate, decides by port, path and names in a pure function, and enforces that in an actix-web server with status 403 and a counter by reason. A path without a rule is refused.

--- /dev/null
+++ b/crates/auth/src/process/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as the process.
+
+mod credentials;
+
+pub use credentials::{Credentials, Files};
