limpetctl: prove who the operator is

Cause: control hosts with certificates refuse whoever shows none.

Ruled out: clap's `requires` for the three flags (it is checked before global flags are handed on to subcommands, so flags on both sides of the command would be refused).

The command that is printed for a resend names the files.

--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use auth::{Credentials, Files};
 use clap::{ArgGroup, Args, CommandFactory, Parser, Subcommand, error::ErrorKind, value_parser};
 use http::{HeaderName, HeaderValue, Method};
 use types::{
@@ -47,6 +48,67 @@
     #[arg(long, env = "LIMPET_DEADLINE", global = true, value_name = "TIME",
         value_parser = parse::deadline)]
     pub deadline: Option<Duration>,
+    /// Certificates of the CA of the system in PEM, for mutual TLS with the
+    /// control hosts, for example --tls-ca ca.pem; needs the other two --tls
+    /// flags
+    #[arg(long, env = "LIMPET_TLS_CA", global = true, value_name = "FILE")]
+    pub tls_ca: Option<PathBuf>,
+    /// Certificate chain of the operator in PEM, for example --tls-certificate
+    /// alice.pem
+    #[arg(
+        long,
+        env = "LIMPET_TLS_CERTIFICATE",
+        global = true,
+        value_name = "FILE"
+    )]
+    pub tls_certificate: Option<PathBuf>,
+    /// Private key of the operator's certificate in PEM, for example --tls-key
+    /// alice.key
+    #[arg(long, env = "LIMPET_TLS_KEY", global = true, value_name = "FILE")]
+    pub tls_key: Option<PathBuf>,
+}
+
+impl Global {
+    /// Flags and values of mutual TLS, as they are given.
+    pub fn tls(&self) -> [(&'static str, Option<&PathBuf>); 3] {
+        [
+            ("--tls-ca", self.tls_ca.as_ref()),
+            ("--tls-certificate", self.tls_certificate.as_ref()),
+            ("--tls-key", self.tls_key.as_ref()),
+        ]
+    }
+
+    /// Reads the files of mutual TLS; ends the process with status 2 if one
+    /// cannot be used. Clap checks `requires` before it hands global flags on
+    /// to subcommands, so that all are given is checked here.
+    pub fn credentials(&self) -> Option<Credentials> {
+        let given = self.tls();
+        let [(_, Some(ca)), (_, Some(certificate)), (_, Some(key))] = given else {
+            let missing = given.iter().find(|(_, file)| file.is_none());
+            if let Some((flag, _)) = missing.filter(|_| given.iter().any(|(_, f)| f.is_some())) {
+                let message = format!("{flag} <FILE> is needed with the other --tls flags");
+                usage(ErrorKind::MissingRequiredArgument, message);
+            }
+            return None;
+        };
+        let files = Files {
+            ca: ca.clone(),
+            certificate: certificate.clone(),
+            key: key.clone(),
+        };
+        let credentials =
+            Credentials::read(&files).unwrap_or_else(|e| usage(ErrorKind::ValueValidation, e));
+        if let Some(operator) = &self.operator
+            && !credentials.names().operators.contains(operator)
+        {
+            let message = format!(
+                "invalid value '{operator}' for '--operator <NAME>': expected a name that the \
+                 certificate of --tls-certificate holds, as NAME.operator.limpetplank.internal"
+            );
+            usage(ErrorKind::ValueValidation, message);
+        }
+        Some(credentials)
+    }
 }
 
 /// Flags of changes.
--- a/crates/limpetctl/src/request/mod.rs
+++ b/crates/limpetctl/src/request/mod.rs
@@ -89,7 +89,7 @@
         Command::Call(args) => return call::run(args, deadline(CALL_DEADLINE)).await,
         _ => {}
     }
-    let http = Http::default();
+    let http = Http::new(settings.global.credentials().as_ref());
     let cx = Context {
         global: &settings.global,
         operator: Operator::new(http.clone(), settings.global.control.clone()),
--- a/crates/limpetctl/src/request/resend.rs
+++ b/crates/limpetctl/src/request/resend.rs
@@ -36,6 +36,9 @@
             let deadline = humantime::format_duration(deadline).to_string();
             line.extend(["--deadline".to_owned(), deadline.replace(' ', "")]);
         }
+        for (flag, file) in self.global.tls() {
+            line.extend(file.map(|file| format!("{flag}={}", file.display())));
+        }
         line.extend_from_slice(words);
         // No value can hold a zero byte, the one thing that cannot be quoted.
         shlex::try_join(line.iter().map(String::as_str)).unwrap_or_else(|_| line.join(" "))
--- a/crates/limpetctl/tests/settings.rs
+++ b/crates/limpetctl/tests/settings.rs
@@ -35,6 +35,10 @@
     "call https://vouchers.example/ --insecure --body @/nonexistent/body",
     "call https://vouchers.example/ --insecure --header accept",
     "completions basic",
+    "--control 192.0.2.1:7100 --tls-ca Cargo.toml status",
+    "--control 192.0.2.1:7100 --tls-key Cargo.toml status --tls-ca Cargo.toml",
+    "--control 192.0.2.1:7100 --tls-ca /nonexistent/ca --tls-certificate a --tls-key b status",
+    "--control 192.0.2.1:7100 --tls-ca Cargo.toml --tls-certificate a --tls-key b status",
 ];
 
 /// Guards against a wrong setting that is found after a socket was opened, or
