--- a/crates/agent/src/request/call.rs
+++ b/crates/agent/src/request/call.rs
@@ -3,17 +3,20 @@
 use std::{
     error::Error as StdError,
     future::Future,
+    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use admit::{Failure, Progress};
+use auth::Credentials;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body::Body;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     task::JoinHandle,
     time::{sleep_until, timeout},
@@ -161,11 +164,34 @@
     /// # Errors
     ///
     /// Nothing was sent, or the answer was lost, as the progress says.
-    pub async fn send(mut self) -> Result<Answer, Failed> {
-        let stream = self.connect().await?;
-        // A small part of a feed must not wait for the last one's
-        // acknowledgement; it is only slower if that fails.
-        let _ = stream.set_nodelay(true);
+    pub async fn send(self) -> Result<Answer, Failed> {
+        let stream = self.connect(open(self.target.address())).await?;
+        self.send_on(stream).await
+    }
+
+    /// Like [`Call::send`], by mutual TLS if there are credentials.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was sent, or the answer was lost, as the progress says. A
+    /// handshake that fails has sent nothing of the request.
+    pub async fn send_to_peer(self, credentials: Option<&Credentials>) -> Result<Answer, Failed> {
+        let Some(credentials) = credentials else {
+            return self.send().await;
+        };
+        let address = self.target.address();
+        let secured = async {
+            let stream = open(address).await?;
+            credentials.secure(address, stream).await
+        };
+        let stream = self.connect(secured).await?;
+        self.send_on(stream).await
+    }
+
+    async fn send_on<S>(mut self, stream: S) -> Result<Answer, Failed>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) =
             handshake.map_err(|_| Failed::not_started(Failure::Connect))?;
@@ -186,9 +212,9 @@
         })
     }
 
-    async fn connect(&self) -> Result<TcpStream, Failed> {
-        let connect = timeout(CONNECT, TcpStream::connect(self.target.address()));
-        let connected = before(self.deadline, connect).await;
+    /// Waits for a connection, at most [`CONNECT`] and until the deadline.
+    async fn connect<S>(&self, connect: impl Future<Output = io::Result<S>>) -> Result<S, Failed> {
+        let connected = before(self.deadline, timeout(CONNECT, connect)).await;
         match connected {
             Some(Ok(Ok(stream))) => Ok(stream),
             Some(_) => Err(Failed::not_started(Failure::Connect)),
@@ -251,3 +277,11 @@
         () = sleep_until(deadline.into()) => None,
     }
 }
+
+/// Opens a connection. A small part of a feed must not wait for the last one's
+/// acknowledgement; it is only slower if that cannot be set.
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
