Probe balancers only as far as answers need it

Cause: an idle agent probed each balancer ten times a second: 880 bytes a second for each, 3.5 KB with four balancers, against 2 KB that a node may spend on control at today's sizes; at fleet size 17,000 balancers could not be probed at all. Found while working out the capacity.

Ruled out: no probes while idle (a quiet feed would send into dead balancers); one long interval for all (a dead balancer would be used for seconds).

Change: while answers are sent, two balancers are kept heard by probes every 150 ms, the others by traffic; each balancer is probed every 2 s otherwise. One that does not answer a probe within 200 ms counts as lost.

--- a/crates/agent/src/process/balancers.rs
+++ b/crates/agent/src/process/balancers.rs
@@ -10,23 +10,54 @@
 /// Time without a datagram after which a balancer is no longer used.
 const SILENCE: Duration = Duration::from_millis(300);
 
-/// Time without a datagram after which a balancer is probed.
-const PROBE_AFTER: Duration = Duration::from_millis(100);
+/// Time without a datagram after which a kept balancer is probed: two probes
+/// fit into [`SILENCE`], so that one may be lost.
+const PROBE_AFTER: Duration = Duration::from_millis(150);
+
+/// Balancers that are kept heard by probes while answers are sent. The others
+/// are heard by traffic if there is enough of it. A probe and its answer take
+/// 88 bytes, so probes for all of a few balancers would already exceed the 2 KB
+/// a second that a node may spend on control.
+const KEPT: usize = 2;
+
+/// Time for which answers count as being sent after the last one.
+const ACTIVE: Duration = Duration::from_secs(1);
+
+/// Time between probes of a balancer that is not kept.
+const IDLE_PROBE: Duration = Duration::from_secs(2);
+
+/// Time for the answer to a probe, after which a balancer counts as lost.
+const PROBE_ANSWER: Duration = Duration::from_millis(200);
 
 /// Deadlines of one balancer.
 #[derive(Debug, Clone, Copy)]
 struct Deadlines {
     /// Not used from this instant on, unless it is heard again.
-    silent_at: Instant,
-    /// Probed at this instant, unless it is heard before.
-    probe_at: Instant,
+    silent: Instant,
+    /// Not probed to be kept before this instant.
+    probe: Instant,
+    /// Probed at this instant even if it is not kept.
+    idle_probe: Instant,
+    /// Counts as lost from this instant on; none while no probe waits for its
+    /// answer.
+    lost: Option<Instant>,
+}
+
+impl Deadlines {
+    fn is_lost(&self, now: Instant) -> bool {
+        self.lost.is_some_and(|at| at <= now)
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent <= now
+    }
 }
 
 /// Which of the known balancers may take an answer.
 pub trait Choice: Default {
-    /// Whether a balancer may be used that is silent from `silent_at` on,
+    /// Whether a balancer may be used that is silent from `silent` on,
     /// unless it is heard again.
-    fn may_use(now: Instant, silent_at: Instant) -> bool;
+    fn may_use(now: Instant, silent: Instant) -> bool;
 }
 
 /// Only balancers that were heard lately.
@@ -34,8 +65,8 @@
 pub struct Heard;
 
 impl Choice for Heard {
-    fn may_use(now: Instant, silent_at: Instant) -> bool {
-        now < silent_at
+    fn may_use(now: Instant, silent: Instant) -> bool {
+        now < silent
     }
 }
 
@@ -54,6 +85,8 @@
 pub struct Balancers<C: Choice = Heard> {
     choice: PhantomData<C>,
     known: BTreeMap<SocketAddr, Deadlines>,
+    /// Answers count as being sent until this instant.
+    active_until: Option<Instant>,
     /// Counts the answers that were sent while no balancer was heard, to try
     /// all in turn.
     turn: usize,
@@ -64,8 +97,10 @@
     pub fn set(&mut self, now: Instant, addresses: &BTreeSet<SocketAddr>) {
         self.known.retain(|address, _| addresses.contains(address));
         let unheard = Deadlines {
-            silent_at: now,
-            probe_at: now,
+            silent: now,
+            probe: now,
+            idle_probe: now,
+            lost: None,
         };
         for &address in addresses {
             self.known.entry(address).or_insert(unheard);
@@ -75,43 +110,77 @@
     /// Notes a datagram of a balancer; one of another sender is ignored.
     pub fn heard(&mut self, now: Instant, from: SocketAddr) {
         if let Some(deadlines) = self.known.get_mut(&from) {
-            deadlines.silent_at = now + SILENCE;
-            deadlines.probe_at = now + PROBE_AFTER;
+            deadlines.silent = now + SILENCE;
+            deadlines.probe = now + PROBE_AFTER;
+            deadlines.idle_probe = now + IDLE_PROBE;
+            deadlines.lost = None;
         }
     }
 
     /// Chooses a balancer for an answer. `random` spreads the choice over the
-    /// balancers that are heard; if there is none, all are tried in turn.
+    /// balancers that are heard. If there is none, those that are not lost are
+    /// tried in turn, and else all.
     pub fn choose(&mut self, now: Instant, random: usize) -> Option<SocketAddr> {
-        let usable = |d: &Deadlines| C::may_use(now, d.silent_at);
-        let live = self.known.values().filter(|d| usable(d)).count();
-        if live == 0 {
-            self.turn += 1;
-            let nth = self.turn % self.known.len().max(1);
-            return self.known.keys().nth(nth).copied();
+        self.active_until = Some(now + ACTIVE);
+        let heard = self.nth(random, |d| C::may_use(now, d.silent));
+        if heard.is_some() {
+            return heard;
         }
-        self.known
-            .iter()
-            .filter(|(_, d)| usable(d))
-            .nth(random % live)
-            .map(|(&address, _)| address)
+        self.turn += 1;
+        self.nth(self.turn, |d| !d.is_lost(now))
+            .or_else(|| self.nth(self.turn, |_| true))
+    }
+
+    /// The `n`th of the balancers that `usable` accepts, counted in a circle.
+    fn nth(&self, n: usize, usable: impl Fn(&Deadlines) -> bool) -> Option<SocketAddr> {
+        let usable = || self.known.iter().filter(|(_, d)| usable(d));
+        let count = usable().count();
+        let (&address, _) = usable().nth(n.checked_rem(count)?)?;
+        Some(address)
     }
 
     /// Takes the balancers that are to be probed now.
-    pub fn due_probes(&mut self, now: Instant) -> Vec<SocketAddr> {
-        let mut due = Vec::new();
-        for (&address, deadlines) in &mut self.known {
-            if deadlines.probe_at <= now {
-                deadlines.probe_at = now + PROBE_AFTER;
-                due.push(address);
+    pub fn due_probes(&mut self, now: Instant) -> BTreeSet<SocketAddr> {
+        let idle = self.known.iter().filter(|(_, d)| d.idle_probe <= now);
+        let mut due: BTreeSet<_> = idle.map(|(&address, _)| address).collect();
+        if self.active_until.is_some_and(|until| now < until) {
+            due.extend(self.to_keep(now));
+        }
+        for address in &due {
+            if let Some(deadlines) = self.known.get_mut(address) {
+                deadlines.probe = now + PROBE_AFTER;
+                deadlines.idle_probe = now + IDLE_PROBE;
+                deadlines.lost.get_or_insert(now + PROBE_ANSWER);
             }
         }
         due
     }
 
+    /// Balancers to probe so that enough are kept heard: those that are still
+    /// heard before silent ones, and then those whose probe is longest ago.
+    fn to_keep(&self, now: Instant) -> Vec<SocketAddr> {
+        let kept = self.known.values().filter(|d| now < d.probe).count();
+        let mut others: Vec<_> = self
+            .known
+            .iter()
+            .filter(|(_, d)| d.probe <= now)
+            .map(|(&address, d)| (d.is_silent(now), d.probe, address))
+            .collect();
+        others.sort_unstable();
+        let missing = KEPT.saturating_sub(kept);
+        let missing = others.into_iter().take(missing);
+        missing.map(|(_, _, address)| address).collect()
+    }
+
     /// When the next probe is due.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.known.values().map(|d| d.probe_at).min()
+        let idle = self.known.values().map(|d| d.idle_probe).min()?;
+        let mut kept: Vec<_> = self.known.values().map(|d| d.probe).collect();
+        kept.sort_unstable_by(|a, b| b.cmp(a));
+        // From then on fewer than the wanted number were heard or probed lately.
+        let keep = kept.get(KEPT - 1).or(kept.last()).copied();
+        let keep = keep.filter(|at| self.active_until.is_some_and(|until| *at < until));
+        Some(keep.map_or(idle, |keep| idle.min(keep)))
     }
 }
