Note changes of the control group in the audit trail

Cause: the trail has to say who asked for what, but changes of the group carried no author and left only a log line.

Ruled out: a record made by each member from the group's own log entry, since such an entry has no author and refusals make none.

Change: a request for a change of the group names its operator, who must be that of the certificate; the leader notes what it made or refused by a command in the log, which nobody else may send.

Result: the process test that replaces a host finds the removal in the trail; the tests of limpetctl, config, control, client and types pass. A leader that removes itself can no longer note it.

--- a/crates/client/src/request/mod.rs
+++ b/crates/client/src/request/mod.rs
@@ -13,7 +13,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, time::timeout_at};
 use types::ChangeRequest;
-use wire::request::{ChangeReply, GroupRefusal, GroupReply, GroupRequest};
+use wire::request::{ChangeReply, GroupCall, GroupRefusal, GroupReply};
 
 pub use redirect::Redirect;
 
@@ -103,12 +103,12 @@
     /// These changes have no id, so one whose answer is lost is not sent
     /// again: the answer to a second attempt could deny the first. The caller
     /// looks at the group instead.
-    pub async fn change_group(&self, req: GroupRequest, deadline: Instant) -> GroupOutcome {
+    pub async fn change_group(&self, req: &GroupCall, deadline: Instant) -> GroupOutcome {
         let mut hint = None;
         loop {
             let mut round = Round::new(hint.take(), &self.control);
             while let Some(host) = round.next_before(deadline) {
-                match self.attempt_change(host, "/v1/group", &req, deadline).await {
+                match self.attempt_change(host, "/v1/group", req, deadline).await {
                     Ok(GroupReply::Done) => return GroupOutcome::Done,
                     Ok(GroupReply::Refused(refusal)) => return GroupOutcome::Refused(refusal),
                     Ok(GroupReply::NotLeader { leader }) => {
--- a/crates/config/src/request/apply.rs
+++ b/crates/config/src/request/apply.rs
@@ -131,6 +131,10 @@
             Change::SetDrain { host, drain } => self.set_drain(entry, host, *drain),
             Change::AddKey { key } => self.add_key(entry, key),
             Change::ActivateKey => self.activate_key(entry),
+            Change::NoteGroup { refused, .. } => match refused {
+                Some(refusal) => Err(Refusal::Group(*refusal).into()),
+                None => Ok(()),
+            },
         }
     }
 
--- a/crates/config/src/request/audit.rs
+++ b/crates/config/src/request/audit.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    Answer, Change, ChangeId, ChangeRequest, ClassName, HostName, KeyGeneration, OperatorName,
-    Revision, ServiceName, Target, UnixMillis,
+    Answer, Change, ChangeId, ChangeRequest, ClassName, GroupRequest, HostName, KeyGeneration,
+    OperatorName, Revision, ServiceName, Target, UnixMillis,
 };
 
 /// Number of audit records that are kept.
@@ -70,6 +70,8 @@
     AddKey(KeyGeneration),
     /// The other key was to become the current one.
     ActivateKey,
+    /// The control group was to be changed.
+    Group(GroupRequest),
 }
 
 impl fmt::Display for Summary {
@@ -92,6 +94,7 @@
             Summary::SetDrain(host, false) => write!(f, "stop draining upstream of {host}"),
             Summary::AddKey(generation) => write!(f, "add key of generation {generation}"),
             Summary::ActivateKey => f.write_str("activate the other key"),
+            Summary::Group(change) => write!(f, "change the control group: {change}"),
         }
     }
 }
@@ -110,6 +113,7 @@
             Change::SetDrain { host, drain } => Summary::SetDrain(host, drain),
             Change::AddKey { key } => Summary::AddKey(key.generation),
             Change::ActivateKey => Summary::ActivateKey,
+            Change::NoteGroup { change, .. } => Summary::Group(change),
         }
     }
 }
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -169,7 +169,7 @@
 /// Present revision of the object that a change is about; 0 if there is none.
 fn present(state: &State, change: &Change) -> Revision {
     let revision = match change {
-        Change::CreateService { .. } => None,
+        Change::CreateService { .. } | Change::NoteGroup { .. } => None,
         Change::DeleteService { name }
         | Change::SetTarget { service: name, .. }
         | Change::DeleteTarget { service: name, .. } => state.service(name).map(|s| s.revision),
--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -18,17 +18,18 @@
     time::sleep_until,
 };
 use types::{
-    Answer, Change, ChangeId, ChangeRequest, CidKey, KeyGeneration, Revision, Term, UnixMillis,
+    Answer, Change, ChangeId, ChangeRequest, CidKey, GroupRefusal, KeyGeneration, Revision, Term,
+    UnixMillis,
 };
 use wire::{
     SyncReply, SyncRequest,
-    request::{ChangeReply, GroupReply, GroupRequest, HelloReply, Query, QueryReply},
+    request::{ChangeReply, GroupCall, GroupReply, HelloReply, Query, QueryReply},
 };
 
 use super::{Settings, metrics::Metrics, nodes::Nodes, peers::Peers, waiters::Waiters};
 use crate::{
     Error, Result,
-    request::{Command, Pending, Waiter, group_change},
+    request::{Command, Pending, Waiter, group_change, refusal},
     version::View,
 };
 
@@ -57,7 +58,7 @@
     /// An operator's query.
     Query(Query, oneshot::Sender<QueryReply>),
     /// An operator's change of the group.
-    ChangeGroup(GroupRequest, oneshot::Sender<GroupReply>),
+    ChangeGroup(GroupCall, oneshot::Sender<GroupReply>),
     /// A node's request to be brought up to date.
     Sync(Box<SyncRequest>, oneshot::Sender<SyncReply>),
 }
@@ -90,6 +91,8 @@
     /// Answers to entries of this leadership, until their proposals are
     /// reported as accepted.
     answers: BTreeMap<Revision, Answer>,
+    /// Changes of the group that are to be noted in the audit trail.
+    notes: Vec<ChangeRequest>,
     /// Last entry that is covered by a snapshot.
     compacted: Revision,
     disk: store::Handle,
@@ -121,6 +124,7 @@
             pending: BTreeMap::new(),
             next_token: 0,
             answers: BTreeMap::new(),
+            notes: Vec::new(),
             compacted: Revision(0),
             disk,
             peers,
@@ -200,9 +204,12 @@
                 self.step(Input::ConfirmRead { token })
             }
             GroupCommand::ChangeGroup(req, tx) => {
-                log::info!(event = "group_change_asked", change:? = req; "group change asked");
-                let change = group_change(req);
-                let token = self.expect(Pending::Group(tx));
+                log::info!(
+                    event = "group_change_asked", author:% = req.author, change:% = req.change;
+                    "group change asked"
+                );
+                let change = group_change(req.change);
+                let token = self.expect(Pending::Group(req, tx));
                 self.step(Input::ChangeGroup { token, change })
             }
             GroupCommand::Sync(req, tx) => {
@@ -373,13 +380,20 @@
                         // Whoever asked may be gone.
                         let _ = tx.send(ChangeReply::Final(answer));
                     }
-                    (Some(Pending::Group(tx)), _) => drop(tx.send(GroupReply::Done)),
+                    (Some(Pending::Group(call, tx)), _) => {
+                        self.note(call, None);
+                        // Whoever asked may be gone.
+                        let _ = tx.send(GroupReply::Done);
+                    }
                     (Some(pending), _) => pending.lose(),
                     (None, _) => {}
                 }
             }
             Event::Rejected { token, reason } => {
                 if let Some(pending) = self.pending.remove(&token) {
+                    if let (Pending::Group(call, _), Some(refused)) = (&pending, refusal(reason)) {
+                        self.note(call.clone(), Some(refused));
+                    }
                     pending.reject(reason);
                 }
             }
@@ -392,6 +406,20 @@
         }
     }
 
+    /// Has a change of the group noted in the audit trail. A leader that removed
+    /// itself can no longer do so.
+    fn note(&mut self, call: GroupCall, refused: Option<GroupRefusal>) {
+        self.notes.push(ChangeRequest {
+            id: ChangeId::generate(),
+            author: call.author,
+            base: Revision(0),
+            change: Change::NoteGroup {
+                change: call.change,
+                refused,
+            },
+        });
+    }
+
     /// Answers a read that a majority has confirmed.
     fn answer_read(&mut self, token: Token) {
         let Some(pending) = self.pending.remove(&token) else {
@@ -441,6 +469,9 @@
             let token = self.expect(Pending::Syncs(due));
             self.step(Input::ConfirmRead { token })?;
         }
+        for note in std::mem::take(&mut self.notes) {
+            self.propose(note, Pending::Own)?;
+        }
         if self.state.keys().is_none() && self.may_propose_key() {
             self.propose_first_key()?;
         }
--- a/crates/control/src/process/http.rs
+++ b/crates/control/src/process/http.rs
@@ -10,10 +10,10 @@
 use consensus::Message;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::{mpsc, oneshot};
-use types::ChangeRequest;
+use types::{Change, ChangeRequest};
 use wire::{
     SyncRequest,
-    request::{ChangeReply, GroupReply, GroupRequest, Hello, Query, QueryReply},
+    request::{ChangeReply, GroupCall, GroupReply, Hello, Query, QueryReply},
 };
 
 use super::{CONSENSUS_PATH, GroupCommand, HELLO_PATH, Settings};
@@ -83,6 +83,10 @@
     let Ok(req) = wire::decode::<ChangeRequest>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
+    // Only the leader itself notes changes of the group.
+    if matches!(req.change, Change::NoteGroup { .. }) {
+        return HttpResponse::BadRequest().finish();
+    }
     // Before the change is proposed: the audit trail has only true authors.
     if let Some(refusal) = auth::refuse_author(&http, &req.author) {
         return refusal;
@@ -102,15 +106,15 @@
     .await
 }
 
-async fn group(tx: Tx, body: Bytes) -> HttpResponse {
+async fn group(tx: Tx, http: HttpRequest, body: Bytes) -> HttpResponse {
+    let Ok(req) = wire::decode::<GroupCall>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    if let Some(refusal) = auth::refuse_author(&http, &req.author) {
+        return refusal;
+    }
     let lost = Some(GroupReply::Unknown);
-    ask(
-        &tx,
-        &body,
-        |req: GroupRequest, tx| GroupCommand::ChangeGroup(req, tx),
-        lost,
-    )
-    .await
+    pass(&tx, |tx| GroupCommand::ChangeGroup(req, tx), lost).await
 }
 
 async fn sync(tx: Tx, body: Bytes) -> HttpResponse {
--- a/crates/control/src/request/mod.rs
+++ b/crates/control/src/request/mod.rs
@@ -7,7 +7,7 @@
 use types::ChangeRequest;
 use wire::{
     SyncReply, SyncRequest,
-    request::{ChangeReply, GroupRefusal, GroupReply, GroupRequest, Query, QueryReply},
+    request::{ChangeReply, GroupCall, GroupRefusal, GroupReply, GroupRequest, Query, QueryReply},
 };
 
 /// A request that waits for a commit or a confirmed read.
@@ -18,7 +18,7 @@
     /// A change that the leader itself proposed.
     Own,
     /// A change of the group.
-    Group(oneshot::Sender<GroupReply>),
+    Group(GroupCall, oneshot::Sender<GroupReply>),
     /// An operator's query.
     Query(Query, oneshot::Sender<QueryReply>),
     /// Requests of nodes to be brought up to date.
@@ -71,7 +71,7 @@
             } else {
                 ChangeReply::Unavailable
             })),
-            Pending::Group(tx) => drop(tx.send(match refusal(reason) {
+            Pending::Group(_, tx) => drop(tx.send(match refusal(reason) {
                 Some(refusal) => GroupReply::Refused(refusal),
                 None => GroupReply::NotLeader { leader },
             })),
@@ -92,13 +92,13 @@
     pub fn lose(self) {
         match self {
             Pending::Change(tx) => drop(tx.send(ChangeReply::Unknown)),
-            Pending::Group(tx) => drop(tx.send(GroupReply::Unknown)),
+            Pending::Group(_, tx) => drop(tx.send(GroupReply::Unknown)),
             other => other.reject(Rejection::NotLeader { leader: None }),
         }
     }
 }
 
-fn refusal(reason: Rejection) -> Option<GroupRefusal> {
+pub(crate) fn refusal(reason: Rejection) -> Option<GroupRefusal> {
     match reason {
         Rejection::NotLeader { .. } => None,
         Rejection::DiskFailed => Some(GroupRefusal::DiskFailed),
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -397,6 +397,11 @@
                 | Command::Target(_)
                 | Command::Upstream(_)
                 | Command::Key(KeyCommand::Rotate { .. })
+                | Command::Control(
+                    ControlCommand::Add { .. }
+                        | ControlCommand::Remove { .. }
+                        | ControlCommand::Replace { .. }
+                )
         )
     }
 }
--- a/crates/limpetctl/src/request/audit.rs
+++ b/crates/limpetctl/src/request/audit.rs
@@ -124,5 +124,6 @@
         Summary::SetDrain(host, false) => format!("undrain {host}"),
         Summary::AddKey(generation) => format!("add key of generation {generation}"),
         Summary::ActivateKey => "activate key".to_owned(),
+        Summary::Group(change) => format!("control group: {change}"),
     }
 }
--- a/crates/limpetctl/src/request/change.rs
+++ b/crates/limpetctl/src/request/change.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::time::sleep;
 use serde::Serialize;
-use types::{Answer, Change, ChangeId, ChangeRequest, Refusal, Revision};
+use types::{Answer, Change, ChangeId, ChangeRequest, OperatorName, Refusal, Revision};
 use wire::request::{ChangeReply, NodeReport};
 
 use super::{
@@ -186,14 +186,20 @@
         exit
     }
 
-    /// Sends a change until it has an outcome.
-    pub(super) async fn send(&self, ask: &Ask<'_>) -> ChangeView {
+    /// Who asks for a change.
+    pub(super) fn author(&self) -> OperatorName {
         let Some(author) = self.global.operator.clone() else {
             usage(
                 clap::error::ErrorKind::MissingRequiredArgument,
                 "--operator <NAME> is needed for this command, for example --operator alice",
             );
         };
+        author
+    }
+
+    /// Sends a change until it has an outcome.
+    pub(super) async fn send(&self, ask: &Ask<'_>) -> ChangeView {
+        let author = self.author();
         let identity = ask.identity();
         let req = ChangeRequest {
             id: identity.id,
--- a/crates/limpetctl/src/request/control.rs
+++ b/crates/limpetctl/src/request/control.rs
@@ -9,7 +9,7 @@
 use client::GroupOutcome;
 use serde::Serialize;
 use types::MemberId;
-use wire::request::{GroupRefusal, GroupReport, GroupRequest, Hello, HelloReply};
+use wire::request::{GroupCall, GroupRefusal, GroupReport, GroupRequest, Hello, HelloReply};
 
 use super::{Context, resend::words};
 use crate::{
@@ -173,7 +173,11 @@
                 return Ok(());
             }
             if ready(&req, &status.group) {
-                let outcome = self.cx.operator.change_group(req, self.cx.deadline);
+                let call = GroupCall {
+                    author: self.cx.author(),
+                    change: req,
+                };
+                let outcome = self.cx.operator.change_group(&call, self.cx.deadline);
                 if course.note(outcome.await)? {
                     self.made.push(describe(&req));
                     return Ok(());
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -17,8 +17,8 @@
     UpstreamId, UpstreamState, Version,
 };
 use wire::request::{
-    ChangeReply, ClassReport, GroupRefusal, GroupReply, GroupReport, GroupRequest, Hello,
-    HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
+    ChangeReply, ClassReport, GroupCall, GroupRefusal, GroupReply, GroupReport, GroupRequest,
+    Hello, HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
     UpstreamReport,
 };
 
@@ -339,7 +339,7 @@
         return reply(&GroupReply::NotLeader { leader: None });
     }
     let req = wire::decode(&body).unwrap();
-    let answer = running.borrow_mut().take_group(req, fault.is_some());
+    let answer = running.borrow_mut().take_group(req.change, fault.is_some());
     match fault {
         Some(fault) => lost(fault, reply(&GroupReply::Unknown)).await,
         None => reply(&answer),
--- a/crates/limpetd/tests/control.rs
+++ b/crates/limpetd/tests/control.rs
@@ -13,6 +13,7 @@
 
 use actix_rt::time::sleep;
 use client::{Http, NodeReport, Operator, Step, SyncSettings, SyncTask};
+use config::Summary;
 use harness::{PATIENCE, Plan, SERVICE, Site, accepted, control_address, wait_for};
 use nix::sys::signal::Signal;
 use tokio::sync::{mpsc, watch};
@@ -23,7 +24,8 @@
 use wire::{
     Subset, SyncReply, SyncRequest,
     request::{
-        ChangeReply, GroupRefusal, GroupReply, GroupRequest, Hello, HelloReply, Query, QueryReply,
+        ChangeReply, GroupCall, GroupRefusal, GroupReply, GroupRequest, Hello, HelloReply, Query,
+        QueryReply,
     },
 };
 
@@ -424,10 +426,14 @@
 /// Changes the group, again while the leader says that it is too early.
 async fn change_group(site: &Site, change: GroupRequest) {
     let http = Http::default();
+    let call = GroupCall {
+        author: "operator".parse().unwrap(),
+        change,
+    };
     wait_for("change of the group", async || {
         let host = control_address(site.plan, leader(site).await);
         let reply: client::Result<GroupReply> =
-            http.post(host, "/v1/group", &change, soon(3000)).await;
+            http.post(host, "/v1/group", &call, soon(3000)).await;
         match reply.unwrap() {
             GroupReply::Done => true,
             GroupReply::NotLeader { .. }
@@ -492,6 +498,17 @@
     change_group(&site, GroupRequest::AddLearner(id, address)).await;
     change_group(&site, GroupRequest::Promote(id)).await;
     change_group(&site, GroupRequest::Remove(old)).await;
+    let made = GroupRequest::Remove(old);
+    wait_for("the change of the group in the audit trail", async || {
+        let reply = query(&site, Query::Audit { limit: 10 }).await;
+        let QueryReply::Audit(records) = reply else {
+            panic!("no audit trail");
+        };
+        records.iter().any(|record| {
+            record.change == Summary::Group(made) && matches!(record.answer, Answer::Accepted(_))
+        })
+    })
+    .await;
     let voters = site.status().await.group.voters;
     assert!(voters.len() == 3 && voters.contains_key(&id), "{voters:?}");
     site.control[1].kill();
--- a/crates/limpetd/tests/tls.rs
+++ b/crates/limpetd/tests/tls.rs
@@ -32,7 +32,7 @@
 use types::{Change, ChangeId, ChangeRequest, MemberId, Revision, Role, Version};
 use wire::{
     Subset, SyncRequest,
-    request::{GroupRequest, Hello, Query, QueryReply},
+    request::{GroupCall, GroupRequest, Hello, Query, QueryReply},
 };
 
 fn plan(range: u8) -> Plan {
@@ -357,7 +357,10 @@
         "/v1/query" => wire::encode(&Query::Status),
         "/v1/group" => {
             let address = harness::address(82, 99, 7000);
-            wire::encode(&GroupRequest::AddLearner(MemberId(7), address))
+            wire::encode(&GroupCall {
+                author: "operator".parse().unwrap(),
+                change: GroupRequest::AddLearner(MemberId(7), address),
+            })
         }
         _ => Ok(Vec::new()),
     };
--- a/crates/types/src/request/change.rs
+++ b/crates/types/src/request/change.rs
@@ -6,8 +6,8 @@
 use uuid::Uuid;
 
 use crate::{
-    Category, CidKey, ClassName, Error, HostName, OperatorName, Result, Revision, ServiceName,
-    Target, UnixMillis,
+    Category, CidKey, ClassName, Error, GroupRefusal, GroupRequest, HostName, OperatorName, Result,
+    Revision, ServiceName, Target, UnixMillis,
 };
 
 /// Identity of a change, a version 7 UUID.
@@ -95,6 +95,14 @@
     },
     /// Makes the other key the current one.
     ActivateKey,
+    /// Notes a change of the control group that was made or refused. Only the
+    /// leader proposes it; it changes nothing but the audit trail.
+    NoteGroup {
+        /// What an operator asked.
+        change: GroupRequest,
+        /// Why it was not made; none if it was.
+        refused: Option<GroupRefusal>,
+    },
 }
 
 /// A change as an operator sends it.
@@ -155,6 +163,9 @@
     /// request; if the id was sent before, the audit trail has its answer.
     #[error("change id {0} is older than the time for which answers are kept")]
     IdExpired(ChangeId),
+    /// The control group was not changed.
+    #[error("the control group was not changed: {0}")]
+    Group(GroupRefusal),
     /// A key rotation is out of step.
     #[error("the key cannot be added or activated in the present state of the rotation")]
     KeyRotation,
--- a/crates/types/src/request/mod.rs
+++ b/crates/types/src/request/mod.rs
@@ -1,7 +1,9 @@
 //! What lives for one request or one operator change.
 
 mod change;
+mod group;
 mod size;
 
 pub use change::{Answer, Change, ChangeId, ChangeRequest, Conflict, Refusal};
+pub use group::{GroupRefusal, GroupRequest};
 pub use size::{Connections, RequestId, ReservationId, Slots, UnixMillis};
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use types::{
-    Answer, ClassName, DataCentre, HostName, KeyGeneration, MemberId, Revision, Role, Service,
-    ServiceName, Slots, Term, UpstreamId, UpstreamState, Version,
+    Answer, ClassName, DataCentre, GroupRefusal, GroupRequest, HostName, KeyGeneration, MemberId,
+    OperatorName, Revision, Role, Service, ServiceName, Slots, Term, UpstreamId, UpstreamState,
+    Version,
 };
 
 /// Reply to a [`types::ChangeRequest`].
@@ -43,18 +44,16 @@
     pub blank: bool,
 }
 
-/// Asks for a change of the control group by one member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GroupRequest {
-    /// Adds a member that receives the log and does not vote.
-    AddLearner(MemberId, SocketAddr),
-    /// Makes a learner that has caught up a voter.
-    Promote(MemberId),
-    /// Removes a member.
-    Remove(MemberId),
+/// A change of the control group as an operator sends it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupCall {
+    /// Who asks.
+    pub author: OperatorName,
+    /// What is asked.
+    pub change: GroupRequest,
 }
 
-/// Reply to a [`GroupRequest`].
+/// Reply to a [`GroupCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GroupReply {
     /// The change is in force.
@@ -70,29 +69,6 @@
     Unknown,
 }
 
-/// Why a change of the group was not made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
-pub enum GroupRefusal {
-    /// The disk of the leader refuses writes.
-    #[error("the disk of the leader is full, read-only or failing")]
-    DiskFailed,
-    /// Another change of the group has not ended, or the leader is new.
-    #[error("another group change is in progress, or the leader is new; try again")]
-    Busy,
-    /// The learner lacks committed entries or was not heard lately.
-    #[error("the learner has not caught up")]
-    NotCaughtUp,
-    /// The member is already in the group.
-    #[error("already a member of the group")]
-    AlreadyMember,
-    /// The member is not in the group in the part that the change needs.
-    #[error("no such member in the group")]
-    NoSuchMember,
-    /// The group must keep at least one voter.
-    #[error("the last voter cannot be removed")]
-    LastVoter,
-}
-
 /// Asks for state that a majority confirms.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Query {
