--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -338,7 +338,7 @@
     if let Some(Fault::NotLeader | Fault::Unavailable) = fault {
         return reply(&GroupReply::NotLeader { leader: None });
     }
-    let req = wire::decode(&body).unwrap();
+    let req: GroupCall = wire::decode(&body).unwrap();
     let answer = running.borrow_mut().take_group(req.change, fault.is_some());
     match fault {
         Some(fault) => lost(fault, reply(&GroupReply::Unknown)).await,
