Split large files and open UDP sockets in one place

Change: the leader's soft state and the commands of the admission have modules of their own; the net crate opens UDP sockets.

--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod balancers;
+mod commands;
 mod datagram;
 mod endpoint;
 mod identity;
@@ -16,8 +17,8 @@
 mod run;
 mod settings;
 
-pub use admission::{AdmissionCommand, AdmissionHandle, Grant};
 pub use balancers::{Balancers, Choice, Heard, Known};
+pub use commands::{AdmissionCommand, AdmissionHandle, Grant};
 pub use identity::Identity;
 pub use keys::{Asked, KeysCommand, KeysHandle};
 pub use metrics::Metrics;
--- a/crates/agent/src/process/node.rs
+++ b/crates/agent/src/process/node.rs
@@ -12,7 +12,7 @@
 
 use super::{
     AdmissionCommand, AdmissionHandle, KeysCommand, KeysHandle, Settings,
-    admission::{AdmissionView, Summary},
+    commands::{AdmissionView, Summary},
     datagram::{DatagramCommand, DatagramView},
 };
 use crate::{connection::CidSource, version::View};
--- a/crates/agent/src/process/run.rs
+++ b/crates/agent/src/process/run.rs
@@ -1,8 +1,7 @@
 //! Starting and ending an agent.
 
 use std::{
-    io,
-    net::{SocketAddr, TcpListener},
+    net::TcpListener,
     time::{Duration, Instant},
 };
 
@@ -12,7 +11,6 @@
 use prometheus::Registry;
 use quinn::VarInt;
 use rand::Rng;
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -45,9 +43,6 @@
 /// Versions and commands that may wait for a task.
 const STEPS: usize = 4;
 
-/// Buffer of the data socket in bytes.
-const SOCKET_BUFFER: usize = 4 << 20;
-
 /// Time for the last announcement and the last packets.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -114,7 +109,7 @@
 ) -> Result<(Started, Serving)> {
     let metrics = Metrics::new(registry)?;
     let own = UpstreamId(rand::rng().random());
-    let data = open_data_socket(cfg)?;
+    let data = net::bind_udp(cfg.data_listen).map_err(|e| Error::Bind(cfg.data_listen, e))?;
     let listener =
         TcpListener::bind(cfg.peer_listen).map_err(|e| Error::Bind(cfg.peer_listen, e))?;
     let announcement = announcement(cfg, own, &data, &listener)?;
@@ -228,23 +223,6 @@
     }
 }
 
-fn open_data_socket(cfg: &Settings) -> Result<UdpSocket> {
-    let open = |address: SocketAddr| -> io::Result<UdpSocket> {
-        let socket = Socket::new(
-            Domain::for_address(address),
-            Type::DGRAM,
-            Some(Protocol::UDP),
-        )?;
-        // The kernel may grant less than asked for.
-        let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
-        let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        UdpSocket::from_std(socket.into())
-    };
-    open(cfg.data_listen).map_err(|e| Error::Bind(cfg.data_listen, e))
-}
-
 /// The announcement before any state is known.
 fn announcement(
     cfg: &Settings,
--- a/crates/balancer/src/process/ingress.rs
+++ b/crates/balancer/src/process/ingress.rs
@@ -8,15 +8,11 @@
     task::{Context, Poll, ready},
 };
 
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{io::ReadBuf, net::UdpSocket};
 use wire::{Endpoints, Prefix};
 
 use crate::{Error, Result};
 
-/// Buffer of each socket in bytes, for bursts while the task is busy.
-const SOCKET_BUFFER: usize = 4 << 20;
-
 /// The least address, which no service has.
 const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -26,21 +22,7 @@
 ///
 /// The address cannot be bound.
 pub fn bind(address: SocketAddr) -> Result<UdpSocket> {
-    open(address).map_err(|e| Error::Bind(address, e))
-}
-
-fn open(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::DGRAM,
-        Some(Protocol::UDP),
-    )?;
-    // The kernel may grant less than asked for.
-    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
-    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    UdpSocket::from_std(socket.into())
+    net::bind_udp(address).map_err(|e| Error::Bind(address, e))
 }
 
 /// What came from the side of the callers.
--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -10,7 +10,6 @@
 use consensus::{
     Consensus, Entry, Event, Group, Input, Message, Output, Payload, Snapshot, Status, Token,
 };
-use member::Registry;
 use rand::Rng;
 use store::Report;
 use tokio::{
@@ -18,7 +17,7 @@
     time::sleep_until,
 };
 use types::{
-    Answer, Change, ChangeId, ChangeRequest, CidKey, GroupRefusal, KeyGeneration, Revision, Term,
+    Answer, Change, ChangeId, ChangeRequest, CidKey, GroupRefusal, KeyGeneration, Revision,
     UnixMillis,
 };
 use wire::{
@@ -26,17 +25,13 @@
     request::{ChangeReply, GroupCall, GroupReply, HelloReply, Query, QueryReply},
 };
 
-use super::{Settings, metrics::Metrics, nodes::Nodes, peers::Peers, waiters::Waiters};
+use super::{Settings, leadership::Leadership, metrics::Metrics, peers::Peers};
 use crate::{
     Error, Result,
     request::{Command, Pending, Waiter, group_change, refusal},
     version::View,
 };
 
-/// Shortest time between two published memberships, so that many changes at
-/// once are one switch of version.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Longest time that a node's request is held, whatever it asks for. Below a
 /// lease, because a node that waits does not renew its own.
 const MAX_HOLD: Duration = Duration::from_secs(2);
@@ -63,23 +58,6 @@
     Sync(Box<SyncRequest>, oneshot::Sender<SyncReply>),
 }
 
-/// What the leader keeps besides the log. Soft state: a new leader starts
-/// without it.
-struct Leadership {
-    term: Term,
-    registry: Registry,
-    nodes: Nodes,
-    /// Nodes that wait for something newer.
-    waiters: Waiters,
-    /// No membership is published before this instant.
-    publish_at: Instant,
-    /// A read of this term was confirmed, so every entry of earlier leaders is
-    /// applied here.
-    confirmed: bool,
-    /// Revision up to which the registry knows the configuration.
-    known: Revision,
-}
-
 /// The task that owns the decisions of a control host.
 pub struct GroupTask {
     cfg: Settings,
@@ -518,69 +496,6 @@
     }
 }
 
-impl Leadership {
-    fn new(cfg: &Settings, term: Term, now: Instant) -> Self {
-        Leadership {
-            term,
-            registry: Registry::new(cfg.member.clone(), now, term),
-            nodes: Nodes::default(),
-            waiters: Waiters::default(),
-            publish_at: now,
-            confirmed: false,
-            known: Revision(0),
-        }
-    }
-
-    /// Takes the configuration after `self.known` over into the registry.
-    fn learn(&mut self, state: &State) {
-        if self.known == state.revision() && self.known != Revision(0) {
-            return;
-        }
-        let changes = match state.delta_since(self.known) {
-            config::Delta::Changes(changes) => changes,
-            config::Delta::SnapshotNeeded => state.everything(),
-        };
-        for id in changes.removed {
-            self.registry.remove_service(id);
-        }
-        for service in changes.services {
-            self.registry
-                .set_service(service.id, &service.name, &service.targets);
-        }
-        for (host, drain) in changes.drains {
-            self.registry.set_drain(&host, drain);
-        }
-        self.known = state.revision();
-    }
-
-    fn next_deadline(&self) -> Instant {
-        let publish = self.registry.next_deadline();
-        let publish = publish.map(|at| at.max(self.publish_at));
-        let hold = self.waiters.next_deadline();
-        let far = Instant::now() + Duration::from_secs(1);
-        publish.into_iter().chain(hold).min().unwrap_or(far)
-    }
-
-    /// Publishes a membership if one is due; returns whether it did.
-    fn publish(&mut self, now: Instant) -> bool {
-        let due = self.registry.next_deadline();
-        if now < self.publish_at || due.is_none_or(|due| now < due) {
-            return false;
-        }
-        self.publish_at = now + PUBLISH_INTERVAL;
-        self.registry.tick(now).is_some()
-    }
-
-    /// Takes the nodes that are to be answered now.
-    fn take_due(&mut self, now: Instant, state: &State) -> Vec<Waiter> {
-        let view = View {
-            state,
-            registry: &self.registry,
-        };
-        self.waiters.take_due(now, view)
-    }
-}
-
 fn answer_label(answer: &Answer) -> &'static str {
     match answer {
         Answer::Accepted(_) => "accepted",
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod group;
 mod http;
+mod leadership;
 mod metrics;
 mod nodes;
 mod peers;
