Lose a balancer without notice in the benchmark of requests

Cause: a stopped balancer now leaves and forwards for 5 s, so the benchmark no longer lost one: p99 was 1.5 ms for either choice.

Change: it is ended by an abort, which closes its sockets at once.

--- a/crates/bench/src/bin/requests.rs
+++ b/crates/bench/src/bin/requests.rs
@@ -10,6 +10,7 @@
 
 use actix_rt::{
     System,
+    task::JoinHandle,
     time::{sleep, sleep_until},
 };
 use agent::{
@@ -84,7 +85,7 @@
         if fabric == "aware" {
             site.use_balancers(1).await;
         }
-        site.balancers[lost].send_replace(true);
+        site.balancers[lost].abort();
         let after = load(&mut callers).await;
         println!(
             "{fabric:8} {choice:6} {seed:5} {:>9} /{:>7} {:>9} /{:>7} /{:>7}",
@@ -185,7 +186,7 @@
     fabric: FabricHandle,
     range: u8,
     /// Ends each balancer at once.
-    balancers: Vec<watch::Sender<bool>>,
+    balancers: Vec<JoinHandle<()>>,
     /// Ends the control host and the agents.
     others: Vec<watch::Sender<bool>>,
     upstreams: Vec<UpstreamHandle>,
@@ -238,12 +239,13 @@
             return_listen: address(self.range, 11 + n, 7100),
             ..balancer::Settings::new(host, data_centre, vec![control])
         };
-        let (stop_tx, stop) = watch::channel(false);
-        self.balancers.push(stop_tx);
-        actix_rt::spawn(async move {
+        // Ended by an abort, which closes its sockets without notice; a stop
+        // would let it leave and forward for a while.
+        self.balancers.push(actix_rt::spawn(async move {
+            let (_stop_tx, stop) = watch::channel(false);
             let ended = balancer::run(cfg, &Registry::new(), stop).await;
             ended.expect("balancer");
-        });
+        }));
     }
 
     fn start_agent<C: Choice + 'static>(&mut self, n: u8, control: SocketAddr) {
@@ -270,7 +272,10 @@
 
     /// Ends the site, so that it costs the next one no time.
     fn stop(self) {
-        for stop in self.balancers.iter().chain(&self.others) {
+        for balancer in &self.balancers {
+            balancer.abort();
+        }
+        for stop in &self.others {
             stop.send_replace(true);
         }
     }
