Check late replies in one place

Cause: the client and the sync task both discarded replies after the deadline.

Change: only the client does; a request under a key no longer sits behind a reference count that nobody shares.

--- a/crates/agent/src/request/keyed.rs
+++ b/crates/agent/src/request/keyed.rs
@@ -1,7 +1,5 @@
 //! Requests under an idempotency key.
 
-use std::rc::Rc;
-
 use admit::Outcome;
 use bytes::{Bytes, BytesMut};
 use dedup::{Begin, End, Fingerprint, Kept, Key};
@@ -63,7 +61,7 @@
             let (tx, rx) = mpsc::channel(PARTS);
             // The request runs in a task of its own: a caller that goes away
             // will ask for the result again.
-            actix_rt::spawn(run(Rc::new(exchange), permit, tx));
+            actix_rt::spawn(run(exchange, permit, tx));
             relay(rx, send).await
         }
         (Begin::Answered(kept), _) => {
@@ -78,7 +76,7 @@
 }
 
 /// Runs the request to its end, whether or not the caller stays.
-async fn run(exchange: Rc<Exchange>, mut permit: Permit, tx: mpsc::Sender<Part>) {
+async fn run(exchange: Exchange, mut permit: Permit, tx: mpsc::Sender<Part>) {
     permit.note(End::Lost);
     // The caller may be gone, whenever something is sent to it.
     match exchange.run().await {
--- a/crates/client/src/version/sync.rs
+++ b/crates/client/src/version/sync.rs
@@ -11,7 +11,7 @@
 use types::{Announcement, Balancer, DataCentre, HostName, Loads, Role, UpstreamId, Version};
 use wire::{Subset, SyncReply, SyncRequest, Update};
 
-use crate::{Http, Result, error::ErrorKind};
+use crate::{Http, Result};
 
 /// Path of the sync exchange.
 const PATH: &str = "/v1/sync";
@@ -144,21 +144,14 @@
     async fn exchange(&mut self, host: SocketAddr) -> Option<Result<SyncReply>> {
         let req = self.request();
         let deadline = Instant::now() + self.cfg.timeout;
-        let reply = tokio::select! {
-            reply = self.http.post(host, PATH, &req, deadline) => reply,
+        tokio::select! {
+            reply = self.http.post(host, PATH, &req, deadline) => Some(reply),
             changed = self.report.changed() => match changed {
-                Ok(()) => return None,
+                Ok(()) => None,
                 // The owner stopped reporting; keep the last report.
-                Err(_) => self.http.post(host, PATH, &req, deadline).await,
+                Err(_) => Some(self.http.post(host, PATH, &req, deadline).await),
             },
-        };
-        // A process that was frozen finds the answer before it finds that the
-        // deadline has passed.
-        Some(if Instant::now() < deadline {
-            reply
-        } else {
-            Err(ErrorKind::Timeout(host).into())
-        })
+        }
     }
 
     fn request(&mut self) -> SyncRequest {
