--- a/crates/balancer/src/process/datapath.rs
+++ b/crates/balancer/src/process/datapath.rs
@@ -270,6 +270,10 @@
     /// Counts a dropped datagram and logs it at a bounded rate.
     fn count_drop(&mut self, cause: DropCause) {
         let count = self.metrics.count_drop(cause);
+        // A balancer that the fabric has not used yet gets probes all the time.
+        if cause == DropCause::Probe {
+            return;
+        }
         let now = Instant::now();
         if now >= self.next_drop_log {
             self.next_drop_log = now + DROP_LOG_INTERVAL;
