config: whole routing sets at a number of the writer's choosing

The platform's operators give every route at once, at their own number, and the highest number is in force. The log had only single objects based on revisions.

--- a/crates/config/src/request/apply.rs
+++ b/crates/config/src/request/apply.rs
@@ -4,7 +4,7 @@
 
 use types::{
     Answer, Change, ChangeRequest, CidKey, ClassName, Conflict, HostName, KeyGeneration, KeySet,
-    OperatorName, Refusal, Revision, Service, ServiceName, Target, UnixMillis,
+    OperatorName, Refusal, Revision, RoutingSet, Rule, Service, ServiceName, Target, UnixMillis,
 };
 
 use super::{
@@ -131,6 +131,7 @@
             Change::SetDrain { host, drain } => self.set_drain(entry, host, *drain),
             Change::AddKey { key } => self.add_key(entry, key),
             Change::ActivateKey => self.activate_key(entry),
+            Change::ReplaceRoutes(set) => self.replace_routes(set),
             Change::NoteGroup { refused, .. } => match refused {
                 Some(refusal) => Err(Refusal::Group(*refusal).into()),
                 None => Ok(()),
@@ -238,6 +239,19 @@
         Ok(())
     }
 
+    /// Sets are ordered by their own numbers, not by a base: a set that a
+    /// higher one has overtaken needs no answer but that it is settled.
+    fn replace_routes(&mut self, set: &RoutingSet) -> Result<(), Failure> {
+        let leads_nowhere = |rule: &Rule| rule.parts.values().all(|part| part.0 == 0);
+        if let Some((address, _)) = set.rules.iter().find(|(_, rule)| leads_nowhere(rule)) {
+            return Err(Refusal::EmptyRule(set.number, *address).into());
+        }
+        if self.routes().is_none_or(|held| held.number < set.number) {
+            self.put_routes(set.clone());
+        }
+        Ok(())
+    }
+
     fn change_service(&mut self, entry: &Entry, service: Service) {
         self.put_service(Service {
             revision: entry.index,
--- a/crates/config/src/request/audit.rs
+++ b/crates/config/src/request/audit.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use types::{
     Answer, Change, ChangeId, ChangeRequest, ClassName, GroupRequest, HostName, KeyGeneration,
-    OperatorName, Revision, ServiceName, Target, UnixMillis,
+    OperatorName, Revision, ServiceName, SetNumber, Target, UnixMillis,
 };
 
 /// Number of audit records that are kept.
@@ -70,6 +70,9 @@
     AddKey(KeyGeneration),
     /// The other key was to become the current one.
     ActivateKey,
+    /// The routing set was to be replaced by one with this number and this
+    /// many rules.
+    ReplaceRoutes(SetNumber, u64),
     /// The control group was to be changed.
     Group(GroupRequest),
 }
@@ -94,6 +97,9 @@
             Summary::SetDrain(host, false) => write!(f, "stop draining upstream of {host}"),
             Summary::AddKey(generation) => write!(f, "add key of generation {generation}"),
             Summary::ActivateKey => f.write_str("activate the other key"),
+            Summary::ReplaceRoutes(number, rules) => {
+                write!(f, "replace the routes by set {number} of {rules} rules")
+            }
             Summary::Group(change) => write!(f, "change the control group: {change}"),
         }
     }
@@ -113,6 +119,9 @@
             Change::SetDrain { host, drain } => Summary::SetDrain(host, drain),
             Change::AddKey { key } => Summary::AddKey(key.generation),
             Change::ActivateKey => Summary::ActivateKey,
+            Change::ReplaceRoutes(set) => {
+                Summary::ReplaceRoutes(set.number, set.rules.len() as u64)
+            }
             Change::NoteGroup { change, .. } => Summary::Group(change),
         }
     }
--- a/crates/config/src/version/index.rs
+++ b/crates/config/src/version/index.rs
@@ -3,10 +3,11 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize, Serializer};
-use types::{HostName, Revision, Service, ServiceId, ServiceName};
+use types::{HostName, Revision, RoutingSet, Service, ServiceId, ServiceName};
 
 use super::mark::{DrainMark, Keys, Removed};
 
@@ -50,6 +51,8 @@
     removed: BTreeMap<Revision, Removed>,
     drains: BTreeMap<HostName, DrainMark>,
     keys: Option<Keys>,
+    /// The routing set with the highest number that was accepted.
+    routes: Option<Arc<RoutingSet>>,
 }
 
 impl From<Objects> for Versions {
@@ -105,6 +108,16 @@
         self.objects.keys.as_ref()
     }
 
+    pub(crate) fn routes(&self) -> Option<&Arc<RoutingSet>> {
+        self.objects.routes.as_ref()
+    }
+
+    /// Replaces the routing set. It is no object with a revision: nodes follow
+    /// its own number.
+    pub(crate) fn put_routes(&mut self, set: RoutingSet) {
+        self.objects.routes = Some(Arc::new(set));
+    }
+
     pub(crate) fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.objects.services.get(self.by_name.get(name)?)
     }
--- a/crates/config/src/version/snapshot.rs
+++ b/crates/config/src/version/snapshot.rs
@@ -6,7 +6,7 @@
 use crate::error::{ErrorKind, Result};
 
 /// Format of the snapshots that this build writes and reads.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 
 impl State {
     /// Writes the whole state. Equal states give equal bytes.
--- a/crates/config/src/version/state.rs
+++ b/crates/config/src/version/state.rs
@@ -1,9 +1,12 @@
 //! The state that the log drives.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
-use types::{HostName, Revision, Service, ServiceId, ServiceName, UnixMillis};
+use types::{HostName, Revision, RoutingSet, Service, ServiceId, ServiceName, UnixMillis};
 
 use super::{Changes, Delta, DrainMark, Keys, Object, Versions};
 use crate::request::{AUDIT_KEPT, Answers, Record};
@@ -59,6 +62,12 @@
         self.versions.keys()
     }
 
+    /// The routing set in force; `None` before the first one was accepted.
+    #[must_use]
+    pub fn routes(&self) -> Option<&Arc<RoutingSet>> {
+        self.versions.routes()
+    }
+
     /// Drain marks by host. Marks that were taken back are included, with
     /// `drain` false, because a later change must name their revision.
     #[must_use]
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use config::State;
 use types::{
-    Answer, Change, ChangeId, ChangeRequest, CidKey, ClassName, KeyGeneration, Revision, Slots,
-    Target, UnixMillis,
+    Answer, Change, ChangeId, ChangeRequest, CidKey, ClassName, KeyGeneration, Part, Revision,
+    RoutingSet, Rule, SetNumber, Slots, Target, UnixMillis,
 };
 
 /// Start of the log's time in the tests.
@@ -66,6 +66,18 @@
     Change::AddKey { key }
 }
 
+/// A set of one rule that sends everything to one service.
+pub fn replace_routes(number: u64, service: &str, part: u32) -> Change {
+    let rule = Rule {
+        parts: [(service.parse().unwrap(), Part(part))].into(),
+    };
+    Change::ReplaceRoutes(Box::new(RoutingSet {
+        number: SetNumber(number),
+        rules: [(([198, 18, 0, 1], 443).into(), rule)].into(),
+        ..RoutingSet::default()
+    }))
+}
+
 /// A log that writes itself: each change is the next entry.
 pub struct Log {
     pub state: State,
@@ -169,7 +181,7 @@
 /// Present revision of the object that a change is about; 0 if there is none.
 fn present(state: &State, change: &Change) -> Revision {
     let revision = match change {
-        Change::CreateService { .. } | Change::NoteGroup { .. } => None,
+        Change::CreateService { .. } | Change::NoteGroup { .. } | Change::ReplaceRoutes(_) => None,
         Change::DeleteService { name }
         | Change::SetTarget { service: name, .. }
         | Change::DeleteTarget { service: name, .. } => state.service(name).map(|s| s.revision),
@@ -181,13 +193,14 @@
 
 fn random_change(u: &mut Unstructured) -> Result<Change> {
     let name = *u.choose(&["a", "b"])?;
-    Ok(match u.int_in_range(0..=6)? {
+    Ok(match u.int_in_range(0..=7)? {
         0 => create(name, u.int_in_range(1..=2)?),
         1 => delete(name),
         2 => set_target(name, u.choose(&["x", "y"])?, u.int_in_range(0..=2)?, "/"),
         3 => delete_target(name, u.choose(&["x", "y"])?),
         4 => drain(name, u.arbitrary()?),
         5 => add_key(u.int_in_range(0..=3)?),
+        6 => replace_routes(u.int_in_range(0..=9)?, name, u.int_in_range(0..=2)?),
         _ => Change::ActivateKey,
     })
 }
--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -28,6 +28,7 @@
         // wrongly say that the revision is in force everywhere.
         Query::Lagging(_) if view.version().is_none() => QueryReply::Unsettled,
         Query::Lagging(revision) => QueryReply::Lagging(nodes.lagging(now, *revision)),
+        Query::Routes => QueryReply::Routes(state.routes().cloned()),
         Query::Status => QueryReply::Status(Box::new(StatusReport {
             version: view.version().unwrap_or_default(),
             group: group(status),
--- a/crates/limpetctl/src/request/audit.rs
+++ b/crates/limpetctl/src/request/audit.rs
@@ -124,6 +124,7 @@
         Summary::SetDrain(host, false) => format!("undrain {host}"),
         Summary::AddKey(generation) => format!("add key of generation {generation}"),
         Summary::ActivateKey => "activate key".to_owned(),
+        Summary::ReplaceRoutes(number, rules) => format!("routing set {number}: {rules} rules"),
         Summary::Group(change) => format!("control group: {change}"),
     }
 }
--- a/crates/types/src/request/change.rs
+++ b/crates/types/src/request/change.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Category, CidKey, ClassName, Error, GroupRefusal, GroupRequest, HostName, OperatorName, Result,
-    Revision, ServiceName, Target, UnixMillis,
+    Revision, RoutingSet, ServiceName, SetNumber, Target, UnixMillis,
 };
 
 /// Identity of a change, a version 7 UUID.
@@ -95,6 +95,9 @@
     },
     /// Makes the other key the current one.
     ActivateKey,
+    /// Replaces the routing set, unless the present one has this number or a
+    /// higher one: then it is accepted and changes nothing.
+    ReplaceRoutes(Box<RoutingSet>),
     /// Notes a change of the control group that was made or refused. Only the
     /// leader proposes it; it changes nothing but the audit trail.
     NoteGroup {
@@ -169,6 +172,9 @@
     /// A key rotation is out of step.
     #[error("the key cannot be added or activated in the present state of the rotation")]
     KeyRotation,
+    /// A rule of the routing set sends flows nowhere.
+    #[error("routing set {0} has a rule for {1} without a part above 0")]
+    EmptyRule(SetNumber, SocketAddr),
     /// The id is dated too far ahead of the control group's clock.
     #[error("change id {0} is dated in the future; check the clock of the host that drew it")]
     IdInFuture(ChangeId),
--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -3,9 +3,11 @@
 mod key;
 mod member;
 mod number;
+mod routes;
 mod service;
 
 pub use key::{CidKey, KeyGeneration, KeySet};
 pub use member::{Announcement, Balancer, ClassLoad, Loads, Member, ServiceState, UpstreamState};
 pub use number::{Revision, Term, Version};
+pub use routes::{Part, RoutingDelta, RoutingSet, Rule, SetNumber};
 pub use service::{PathPrefix, Service, ServiceId, Share, Target};
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -11,8 +12,8 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use types::{
     Answer, ClassName, DataCentre, GroupRefusal, GroupRequest, HostName, KeyGeneration, MemberId,
-    OperatorName, Revision, Role, Service, ServiceName, Slots, Term, UpstreamId, UpstreamState,
-    Version,
+    OperatorName, Revision, Role, RoutingSet, Service, ServiceName, Slots, Term, UpstreamId,
+    UpstreamState, Version,
 };
 
 /// Reply to a [`types::ChangeRequest`].
@@ -89,6 +90,8 @@
     Status,
     /// Nodes that have not yet a revision in force.
     Lagging(Revision),
+    /// The routing set.
+    Routes,
 }
 
 /// Reply to a [`Query`].
@@ -116,6 +119,8 @@
     Status(Box<StatusReport>),
     /// To [`Query::Lagging`].
     Lagging(Vec<NodeReport>),
+    /// To [`Query::Routes`].
+    Routes(Option<Arc<RoutingSet>>),
 }
 
 /// The keys of connection ids, without their secrets.
