flow, directory: decide about flows without ids and find nodes without a list

flow: the agent is the authority on the flows of its upstream; balancers keep hints and ask for a flow that they do not know. directory: nodes say hello to control hosts, which tell one another and send each node only what changed. Both are pure: no sockets, clock, randomness.

--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,27 @@
+//! The processes of a deployment, as they are found without a list.
+//!
+//! Every process says hello to a control host, which notes it in its
+//! [`Directory`]. Control hosts tell one another what they have heard
+//! ([`Directory::heard`]), and tell each process what changed since its last
+//! hello ([`Directory::news`]); the process keeps a [`View`]. All of it is soft
+//! state: it needs no agreement, and is complete again a hello after a restart.
+//!
+//! ```
+//! use directory::{Directory, Node, View};
+//! use std::time::Instant;
+//!
+//! let now = Instant::now();
+//! let mut directory = Directory::new(1);
+//! directory.note(Node::example("10.0.0.1:7000"), now);
+//! let mut view = View::default();
+//! for news in directory.news(view.mark()) {
+//!     view.apply(news, now);
+//! }
+//! assert_eq!(view.nodes().count(), 1);
+//! ```
+
+pub mod process;
+pub mod version;
+
+pub use process::{Changes, Directory, LEASE, Node, Part, View};
+pub use version::{Hello, Mark, News, ROUTES_PATH, Reply, Spoken};
--- /dev/null
+++ b/crates/directory/src/process/node.rs
@@ -0,0 +1,60 @@
+//! A process of the deployment.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use serde::{Deserialize, Serialize};
+use types::{DataCentre, MemberId, ServiceName};
+
+/// What a process does.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Part {
+    /// A control host with its identity in the group.
+    Control(MemberId),
+    /// Takes callers' datagrams.
+    Balancer,
+    /// Stands beside an upstream of this service.
+    Agent(ServiceName),
+}
+
+/// A process of the deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    /// Where other processes reach it; no two processes share one.
+    pub address: SocketAddrV4,
+    /// Differs for each run of the process; never 0.
+    pub run: u64,
+    /// Rises with each change of this record within a run.
+    pub seq: u64,
+    /// Where the host is.
+    pub data_centre: DataCentre,
+    /// What the process does.
+    pub part: Part,
+    /// It ends soon and takes nothing new.
+    pub leaving: bool,
+}
+
+impl Node {
+    /// A balancer at an address, for examples and tests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `address` is not an IPv4 address and port.
+    #[must_use]
+    pub fn example(address: &str) -> Self {
+        let data_centre = "dc".parse().expect("a valid name");
+        Node {
+            address: address.parse().expect("an IPv4 address and port"),
+            run: 1,
+            seq: 0,
+            data_centre,
+            part: Part::Balancer,
+            leaving: false,
+        }
+    }
+
+    /// The host of the process.
+    #[must_use]
+    pub fn ip(&self) -> Ipv4Addr {
+        *self.address.ip()
+    }
+}
--- /dev/null
+++ b/crates/directory/src/version/mod.rs
@@ -0,0 +1,64 @@
+//! What a version of the directory is told by.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use types::SetNumber;
+
+use crate::Node;
+
+/// How far a reader has followed the directory of a control host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Mark {
+    /// The run of the control host; 0 for none.
+    pub run: u64,
+    /// Its last change that the reader has.
+    pub seq: u64,
+}
+
+/// Changes of the directory of a control host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// What the reader must have; the default starts from nothing.
+    pub from: Mark,
+    /// What the reader has afterwards.
+    pub to: Mark,
+    /// Nodes that are new or changed.
+    pub changed: Vec<Node>,
+    /// Nodes that are gone.
+    pub removed: Vec<SocketAddrV4>,
+}
+
+/// Path at which a control host gives a node what it lacks of the routing set.
+pub const ROUTES_PATH: &str = "/v1/routes";
+
+/// A node says that it is there and what it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The node.
+    pub node: Node,
+    /// Where the reply goes.
+    pub reply_to: SocketAddrV4,
+    /// How far it has followed the directory of this control host.
+    pub mark: Mark,
+}
+
+/// What a control host is told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Spoken {
+    /// By a node.
+    Hello(Hello),
+    /// By another control host: the nodes that it heard, and how many
+    /// milliseconds ago.
+    Heard(Vec<(Node, u64)>),
+}
+
+/// What a control host tells a node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The routing set in force.
+    pub routes: SetNumber,
+    /// Changes of the directory, if any.
+    pub news: Option<News>,
+}
--- /dev/null
+++ b/crates/flow/src/process/holder.rs
@@ -0,0 +1,518 @@
+//! What an agent knows of the flows of its upstream.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use types::Slots;
+
+use crate::{Key, Segment};
+
+/// Times and bounds of a [`Holder`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HolderSettings {
+    /// A flow without a datagram for this long is forgotten. Above the time
+    /// after which the ends of a flow discard it.
+    pub idle: Duration,
+    /// A closed flow is kept for this long, for copies of its last datagrams.
+    pub linger: Duration,
+    /// After a start, flows that the upstream may hold from before are looked
+    /// for during this time: the longest pause of an open flow.
+    pub relearn: Duration,
+    /// An upstream that left an opening datagram unanswered for this long
+    /// counts as silent. A living one answers within a few milliseconds.
+    pub silence: Duration,
+    /// A silent upstream is given one opening datagram in this time.
+    pub probe: Duration,
+    /// Flows kept at most; beyond that nothing new is accepted.
+    pub flows: usize,
+}
+
+impl Default for HolderSettings {
+    fn default() -> Self {
+        HolderSettings {
+            idle: Duration::from_mins(1),
+            linger: Duration::from_secs(4),
+            relearn: Duration::from_mins(1),
+            silence: Duration::from_millis(150),
+            probe: Duration::from_millis(600),
+            flows: 100_000,
+        }
+    }
+}
+
+/// Largest distance of an acknowledgement from the first byte of an upstream,
+/// in bytes: far above the size of an answer, far below the range of numbers.
+const ACK_RANGE: u32 = 1 << 24;
+
+/// What an agent is told of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Upstream {
+    /// Differs for each run of the upstream.
+    pub incarnation: u64,
+    /// Requests that it serves at a time.
+    pub slots: Slots,
+    /// Whether it takes new flows: it is neither leaving nor gone.
+    pub accepting: bool,
+    /// It is slow after its start until then.
+    pub cold_until: Option<Instant>,
+}
+
+impl Upstream {
+    /// An upstream that takes flows and is not cold.
+    #[must_use]
+    pub fn ready(incarnation: u64, slots: Slots) -> Self {
+        Upstream {
+            incarnation,
+            slots,
+            accepting: true,
+            cold_until: None,
+        }
+    }
+}
+
+/// How a datagram of a caller came to this agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Origin {
+    /// Placed by a balancer.
+    Placed,
+    /// Passed on by a peer that does not take it. It is not passed on because
+    /// of load again.
+    Passed,
+    /// Sent by a balancer to which this agent claimed the flow.
+    Held,
+    /// Sent by a balancer that no agent claimed the flow to; this one may hold it.
+    Tried,
+}
+
+/// What to do with a datagram of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Give it to the upstream.
+    Deliver,
+    /// Give it to a peer: the upstream takes no new flow, or is full.
+    PassOn,
+    /// The flow is not held here: tell the balancer.
+    NotHeld,
+    /// The upstream has lost the flow: break it off towards the caller.
+    Reset,
+}
+
+/// What to do with a datagram of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FromUpstream {
+    /// Send it to the caller. `learned` is set if the flow was not known: the
+    /// balancer that asked should be told.
+    ToCaller {
+        /// The flow was not held before.
+        learned: bool,
+    },
+    /// An opening datagram came back: give it to a peer.
+    PassOn,
+    /// A datagram came back that was tried here: tell the balancer.
+    NotHeld,
+    /// The upstream has lost the flow: break it off towards the caller.
+    Reset,
+    /// Nothing is left to do.
+    Drop,
+}
+
+/// What an agent answers when it is asked for a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// It holds the flow.
+    Holds,
+    /// It has started beside an upstream that may hold the flow.
+    Perhaps,
+    /// It does not hold the flow.
+    No,
+}
+
+/// Work of an upstream, as its agent sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that wait for the first byte of their answer, and new flows
+    /// whose request is still to come.
+    pub busy: u32,
+    /// Open flows.
+    pub flows: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The opening datagram went to the upstream.
+    Opening,
+    /// The upstream has agreed, or has sent on the flow.
+    Open,
+    /// A datagram was tried; the upstream has not reacted yet.
+    Tried,
+    /// Both ends have said that they end, or one has reset the flow.
+    Closed,
+    /// The upstream does not hold the flow any more.
+    Lost,
+    /// The upstream has returned a datagram that was tried.
+    Foreign,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    stage: Stage,
+    /// Number of the opening datagram, if it was seen.
+    opening: Option<u32>,
+    /// First number of the upstream, if its agreement was seen.
+    upstream_seq: Option<u32>,
+    /// Highest number of the caller's data so far.
+    caller_seq: Option<u32>,
+    /// A request waits for the first byte of its answer.
+    waiting: bool,
+    caller_ended: bool,
+    upstream_ended: bool,
+    opened_at: Instant,
+    last: Instant,
+}
+
+impl Flow {
+    fn new(stage: Stage, now: Instant) -> Self {
+        Flow {
+            stage,
+            opening: None,
+            upstream_seq: None,
+            caller_seq: None,
+            waiting: false,
+            caller_ended: false,
+            upstream_ended: false,
+            opened_at: now,
+            last: now,
+        }
+    }
+
+    /// Whether the caller acknowledges what this upstream has sent. Two
+    /// upstreams may have answered copies of one opening datagram; the caller
+    /// goes on with one of them.
+    fn fits(&self, seg: &Segment) -> bool {
+        match self.upstream_seq {
+            Some(first) if seg.acknowledges => seg.ack.wrapping_sub(first) <= ACK_RANGE,
+            _ => true,
+        }
+    }
+
+    /// Notes the caller's data; a higher number starts or goes on with a request.
+    fn note_caller(&mut self, seg: &Segment) {
+        self.caller_ended |= seg.ends;
+        if seg.len == 0 {
+            return;
+        }
+        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
+        if self.caller_seq.is_none_or(newer) {
+            self.caller_seq = Some(seg.seq);
+            self.waiting = true;
+        }
+    }
+
+    fn note_end(&mut self) {
+        if self.caller_ended && self.upstream_ended {
+            self.stage = Stage::Closed;
+            self.waiting = false;
+        }
+    }
+}
+
+/// The flows of an upstream. See the [crate] documentation.
+#[derive(Debug)]
+pub struct Holder {
+    settings: HolderSettings,
+    upstream: Option<Upstream>,
+    started: Instant,
+    flows: BTreeMap<Key, Flow>,
+    /// The first opening datagram that the upstream has not answered, since
+    /// its last sign of life.
+    unanswered: Option<Instant>,
+    /// When a silent upstream was last given an opening datagram.
+    probed: Option<Instant>,
+}
+
+impl Holder {
+    /// Holds nothing yet.
+    #[must_use]
+    pub fn new(settings: HolderSettings, now: Instant) -> Self {
+        Holder {
+            settings,
+            upstream: None,
+            started: now,
+            flows: BTreeMap::new(),
+            unanswered: None,
+            probed: None,
+        }
+    }
+
+    /// Notes what is known of the upstream. Flows of an earlier run of it are lost.
+    pub fn set_upstream(&mut self, upstream: Option<Upstream>, now: Instant) {
+        let known = self.upstream.map(|upstream| upstream.incarnation);
+        let present = upstream.map(|upstream| upstream.incarnation);
+        if known.is_some() && present.is_some() && known != present {
+            for flow in self.flows.values_mut() {
+                flow.stage = Stage::Lost;
+                flow.waiting = false;
+            }
+            self.unanswered = None;
+            // A new run holds nothing from before.
+            self.started = now.checked_sub(self.settings.relearn).unwrap_or(now);
+        }
+        self.upstream = upstream;
+    }
+
+    /// What is known of the upstream.
+    #[must_use]
+    pub fn upstream(&self) -> Option<&Upstream> {
+        self.upstream.as_ref()
+    }
+
+    /// Whether the upstream left an opening datagram unanswered for too long.
+    #[must_use]
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let limit = self.settings.silence;
+        self.unanswered.is_some_and(|since| now >= since + limit)
+    }
+
+    /// Whether new flows may be given to the upstream.
+    #[must_use]
+    pub fn accepts(&self, now: Instant) -> bool {
+        let accepting = self.upstream.is_some_and(|upstream| upstream.accepting);
+        accepting && self.flows.len() < self.settings.flows && !self.is_silent(now)
+    }
+
+    /// Decides about a datagram of a caller.
+    pub fn caller_datagram(&mut self, seg: &Segment, origin: Origin, now: Instant) -> Verdict {
+        if seg.is_opening() {
+            return self.opening(seg, origin, now);
+        }
+        let key = seg.key_from_caller();
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return self.unknown(seg, origin, now);
+        };
+        flow.last = now;
+        if !flow.fits(seg) {
+            return Verdict::NotHeld;
+        }
+        match flow.stage {
+            Stage::Opening | Stage::Open | Stage::Closed | Stage::Tried => {
+                flow.note_caller(seg);
+                flow.note_end();
+                Verdict::Deliver
+            }
+            Stage::Lost if seg.resets => Verdict::NotHeld,
+            Stage::Lost => Verdict::Reset,
+            Stage::Foreign => Verdict::NotHeld,
+        }
+    }
+
+    fn opening(&mut self, seg: &Segment, origin: Origin, now: Instant) -> Verdict {
+        let key = seg.key_from_caller();
+        if let Some(flow) = self.flows.get_mut(&key)
+            && flow.opening == Some(seg.seq)
+            && matches!(flow.stage, Stage::Opening | Stage::Open)
+        {
+            // A copy. A silent upstream will not answer this one either.
+            flow.last = now;
+            return if self.is_silent(now) {
+                Verdict::PassOn
+            } else {
+                Verdict::Deliver
+            };
+        }
+        let probes = self.may_probe(now);
+        if !self.accepts(now) && !probes {
+            return Verdict::PassOn;
+        }
+        if origin == Origin::Placed && self.is_full(now) {
+            return Verdict::PassOn;
+        }
+        if probes {
+            self.probed = Some(now);
+        }
+        self.unanswered.get_or_insert(now);
+        let flow = Flow {
+            opening: Some(seg.seq),
+            ..Flow::new(Stage::Opening, now)
+        };
+        self.flows.insert(key, flow);
+        Verdict::Deliver
+    }
+
+    /// Whether a silent upstream gets an opening datagram, to see if it is back.
+    fn may_probe(&self, now: Instant) -> bool {
+        let accepting = self.upstream.is_some_and(|upstream| upstream.accepting);
+        let pause = self.settings.probe;
+        accepting && self.is_silent(now) && self.probed.is_none_or(|at| now >= at + pause)
+    }
+
+    /// Takes back the record of an opening datagram that went to a peer because
+    /// the upstream was full, when no peer takes it.
+    pub fn accept_opening(&mut self, seg: &Segment, now: Instant) {
+        self.unanswered.get_or_insert(now);
+        let flow = Flow {
+            opening: Some(seg.seq),
+            ..Flow::new(Stage::Opening, now)
+        };
+        self.flows.insert(seg.key_from_caller(), flow);
+    }
+
+    fn unknown(&mut self, seg: &Segment, origin: Origin, now: Instant) -> Verdict {
+        // A balancer whose hint says that this agent holds the flow had it
+        // confirmed, or placed its opening here, before this process started.
+        let trusted = matches!(origin, Origin::Held | Origin::Tried);
+        if !trusted || !self.is_relearning(now) || seg.resets {
+            return Verdict::NotHeld;
+        }
+        let mut flow = Flow::new(Stage::Tried, now);
+        flow.note_caller(seg);
+        self.flows.insert(seg.key_from_caller(), flow);
+        Verdict::Deliver
+    }
+
+    fn is_relearning(&self, now: Instant) -> bool {
+        now < self.started + self.settings.relearn
+    }
+
+    /// Whether a datagram of the flow was tried and the upstream has not reacted.
+    #[must_use]
+    pub fn is_tried(&self, key: &Key) -> bool {
+        let flow = self.flows.get(key);
+        flow.is_some_and(|flow| flow.stage == Stage::Tried)
+    }
+
+    /// Answers a balancer that looks for the holder of a flow.
+    #[must_use]
+    pub fn claim(&self, key: &Key, seg: &Segment, now: Instant) -> Claim {
+        match self.flows.get(key) {
+            Some(flow) if !flow.fits(seg) => Claim::No,
+            Some(flow) => match flow.stage {
+                Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost => Claim::Holds,
+                Stage::Tried => Claim::Perhaps,
+                Stage::Foreign => Claim::No,
+            },
+            None if self.is_relearning(now) => Claim::Perhaps,
+            None => Claim::No,
+        }
+    }
+
+    /// Decides about a datagram of the upstream.
+    pub fn upstream_datagram(&mut self, seg: &Segment, now: Instant) -> FromUpstream {
+        self.unanswered = None;
+        if seg.bounced {
+            return self.bounced(seg, now);
+        }
+        let key = seg.key_from_upstream();
+        let learned = self
+            .flows
+            .get(&key)
+            .is_none_or(|flow| matches!(flow.stage, Stage::Tried | Stage::Foreign | Stage::Lost));
+        if learned && seg.resets {
+            // Says only that the flow is unknown or over.
+            self.flows.remove(&key);
+            return FromUpstream::ToCaller { learned: false };
+        }
+        let flow = self
+            .flows
+            .entry(key)
+            .or_insert_with(|| Flow::new(Stage::Open, now));
+        flow.last = now;
+        if flow.stage != Stage::Closed {
+            flow.stage = Stage::Open;
+        }
+        if seg.opens {
+            flow.upstream_seq = Some(seg.seq);
+        }
+        if seg.len > 0 {
+            flow.waiting = false;
+        }
+        flow.upstream_ended |= seg.ends;
+        if seg.resets {
+            flow.stage = Stage::Closed;
+            flow.waiting = false;
+        }
+        flow.note_end();
+        FromUpstream::ToCaller { learned }
+    }
+
+    fn bounced(&mut self, seg: &Segment, now: Instant) -> FromUpstream {
+        let key = seg.key_from_caller();
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return FromUpstream::Drop;
+        };
+        flow.last = now;
+        flow.waiting = false;
+        if seg.is_opening() {
+            if flow.stage == Stage::Opening {
+                self.flows.remove(&key);
+                return FromUpstream::PassOn;
+            }
+            return FromUpstream::Drop;
+        }
+        match flow.stage {
+            Stage::Tried => {
+                flow.stage = Stage::Foreign;
+                FromUpstream::NotHeld
+            }
+            // The upstream had agreed to the flow: it has restarted since.
+            Stage::Open if !seg.resets => {
+                flow.stage = Stage::Lost;
+                FromUpstream::Reset
+            }
+            Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost | Stage::Foreign => {
+                FromUpstream::Drop
+            }
+        }
+    }
+
+    /// Whether the upstream has as many requests as slots.
+    #[must_use]
+    pub fn is_full(&self, now: Instant) -> bool {
+        let slots = self.upstream.map_or(0, |upstream| upstream.slots.0);
+        self.load(now).busy >= slots
+    }
+
+    /// The work of the upstream.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Load {
+        /// An opening that brought no request for this long does not count as
+        /// work: several times the way to a caller and back.
+        const OPENING: Duration = Duration::from_millis(60);
+        let mut load = Load::default();
+        for flow in self.flows.values() {
+            let fresh = flow.caller_seq.is_none() && now < flow.opened_at + OPENING;
+            match flow.stage {
+                Stage::Opening if fresh => load.busy += 1,
+                Stage::Open => {
+                    load.flows += 1;
+                    load.busy += u32::from(flow.waiting || (fresh && flow.opening.is_some()));
+                }
+                _ => {}
+            }
+        }
+        load
+    }
+
+    /// Flows that wait for the first byte of an answer, or have only begun.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        let active = |flow: &&Flow| {
+            flow.waiting || (flow.stage == Stage::Opening && flow.caller_seq.is_none())
+        };
+        self.flows.values().filter(active).count()
+    }
+
+    /// Forgets flows that are idle or over.
+    pub fn expire(&mut self, now: Instant) {
+        let cfg = self.settings;
+        self.flows.retain(|_, flow| {
+            let keep = match flow.stage {
+                Stage::Open | Stage::Tried => cfg.idle,
+                Stage::Opening | Stage::Closed | Stage::Lost | Stage::Foreign => cfg.linger,
+            };
+            now < flow.last + keep
+        });
+    }
+}
--- /dev/null
+++ b/crates/flow/src/process/mod.rs
@@ -0,0 +1,9 @@
+//! What lasts as long as a process.
+
+mod holder;
+mod pool;
+mod steering;
+
+pub use holder::{Claim, FromUpstream, Holder, HolderSettings, Load, Origin, Upstream, Verdict};
+pub use pool::{Candidate, Pool};
+pub use steering::{Dropped, Release, Steer, Steering, SteeringSettings};
