net, store, logs: small HTTP server and client, given member ids, bounded log

net: a server and a client without threads of their own, a connection for each call. store: the caller may give the id of an empty folder. logs: moved out of limpetd; lines of one kind are bounded and never block the process.

--- a/crates/limpetd/src/main.rs
+++ b/crates/limpetd/src/main.rs
@@ -12,11 +12,11 @@
 
 use clap::Parser;
 
-use process::{Cli, logging, serve};
+use process::{Cli, serve};
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    logging::init();
+    logs::init(logs::Output::Stderr);
     match actix_rt::System::new().block_on(serve(cli)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/limpetd/src/process/mod.rs
+++ b/crates/limpetd/src/process/mod.rs
@@ -2,7 +2,6 @@
 
 mod cli;
 mod local;
-pub mod logging;
 mod metrics;
 mod signal;
 mod tls;
--- a/crates/logs/src/line.rs
+++ b/crates/logs/src/line.rs
@@ -1,34 +1,54 @@
-//! Log lines in JSON.
+//! One line.
 
-use std::{
-    io::{self, Write},
-    time::SystemTime,
-};
+use std::{collections::BTreeMap, time::SystemTime};
 
-use env_logger::{Builder, Env, fmt::Formatter};
 use log::{
     Record,
     kv::{self, Key, Value, VisitSource},
 };
 use serde_json::{Map, Value as Json};
 
-/// Starts the log on standard error. `LIMPET_LOG` sets the level.
-pub fn init() {
-    Builder::from_env(Env::new().filter_or("LIMPET_LOG", "info"))
-        .format(write_line)
-        .init();
+/// The kind of a line: its `event`, or its target if it has none.
+pub(crate) fn kind(record: &Record<'_>) -> String {
+    let event = record.key_values().get(Key::from_str("event"));
+    event.map_or_else(|| record.target().to_owned(), |event| event.to_string())
 }
 
-fn write_line(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
-    let time = humantime::format_rfc3339_millis(SystemTime::now());
-    let mut line = Map::new();
-    line.insert("time".into(), time.to_string().into());
-    line.insert("level".into(), record.level().as_str().into());
-    line.insert("target".into(), record.target().into());
+/// Writes a record as a line.
+pub(crate) fn format(record: &Record<'_>) -> String {
+    let mut line = start(record.level().as_str(), record.target());
     line.insert("message".into(), record.args().to_string().into());
     // A value that cannot be read is left out of the line.
     let _ = record.key_values().visit(&mut Fields(&mut line));
-    writeln!(buf, "{}", Json::Object(line))
+    finish(line)
+}
+
+/// Writes how many lines of each kind were left out.
+pub(crate) fn format_left_out(left_out: &BTreeMap<String, u64>) -> String {
+    let mut line = start("WARN", "logs");
+    line.insert("event".into(), "lines_left_out".into());
+    line.insert("message".into(), "log lines were left out".into());
+    let counts = left_out.iter();
+    let counts: Map<String, Json> = counts
+        .map(|(kind, count)| (kind.clone(), (*count).into()))
+        .collect();
+    line.insert("counts".into(), Json::Object(counts));
+    finish(line)
+}
+
+fn start(level: &str, target: &str) -> Map<String, Json> {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    let mut line = Map::new();
+    line.insert("time".into(), time.to_string().into());
+    line.insert("level".into(), level.into());
+    line.insert("target".into(), target.into());
+    line
+}
+
+fn finish(line: Map<String, Json>) -> String {
+    let mut text = Json::Object(line).to_string();
+    text.push('\n');
+    text
 }
 
 struct Fields<'a>(&'a mut Map<String, Json>);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,11 @@
-//! Sockets that several processes open alike.
+//! Sockets and small HTTP servers and clients that several processes use alike.
+//!
+//! [`serve`] and [`call`] are for control traffic of processes that must stay
+//! small: a connection for each call, so that a connection that has gone silent
+//! holds back nothing, and no thread of their own.
 
 pub mod process;
+pub mod request;
 
-pub use process::bind_udp;
+pub use process::{Limits, bind_udp, serve};
+pub use request::{Answer, Call, CallError, Handler, call};
--- /dev/null
+++ b/crates/net/src/process/mod.rs
@@ -0,0 +1,7 @@
+//! What lives as long as the process.
+
+mod serve;
+mod udp;
+
+pub use serve::{Limits, serve};
+pub use udp::bind_udp;
--- /dev/null
+++ b/crates/net/src/process/serve.rs
@@ -0,0 +1,118 @@
+//! A small HTTP server.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::request::{Answer, Call, Handler};
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections that are open at a time; others wait in the kernel's queue.
+    pub connections: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Time for the head of a request, also on a connection that is kept open.
+    pub head: Duration,
+    /// Time for a body to arrive and for the answer to be worked out.
+    pub request: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 128,
+            body: 4 << 20,
+            head: Duration::from_secs(15),
+            request: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Pause after a failed accept, which is a lack of descriptors in most cases.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves connections until the future is dropped. Must run on a local task set.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: H, limits: Limits) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let handler = handler.clone();
+                spawn_local(async move {
+                    connection(stream, from, handler, limits).await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                log::warn!(event = "accept_failed", error:% = e; "cannot accept a connection");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, from: SocketAddr, handler: H, limits: Limits) {
+    // Only a socket that is already closed refuses this.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|req| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(response(req, from, &handler, limits).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        log::debug!(event = "connection_failed", from:% = from, error:% = e; "a connection broke");
+    }
+}
+
+async fn response<H: Handler>(
+    req: Request<Incoming>,
+    from: SocketAddr,
+    handler: &H,
+    limits: Limits,
+) -> Response<Full<Bytes>> {
+    let answer = async {
+        let (head, body) = req.into_parts();
+        let body = match Limited::new(body, limits.body).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) if e.is::<LengthLimitError>() => {
+                return Answer::empty(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            Err(_) => return Answer::empty(StatusCode::BAD_REQUEST),
+        };
+        let call = Call {
+            method: head.method,
+            path: head.uri.path().to_owned(),
+            body,
+            from,
+        };
+        handler.answer(call).await
+    };
+    let answer = timeout(limits.request, answer).await;
+    let answer = answer.unwrap_or_else(|_| Answer::empty(StatusCode::SERVICE_UNAVAILABLE));
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = answer.status;
+    if !answer.content_type.is_empty() {
+        let value = header::HeaderValue::from_static(answer.content_type);
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/net/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lasts for one HTTP request.
+
+mod call;
+mod message;
+
+pub use call::{CallError, call};
+pub use message::{Answer, Call, Handler};
