--- /dev/null
+++ b/crates/relay/src/connection/mod.rs
@@ -0,0 +1,7 @@
+//! What lasts for a flow: the callers' protocol, and messages about flows.
+
+mod codec;
+mod message;
+
+pub use codec::Codec;
+pub use message::{Message, Report, Tag};
--- /dev/null
+++ b/crates/relay/src/process/agent.rs
@@ -0,0 +1,589 @@
+//! The data path of an agent.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{SocketAddr, SocketAddrV4},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use directory::{Changes, Part};
+use flow::{
+    Candidate, FromUpstream, Holder, HolderSettings, Key, Load, Origin, Pool, Segment, Upstream,
+    Verdict,
+};
+use prometheus::Registry;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, oneshot, watch},
+    time::sleep_until,
+};
+use types::{DataCentre, ServiceName, Slots, UpstreamId};
+
+use super::{Update, metrics::Metrics};
+use crate::{Codec, Error, Message, Report, Result, Tag};
+
+/// Pause between two looks at what is to be reported and forgotten.
+const TICK: Duration = Duration::from_millis(50);
+
+/// A changed load is reported to the own data centre after this time at least.
+const REPORT_NEAR: Duration = Duration::from_millis(50);
+
+/// A changed load is reported to other data centres after this time at least:
+/// the way there is costly.
+const REPORT_FAR: Duration = Duration::from_millis(200);
+
+/// An unchanged load is reported after this time, as a sign of life.
+const REPORT_ALIVE: Duration = Duration::from_millis(500);
+
+/// Pause between two rounds of forgetting what is over.
+const EXPIRE: Duration = Duration::from_secs(1);
+
+/// Agents that are asked in turn to take a new flow.
+const MAX_DECLINED: usize = 3;
+
+/// Largest datagram in bytes.
+const DATAGRAM: usize = 64 * 1024;
+
+/// Settings of an [`Agent`].
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// Differs for each run of the agent.
+    pub run: u64,
+    /// Where the upstream sends its datagrams.
+    pub outbound: SocketAddrV4,
+    /// Where datagrams are sent to callers from.
+    pub callers: SocketAddrV4,
+    /// Where balancers and other agents reach the agent.
+    pub peer: SocketAddrV4,
+    /// Where the upstream takes datagrams.
+    pub upstream: SocketAddrV4,
+    /// Port of callers.
+    pub caller_port: u16,
+    /// The upstream's service.
+    pub service: ServiceName,
+    /// Where the agent is.
+    pub data_centre: DataCentre,
+    /// Times and bounds of its decisions.
+    pub holder: HolderSettings,
+}
+
+/// What an agent is told of its upstream.
+#[derive(Debug)]
+pub struct Announced {
+    /// The upstream; `None` once it has gone.
+    pub upstream: Option<Upstream>,
+    /// Told once it is in force.
+    pub done: oneshot::Sender<()>,
+}
+
+/// Who is told of the load, and when.
+#[derive(Debug)]
+struct Audience {
+    near: BTreeSet<SocketAddrV4>,
+    far: BTreeSet<SocketAddrV4>,
+    near_told: (Instant, Option<(Load, bool)>),
+    far_told: (Instant, Option<(Load, bool)>),
+}
+
+/// The task of an agent: it owns the sockets and the decisions.
+pub struct Agent<C> {
+    cfg: AgentSettings,
+    tag: Tag,
+    codec: C,
+    holder: Holder,
+    /// The other agents of the service.
+    pool: Pool,
+    audience: Audience,
+    outbound: UdpSocket,
+    callers: UdpSocket,
+    peers: UdpSocket,
+    updates: mpsc::Receiver<Update>,
+    announced: mpsc::Receiver<Announced>,
+    stop: watch::Receiver<bool>,
+    leaving: bool,
+    /// Balancers that wait to hear whether a flow that was tried is held.
+    tried_by: BTreeMap<Key, SocketAddrV4>,
+    /// How the opening datagrams that the upstream may return came here.
+    openings: BTreeMap<Key, Opening>,
+    expire_at: Instant,
+    metrics: Metrics,
+}
+
+#[derive(Debug)]
+struct Opening {
+    via: SocketAddrV4,
+    declined: Vec<SocketAddrV4>,
+    at: Instant,
+}
+
+/// A datagram of a caller on its way through this agent.
+struct Arrival {
+    origin: Origin,
+    via: SocketAddrV4,
+    declined: Vec<SocketAddrV4>,
+    payload: Bytes,
+}
+
+impl<C: Codec> Agent<C> {
+    /// Opens the sockets.
+    ///
+    /// # Errors
+    ///
+    /// A socket cannot be opened.
+    pub fn new(
+        cfg: AgentSettings,
+        codec: C,
+        updates: mpsc::Receiver<Update>,
+        announced: mpsc::Receiver<Announced>,
+        stop: watch::Receiver<bool>,
+        registry: &Registry,
+    ) -> Result<Self> {
+        let bind = |address: SocketAddrV4| {
+            let address = SocketAddr::V4(address);
+            net::bind_udp(address).map_err(|e| Error::Bind(address, e))
+        };
+        let now = Instant::now();
+        Ok(Agent {
+            tag: Tag::of(&cfg.service),
+            codec,
+            holder: Holder::new(cfg.holder, now),
+            pool: Pool::default(),
+            audience: Audience {
+                near: BTreeSet::new(),
+                far: BTreeSet::new(),
+                near_told: (now, None),
+                far_told: (now, None),
+            },
+            outbound: bind(cfg.outbound)?,
+            callers: bind(cfg.callers)?,
+            peers: bind(cfg.peer)?,
+            cfg,
+            updates,
+            announced,
+            stop,
+            leaving: false,
+            tried_by: BTreeMap::new(),
+            openings: BTreeMap::new(),
+            expire_at: now,
+            metrics: Metrics::new(registry)?,
+        })
+    }
+
+    /// Runs until the sender of updates is gone.
+    pub async fn run(mut self) {
+        let mut from_upstream = vec![0; DATAGRAM];
+        let mut from_peers = vec![0; DATAGRAM];
+        let mut tick_at = Instant::now();
+        loop {
+            tokio::select! {
+                received = self.outbound.recv_from(&mut from_upstream) => {
+                    if let Ok((len, _)) = received {
+                        self.on_upstream(&mut from_upstream[..len]).await;
+                    }
+                }
+                received = self.peers.recv_from(&mut from_peers) => {
+                    if let Ok((len, SocketAddr::V4(from))) = received {
+                        self.on_peer(&from_peers[..len], from).await;
+                    }
+                }
+                update = self.updates.recv() => match update {
+                    Some(Update::Nodes(changes)) => self.nodes_changed(changes),
+                    Some(Update::Routes(_)) => {}
+                    None => return,
+                },
+                Some(announced) = self.announced.recv() => self.announced(announced).await,
+                _ = self.stop.changed(), if !self.leaving => {
+                    self.leaving = true;
+                    self.report(Instant::now()).await;
+                }
+                () = sleep_until(tick_at.into()) => {
+                    let now = Instant::now();
+                    tick_at = now + TICK;
+                    self.report(now).await;
+                    self.expire(now);
+                }
+            }
+        }
+    }
+
+    async fn announced(&mut self, announced: Announced) {
+        let now = Instant::now();
+        let before = self.holder.upstream().copied();
+        self.holder.set_upstream(announced.upstream, now);
+        let state = |upstream: Option<Upstream>| upstream.map(|u| (u.incarnation, u.accepting));
+        if state(before) != state(announced.upstream) {
+            log::info!(
+                event = "upstream",
+                incarnation = announced.upstream.map_or(0, |u| u.incarnation),
+                accepting = u64::from(announced.upstream.is_some_and(|u| u.accepting)),
+                slots = announced.upstream.map_or(0, |u| u.slots.0);
+                "state of the upstream changed"
+            );
+            self.report(now).await;
+        }
+        // Whoever announced it may be gone.
+        let _ = announced.done.send(());
+    }
+
+    fn accepts(&self, now: Instant) -> bool {
+        !self.leaving && self.holder.accepts(now)
+    }
+
+    async fn on_peer(&mut self, datagram: &[u8], from: SocketAddrV4) {
+        let now = Instant::now();
+        let message = match wire::decode(datagram) {
+            Ok(message) => message,
+            Err(e) => {
+                log::debug!(event = "bad_message", from:% = from, error:% = e; "no message of a node");
+                self.metrics.dropped.with_label_values(&["malformed"]).inc();
+                return;
+            }
+        };
+        match message {
+            Message::Datagram {
+                tag,
+                origin,
+                via,
+                declined,
+                payload,
+            } => {
+                let arrival = Arrival {
+                    origin,
+                    via,
+                    declined,
+                    payload,
+                };
+                if tag == self.tag {
+                    self.on_caller(arrival, now).await;
+                } else {
+                    // The address was another agent's before.
+                    self.metrics
+                        .dropped
+                        .with_label_values(&["other_service"])
+                        .inc();
+                    self.not_held(arrival.via, arrival.payload).await;
+                }
+            }
+            Message::Ask { tag, head } => self.asked(tag, &head, from, now).await,
+            Message::Report(report) if report.service == self.cfg.service => {
+                self.pool.insert(from, candidate(report, now));
+            }
+            Message::Report(_)
+            | Message::NotHeld { .. }
+            | Message::Claim { .. }
+            | Message::Taken { .. } => {
+                self.metrics
+                    .dropped
+                    .with_label_values(&["not_for_agents"])
+                    .inc();
+            }
+        }
+    }
+
+    async fn asked(&mut self, tag: Tag, head: &[u8], from: SocketAddrV4, now: Instant) {
+        let Some(seg) = self.codec.parse(head) else {
+            return;
+        };
+        let key = seg.key_from_caller();
+        let claim = if tag == self.tag {
+            self.holder.claim(&key, &seg, now)
+        } else {
+            flow::Claim::No
+        };
+        self.tell(from, &Message::Claim { key, claim }).await;
+    }
+
+    async fn on_caller(&mut self, arrival: Arrival, now: Instant) {
+        self.metrics.received.inc();
+        let Some(seg) = self.codec.parse(&arrival.payload) else {
+            self.metrics.dropped.with_label_values(&["malformed"]).inc();
+            return;
+        };
+        let key = seg.key_from_caller();
+        let leaves = self.leaving && seg.is_opening();
+        let verdict = if leaves {
+            Verdict::PassOn
+        } else {
+            self.holder.caller_datagram(&seg, arrival.origin, now)
+        };
+        match verdict {
+            Verdict::Deliver => self.deliver(&seg, arrival, now).await,
+            Verdict::PassOn => self.pass_on(&seg, arrival, now).await,
+            Verdict::NotHeld => {
+                log::info!(event = "not_held", flow:% = key, origin:? = arrival.origin; "flow is not held here");
+                self.not_held(arrival.via, arrival.payload).await;
+            }
+            Verdict::Reset => self.reset(&seg, "upstream_restarted").await,
+        }
+    }
+
+    async fn deliver(&mut self, seg: &Segment, arrival: Arrival, now: Instant) {
+        let key = seg.key_from_caller();
+        if seg.is_opening() {
+            let load = self.holder.load(now);
+            log::info!(
+                event = "opened", flow:% = key, copy = seg.ack, origin:? = arrival.origin,
+                busy = load.busy, flows = load.flows; "new flow given to the upstream"
+            );
+            self.metrics.flows.with_label_values(&["opened"]).inc();
+            if arrival.origin == Origin::Passed {
+                let service = self.cfg.service.clone();
+                self.tell(arrival.via, &Message::Taken { key, service })
+                    .await;
+            }
+            let opening = Opening {
+                via: arrival.via,
+                declined: arrival.declined,
+                at: now,
+            };
+            self.openings.insert(key, opening);
+        } else if matches!(arrival.origin, Origin::Held | Origin::Tried)
+            && self.holder.is_tried(&key)
+        {
+            self.tried_by.insert(key, arrival.via);
+        }
+        self.metrics.sent.with_label_values(&["upstream"]).inc();
+        // A datagram may be lost anyway.
+        let _ = self
+            .outbound
+            .send_to(&arrival.payload, self.cfg.upstream)
+            .await;
+    }
+
+    /// Gives an opening datagram to another agent, or decides what becomes of
+    /// it if there is none.
+    async fn pass_on(&mut self, seg: &Segment, arrival: Arrival, now: Instant) {
+        let key = seg.key_from_caller();
+        let mut declined = arrival.declined.clone();
+        declined.push(self.cfg.peer);
+        let full = self.accepts(now);
+        let willing =
+            declined.len() <= MAX_DECLINED && (!full || self.pool.has_free(&declined, now));
+        let peer = if willing {
+            self.pool
+                .place(&self.cfg.data_centre, key.hash(), &declined, now)
+        } else {
+            None
+        };
+        if let Some(peer) = peer {
+            log::info!(
+                event = "passed_on", flow:% = key, to:% = peer, full = u64::from(full);
+                "new flow passed on to another agent"
+            );
+            self.metrics.flows.with_label_values(&["passed_on"]).inc();
+            let message = Message::Datagram {
+                tag: self.tag,
+                origin: Origin::Passed,
+                via: arrival.via,
+                declined,
+                payload: arrival.payload,
+            };
+            return self.tell(peer, &message).await;
+        }
+        if full {
+            // Nobody has a free slot: the upstream's own queue is as good as another's.
+            self.holder.accept_opening(seg, now);
+            return self.deliver(seg, arrival, now).await;
+        }
+        self.reset(seg, "no_agent").await;
+    }
+
+    async fn reset(&mut self, seg: &Segment, cause: &str) {
+        self.metrics.flows.with_label_values(&["reset"]).inc();
+        log::info!(event = "reset", flow:% = seg.key_from_caller(), cause = cause; "flow broken off");
+        let to = SocketAddrV4::new(*seg.source.ip(), self.cfg.caller_port);
+        // A datagram may be lost anyway.
+        let _ = self.callers.send_to(&self.codec.reset(seg), to).await;
+    }
+
+    async fn not_held(&self, via: SocketAddrV4, payload: Bytes) {
+        self.metrics.flows.with_label_values(&["not_held"]).inc();
+        self.tell(via, &Message::NotHeld { payload }).await;
+    }
+
+    async fn on_upstream(&mut self, datagram: &mut [u8]) {
+        let now = Instant::now();
+        let Some(seg) = self.codec.parse(datagram) else {
+            self.metrics.dropped.with_label_values(&["malformed"]).inc();
+            return;
+        };
+        match self.holder.upstream_datagram(&seg, now) {
+            FromUpstream::ToCaller { learned } => {
+                let key = seg.key_from_upstream();
+                if learned {
+                    self.learned(key).await;
+                }
+                self.metrics.sent.with_label_values(&["caller"]).inc();
+                let to = SocketAddrV4::new(*seg.destination.ip(), self.cfg.caller_port);
+                // A datagram may be lost anyway.
+                let _ = self.callers.send_to(datagram, to).await;
+            }
+            FromUpstream::PassOn => {
+                let key = seg.key_from_caller();
+                self.codec.clear_bounce(datagram);
+                let opening = self.openings.remove(&key);
+                let (via, declined) = opening.map_or((self.cfg.peer, Vec::new()), |opening| {
+                    (opening.via, opening.declined)
+                });
+                let arrival = Arrival {
+                    origin: Origin::Placed,
+                    via,
+                    declined,
+                    payload: Bytes::copy_from_slice(datagram),
+                };
+                log::info!(event = "bounced", flow:% = key; "upstream did not take a new flow");
+                self.bounced_opening(&seg, arrival, now).await;
+            }
+            FromUpstream::NotHeld => {
+                let key = seg.key_from_caller();
+                log::info!(event = "not_held", flow:% = key; "upstream returned a datagram that was tried");
+                if let Some(via) = self.tried_by.remove(&key) {
+                    self.codec.clear_bounce(datagram);
+                    self.not_held(via, Bytes::copy_from_slice(datagram)).await;
+                }
+            }
+            FromUpstream::Reset => self.reset(&seg, "upstream_lost_flow").await,
+            FromUpstream::Drop => {}
+        }
+    }
+
+    /// An opening datagram that the upstream returned goes to another agent or
+    /// is refused: the upstream would return it again.
+    async fn bounced_opening(&mut self, seg: &Segment, arrival: Arrival, now: Instant) {
+        let mut declined = arrival.declined.clone();
+        declined.push(self.cfg.peer);
+        let (near, hash) = (&self.cfg.data_centre, seg.key_from_caller().hash());
+        let peer = if declined.len() <= MAX_DECLINED {
+            self.pool.place(near, hash, &declined, now)
+        } else {
+            None
+        };
+        let Some(peer) = peer else {
+            return self.reset(seg, "bounced").await;
+        };
+        self.metrics.flows.with_label_values(&["passed_on"]).inc();
+        let message = Message::Datagram {
+            tag: self.tag,
+            origin: Origin::Passed,
+            via: arrival.via,
+            declined,
+            payload: arrival.payload,
+        };
+        self.tell(peer, &message).await;
+    }
+
+    /// Tells the balancer that asked that a flow is held here.
+    async fn learned(&mut self, key: Key) {
+        self.metrics.flows.with_label_values(&["learned"]).inc();
+        log::info!(event = "learned", flow:% = key; "the upstream holds a flow that was not known");
+        if let Some(via) = self.tried_by.remove(&key) {
+            let service = self.cfg.service.clone();
+            self.tell(via, &Message::Taken { key, service }).await;
+        }
+    }
+
+    async fn tell(&self, to: SocketAddrV4, message: &Message) {
+        match wire::encode(message) {
+            // A datagram may be lost anyway.
+            Ok(datagram) => drop(self.peers.send_to(&datagram, to).await),
+            Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
+        }
+    }
+
+    /// Tells balancers and other agents the load, if it is due.
+    async fn report(&mut self, now: Instant) {
+        let load = self.holder.load(now);
+        let accepting = self.accepts(now);
+        let state = Some((load, accepting));
+        let due = |told: &(Instant, Option<(Load, bool)>), pause: Duration| {
+            let urgent = told.1.is_none_or(|(_, known)| known != accepting);
+            let changed = told.1 != state && now >= told.0 + pause;
+            urgent || changed || now >= told.0 + REPORT_ALIVE
+        };
+        let near = due(&self.audience.near_told, REPORT_NEAR);
+        let far = due(&self.audience.far_told, REPORT_FAR);
+        if !near && !far {
+            return;
+        }
+        self.metrics.busy.set(i64::from(load.busy));
+        let report = Message::Report(Report {
+            run: self.cfg.run,
+            data_centre: self.cfg.data_centre.clone(),
+            service: self.cfg.service.clone(),
+            slots: self.holder.upstream().map_or(Slots(0), |u| u.slots),
+            accepting,
+            load,
+        });
+        if near {
+            self.audience.near_told = (now, state);
+            for address in &self.audience.near {
+                self.tell(*address, &report).await;
+            }
+        }
+        if far {
+            self.audience.far_told = (now, state);
+            for address in &self.audience.far {
+                self.tell(*address, &report).await;
+            }
+        }
+    }
+
+    fn nodes_changed(&mut self, changes: Changes) {
+        for node in changes.removed {
+            self.audience.near.remove(&node.address);
+            self.audience.far.remove(&node.address);
+            self.pool.remove(node.address);
+        }
+        for node in changes.changed {
+            let listens = match &node.part {
+                Part::Balancer => true,
+                Part::Agent(service) => *service == self.cfg.service,
+                Part::Control(_) => false,
+            };
+            if !listens || node.address == self.cfg.peer {
+                continue;
+            }
+            let audience = if node.data_centre == self.cfg.data_centre {
+                &mut self.audience.near
+            } else {
+                &mut self.audience.far
+            };
+            audience.insert(node.address);
+            // A newcomer is told at once.
+            self.audience.near_told.1 = None;
+            self.audience.far_told.1 = None;
+            let leaving = node.leaving;
+            if let Some(known) = self.pool.get_mut(node.address) {
+                known.accepting &= !leaving || known.id != UpstreamId(node.run);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now + EXPIRE;
+        self.holder.expire(now);
+        let linger = self.cfg.holder.linger;
+        self.openings.retain(|_, opening| now < opening.at + linger);
+        let holder = &self.holder;
+        self.tried_by.retain(|key, _| holder.is_tried(key));
+        self.pool.retain(|_, agent| Pool::is_fresh(agent, now));
+        let flows = self.holder.load(now).flows;
+        self.metrics.known.set(i64::from(flows));
+    }
+}
+
+fn candidate(report: Report, now: Instant) -> Candidate {
+    Candidate {
+        id: UpstreamId(report.run),
+        data_centre: report.data_centre,
+        slots: report.slots,
+        accepting: report.accepting,
+        load: report.load,
+        reported: now,
+        placed: 0,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/process/sync.rs
@@ -0,0 +1,291 @@
+//! The task that keeps a node up to date by way of the control hosts.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use directory::{Changes, Hello, Node, Part, ROUTES_PATH, Reply, Spoken, View};
+use http::{Method, StatusCode};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    time::sleep_until,
+};
+use types::{RoutingDelta, SetNumber};
+
+use crate::{Error, Result};
+
+/// Pause between two hellos. A third of the time after which a control host
+/// does not tell of changes by itself any more.
+const HELLO: Duration = Duration::from_millis(500);
+
+/// Pause between two hellos while no control host answers.
+const SEEK: Duration = Duration::from_millis(100);
+
+/// A control host that did not answer for this long is given up for another.
+const SILENT: Duration = Duration::from_millis(1200);
+
+/// Time for a control host to send what a node lacks of the routing set.
+const FETCH: Duration = Duration::from_millis(800);
+
+/// Bytes of a routing set at most.
+const MAX_SET: usize = 16 << 20;
+
+/// What a node learns from the control hosts.
+#[derive(Debug)]
+pub enum Update {
+    /// Nodes that have come, changed or gone.
+    Nodes(Changes),
+    /// A newer routing set.
+    Routes(RoutingDelta),
+}
+
+/// Settings of a [`Sync`] task.
+#[derive(Debug, Clone)]
+pub struct SyncSettings {
+    /// What the node says of itself.
+    pub node: Node,
+    /// Local address of the task's socket.
+    pub listen: SocketAddrV4,
+    /// Hosts where control hosts may be found.
+    pub seeds: Vec<Ipv4Addr>,
+    /// UDP port of control hosts for hellos.
+    pub node_port: u16,
+    /// TCP port of control hosts for calls.
+    pub member_port: u16,
+    /// Whether the node needs the routing set.
+    pub routes: bool,
+}
+
+/// The task that keeps a node up to date by way of the control hosts.
+pub struct Sync {
+    cfg: SyncSettings,
+    socket: UdpSocket,
+    view: View,
+    /// The control host in use.
+    host: Option<SocketAddrV4>,
+    /// Where the search for a control host goes on.
+    next_host: usize,
+    heard: Instant,
+    hello_at: Instant,
+    have: SetNumber,
+    /// Outcome of the call for the routing set that is under way.
+    fetch_tx: mpsc::Sender<Option<RoutingDelta>>,
+    fetch_rx: mpsc::Receiver<Option<RoutingDelta>>,
+    fetching: bool,
+    updates: mpsc::Sender<Update>,
+    stop: watch::Receiver<bool>,
+}
+
+impl Sync {
+    /// Opens the socket of the task.
+    ///
+    /// # Errors
+    ///
+    /// The socket cannot be opened.
+    pub fn new(
+        cfg: SyncSettings,
+        updates: mpsc::Sender<Update>,
+        stop: watch::Receiver<bool>,
+    ) -> Result<Self> {
+        let listen = SocketAddr::V4(cfg.listen);
+        let socket = net::bind_udp(listen).map_err(|e| Error::Bind(listen, e))?;
+        let (fetch_tx, fetch_rx) = mpsc::channel(1);
+        let now = Instant::now();
+        Ok(Sync {
+            // Nodes that start together do not all ask the same host first.
+            next_host: usize::from(rand::random::<u8>()),
+            cfg,
+            socket,
+            view: View::default(),
+            host: None,
+            heard: now,
+            hello_at: now,
+            have: SetNumber(0),
+            fetch_tx,
+            fetch_rx,
+            fetching: false,
+            updates,
+            stop,
+        })
+    }
+
+    /// Runs until the receiver of updates is gone.
+    pub async fn run(mut self) {
+        let mut buf = vec![0; 64 * 1024];
+        loop {
+            let hello_at = self.hello_at;
+            tokio::select! {
+                received = self.socket.recv_from(&mut buf) => {
+                    if let Ok((len, SocketAddr::V4(from))) = received {
+                        self.receive(&buf[..len], from).await;
+                    }
+                }
+                Some(fetched) = self.fetch_rx.recv() => self.fetched(fetched).await,
+                _ = self.stop.changed(), if !self.cfg.node.leaving => {
+                    self.cfg.node.leaving = true;
+                    self.cfg.node.seq += 1;
+                    self.hello(Instant::now()).await;
+                }
+                () = sleep_until(hello_at.into()) => self.hello(Instant::now()).await,
+                () = self.updates.closed() => return,
+            }
+        }
+    }
+
+    async fn hello(&mut self, now: Instant) {
+        let gone = self.view.expire(now);
+        self.tell(Changes {
+            removed: gone,
+            ..Changes::default()
+        })
+        .await;
+        if let Some(host) = self.host
+            && now >= self.heard + SILENT
+        {
+            log::warn!(event = "control_lost", host:% = host; "control host does not answer; trying another");
+            self.host = None;
+        }
+        let Some(host) = self.host.or_else(|| self.candidate()) else {
+            self.hello_at = now + HELLO;
+            return;
+        };
+        self.hello_at = now + if self.host.is_some() { HELLO } else { SEEK };
+        let hello = Spoken::Hello(Hello {
+            node: self.cfg.node.clone(),
+            reply_to: self.cfg.listen,
+            mark: self.view.mark(),
+        });
+        match wire::encode(&hello) {
+            // A datagram may be lost anyway.
+            Ok(datagram) => drop(self.socket.send_to(&datagram, host).await),
+            Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
+        }
+    }
+
+    /// The next control host to try: those of the own data centre first, then
+    /// all others that are known, and the seeds.
+    fn candidate(&mut self) -> Option<SocketAddrV4> {
+        let port = self.cfg.node_port;
+        let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
+        let known = self.view.nodes().filter(|node| is_control(node));
+        let mut hosts: Vec<SocketAddrV4> = known.map(|node| node.address).chain(seeds).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        self.next_host += 1;
+        let len = hosts.len();
+        hosts.get(self.next_host.checked_rem(len)?).copied()
+    }
+
+    async fn receive(&mut self, datagram: &[u8], from: SocketAddrV4) {
+        let now = Instant::now();
+        let reply: Reply = match wire::decode(datagram) {
+            Ok(reply) => reply,
+            Err(e) => {
+                log::debug!(event = "bad_reply", from:% = from, error:% = e; "datagram is no reply");
+                return;
+            }
+        };
+        if self.host.is_none() {
+            log::info!(event = "control_found", host:% = from; "control host answers");
+            self.host = Some(from);
+            self.hello_at = now + HELLO;
+        }
+        if self.host != Some(from) {
+            return;
+        }
+        self.heard = now;
+        if let Some(news) = reply.news {
+            let changes = self.view.apply(news, now);
+            self.tell(changes).await;
+            self.prefer_near(now);
+        }
+        if self.cfg.routes && reply.routes > self.have && !self.fetching {
+            self.fetch(from);
+        }
+    }
+
+    /// Moves to a control host of the own data centre.
+    fn prefer_near(&mut self, now: Instant) {
+        let near = |node: &&Node| {
+            is_control(node) && !node.leaving && node.data_centre == self.cfg.node.data_centre
+        };
+        let is_near = |address| {
+            let mut nodes = self.view.nodes();
+            nodes.any(|node| node.address == address && near(&node))
+        };
+        if self.host.is_some_and(is_near) {
+            return;
+        }
+        if let Some(node) = self.view.nodes().find(near) {
+            log::info!(event = "control_moved", host:% = node.address; "using the control host of the own data centre");
+            self.host = Some(node.address);
+            self.heard = now;
+            self.hello_at = now;
+        }
+    }
+
+    fn fetch(&mut self, host: SocketAddrV4) {
+        self.fetching = true;
+        let have = self.have;
+        let tx = self.fetch_tx.clone();
+        let address = SocketAddrV4::new(*host.ip(), self.cfg.member_port);
+        actix_rt::spawn(async move {
+            let delta = fetch(address, have).await;
+            // The receiver lives as long as the process.
+            let _ = tx.send(delta).await;
+        });
+    }
+
+    async fn fetched(&mut self, delta: Option<RoutingDelta>) {
+        self.fetching = false;
+        let Some(delta) = delta else {
+            // The next reply asks again.
+            return;
+        };
+        if delta.number <= self.have || delta.base.is_some_and(|base| base != self.have) {
+            return;
+        }
+        self.have = delta.number;
+        // The receiver ends only with the process.
+        let _ = self.updates.send(Update::Routes(delta)).await;
+        self.hello_at = Instant::now();
+    }
+
+    async fn tell(&mut self, changes: Changes) {
+        if changes != Changes::default() {
+            // The receiver ends only with the process.
+            let _ = self.updates.send(Update::Nodes(changes)).await;
+        }
+    }
+}
+
+fn is_control(node: &Node) -> bool {
+    matches!(node.part, Part::Control(_))
+}
+
+async fn fetch(host: SocketAddrV4, have: SetNumber) -> Option<RoutingDelta> {
+    let body = Bytes::from(wire::encode(&have).ok()?);
+    let deadline = Instant::now() + FETCH;
+    let called = net::call(
+        host.into(),
+        Method::POST,
+        ROUTES_PATH,
+        body,
+        MAX_SET,
+        deadline,
+    );
+    let failed = match called.await {
+        Ok((StatusCode::OK, body)) => match wire::decode(&body) {
+            Ok(delta) => return Some(delta),
+            Err(e) => e.to_string(),
+        },
+        Ok((StatusCode::NO_CONTENT, _)) => return None,
+        Ok((status, _)) => status.to_string(),
+        Err(e) => e.to_string(),
+    };
+    log::warn!(event = "routes_not_fetched", host:% = host, error = failed.as_str(); "cannot fetch the routing set");
+    None
+}
--- /dev/null
+++ b/crates/replica/src/process/group.rs
@@ -0,0 +1,386 @@
+//! The task that owns the consensus and the configuration.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use config::State;
+use consensus::{
+    Consensus, Entry, Envelope, Event, Group, GroupChange, Input, Message, Output, Payload,
+    Rejection, Snapshot, Status, Token,
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::sleep_until,
+};
+use types::{Answer, ChangeRequest, MemberId, Revision, RoutingSet, UnixMillis};
+use wire::request::{ChangeReply, QueryReply};
+
+use super::{Settings, metrics::Metrics};
+use crate::{
+    Error, Result,
+    request::{Command, Pending},
+    version::{Heard, Steward},
+};
+
+/// Pause between two looks at the group by its leader.
+const REVIEW: Duration = Duration::from_millis(100);
+
+/// A message to the task.
+#[derive(Debug)]
+pub(crate) enum GroupCommand {
+    /// A message of another member.
+    Message(Message),
+    /// An operator's change.
+    Change(Box<ChangeRequest>, oneshot::Sender<ChangeReply>),
+    /// A read of the routing set.
+    Read(oneshot::Sender<QueryReply>),
+    /// The control hosts that were heard.
+    Heard(BTreeMap<MemberId, Heard>),
+}
+
+/// The task that owns the consensus and the configuration.
+pub(crate) struct GroupTask {
+    cfg: Settings,
+    steward: Steward,
+    consensus: Consensus,
+    state: State,
+    pending: BTreeMap<Token, Pending>,
+    next_token: u64,
+    /// Answers to entries, until their proposals are reported as accepted.
+    answers: BTreeMap<Revision, Answer>,
+    heard: BTreeMap<MemberId, Heard>,
+    review_at: Instant,
+    /// When the log is to be replaced by a snapshot, if it has grown.
+    compact_at: Option<Instant>,
+    /// What the last log line said of the group.
+    told: Option<(bool, Option<Group>)>,
+    disk: store::Handle,
+    outgoing: mpsc::Sender<Envelope>,
+    routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    metrics: Metrics,
+    commands: mpsc::Receiver<GroupCommand>,
+}
+
+/// What a [`GroupTask`] talks to.
+pub(crate) struct Channels {
+    pub disk: store::Handle,
+    pub outgoing: mpsc::Sender<Envelope>,
+    pub routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    pub commands: mpsc::Receiver<GroupCommand>,
+}
+
+impl GroupTask {
+    /// Creates the task with the state in `snapshot`, if there is one, which
+    /// is published at once: it was accepted before the process started.
+    pub fn new(
+        cfg: Settings,
+        consensus: Consensus,
+        snapshot: Option<&Snapshot>,
+        channels: Channels,
+        metrics: Metrics,
+    ) -> Result<Self> {
+        let mut task = GroupTask {
+            steward: Steward::new(cfg.steward),
+            cfg,
+            consensus,
+            state: State::default(),
+            pending: BTreeMap::new(),
+            next_token: 0,
+            answers: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            review_at: Instant::now(),
+            compact_at: None,
+            told: None,
+            disk: channels.disk,
+            outgoing: channels.outgoing,
+            routes: channels.routes,
+            metrics,
+            commands: channels.commands,
+        };
+        if let Some(snapshot) = snapshot {
+            task.load(snapshot)?;
+        }
+        Ok(task)
+    }
+
+    /// Forms the first group, unless this member knows one.
+    pub fn form(&mut self, group: Group) -> Result<()> {
+        self.step(Input::Form(group))
+    }
+
+    /// Runs until the senders of commands are gone or the disk thread fails.
+    pub async fn run(mut self) -> Result<()> {
+        loop {
+            let deadline = self.next_deadline();
+            tokio::select! {
+                report = self.disk.reports.recv() => match report {
+                    Some(report) if report.synced => self.step(Input::Written(report.id))?,
+                    Some(report) => self.step(Input::WriteFailed(report.id))?,
+                    None => return Err(Error::DiskEnded),
+                },
+                command = self.commands.recv() => match command {
+                    Some(command) => self.handle(command)?,
+                    None => return Ok(()),
+                },
+                () = sleep_until(deadline.into()) => self.step(Input::Tick)?,
+            }
+            self.review(Instant::now())?;
+        }
+    }
+
+    fn next_deadline(&self) -> Instant {
+        let mut deadline = self.consensus.next_deadline();
+        if self.consensus.status().is_leader() {
+            deadline = deadline.min(self.review_at);
+        }
+        self.compact_at.map_or(deadline, |at| deadline.min(at))
+    }
+
+    fn handle(&mut self, command: GroupCommand) -> Result<()> {
+        match command {
+            GroupCommand::Message(message) => self.step(Input::Message(message)),
+            GroupCommand::Change(req, tx) => self.propose(*req, tx),
+            GroupCommand::Read(tx) => {
+                let token = self.expect(Pending::Read(tx));
+                self.step(Input::ConfirmRead { token })
+            }
+            GroupCommand::Heard(heard) => {
+                self.heard = heard;
+                Ok(())
+            }
+        }
+    }
+
+    fn expect(&mut self, pending: Pending) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.pending.insert(token, pending);
+        token
+    }
+
+    fn propose(&mut self, req: ChangeRequest, tx: oneshot::Sender<ChangeReply>) -> Result<()> {
+        let command = Command {
+            at: unix_now(),
+            req,
+        };
+        let Ok(command) = wire::encode(&command) else {
+            // A change that came in by the same encoding can be encoded.
+            let _ = tx.send(ChangeReply::Unavailable);
+            return Ok(());
+        };
+        let token = self.expect(Pending::Change(tx));
+        let command = Bytes::from(command);
+        self.step(Input::Propose { token, command })
+    }
+
+    /// Gives the consensus an input and carries out what it decides.
+    fn step(&mut self, input: Input) -> Result<()> {
+        let output = self.consensus.step(Instant::now(), input);
+        self.carry_out(output)?;
+        self.note_status();
+        Ok(())
+    }
+
+    fn carry_out(&mut self, output: Output) -> Result<()> {
+        if let Some(write) = output.write {
+            // At most one write is outstanding, so the queue has room.
+            let sent = self.disk.writes.try_send(write);
+            sent.map_err(|_| Error::DiskEnded)?;
+        }
+        for envelope in output.messages {
+            // A full queue loses the message; the consensus repeats it.
+            let _ = self.outgoing.try_send(envelope);
+        }
+        if let Some(snapshot) = &output.installed {
+            self.load(snapshot)?;
+        }
+        for entry in output.committed {
+            self.apply(&entry)?;
+        }
+        for event in output.events {
+            self.resolve(&event);
+        }
+        Ok(())
+    }
+
+    fn note_status(&mut self) {
+        let status = self.consensus.status();
+        self.metrics.leader.set(i64::from(status.is_leader()));
+        self.metrics.term.set(gauge(status.term.0));
+        self.metrics.commit.set(gauge(status.commit.0));
+        let voters = status.group.as_ref().map_or(0, |group| group.voters.len());
+        self.metrics.voters.set(gauge(voters as u64));
+        let told = (status.is_leader(), status.group.clone());
+        if self.told.as_ref() == Some(&told) {
+            return;
+        }
+        log::info!(
+            event = "group", leads = u64::from(status.is_leader()), term:% = status.term,
+            voters = voters, commit:% = status.commit;
+            "leadership or members of the control group changed"
+        );
+        if !status.is_leader() {
+            self.answers.clear();
+        }
+        self.told = Some(told);
+    }
+
+    fn load(&mut self, snapshot: &Snapshot) -> Result<()> {
+        if !snapshot.state.is_empty() {
+            self.state = State::decode(&snapshot.state[..])?;
+        }
+        self.publish();
+        Ok(())
+    }
+
+    /// Tells the other tasks the routing set in force. It never goes back.
+    fn publish(&mut self) {
+        let Some(set) = self.state.routes() else {
+            return;
+        };
+        self.metrics.set.set(gauge(set.number.0));
+        self.routes.send_if_modified(|published| {
+            let newer = published.as_ref().is_none_or(|p| p.number < set.number);
+            if newer {
+                log::info!(
+                    event = "routes", set:% = set.number, rules = set.rules.len();
+                    "routing set is in force"
+                );
+                *published = Some(set.clone());
+            }
+            newer
+        });
+    }
+
+    /// Applies an entry. One that cannot be read ends the process: to skip it
+    /// would make this host's configuration differ from the others'.
+    fn apply(&mut self, entry: &Entry) -> Result<()> {
+        let Payload::Command(command) = &entry.payload else {
+            return Ok(());
+        };
+        let Command { at, req } =
+            wire::decode(command).map_err(|e| Error::Entry(entry.index, e))?;
+        let answer = self.state.apply(entry.index, at, &req);
+        let label = match answer {
+            Answer::Accepted(_) => "accepted",
+            Answer::Conflict(_) => "conflict",
+            Answer::Refused(_) => "refused",
+        };
+        self.metrics.changes.with_label_values(&[label]).inc();
+        log::info!(
+            event = "change", index:% = entry.index, id:% = req.id, author:% = req.author,
+            answer = label; "change applied"
+        );
+        if self.consensus.status().is_leader() {
+            self.answers.insert(entry.index, answer);
+        }
+        self.publish();
+        self.compact_at = Some(Instant::now() + self.cfg.compact_after);
+        Ok(())
+    }
+
+    fn resolve(&mut self, event: &Event) {
+        match *event {
+            Event::Accepted { token, index } => {
+                let answer = self.answers.remove(&index);
+                if let Some(Pending::Change(tx)) = self.pending.remove(&token) {
+                    let reply = answer.map_or(ChangeReply::Unknown, ChangeReply::Final);
+                    // Whoever asked may be gone.
+                    let _ = tx.send(reply);
+                }
+            }
+            Event::Rejected { token, reason } => self.reject(token, reason),
+            Event::Lost { token } => match self.pending.remove(&token) {
+                Some(Pending::Change(tx)) => drop(tx.send(ChangeReply::Unknown)),
+                Some(Pending::Read(tx)) => {
+                    drop(tx.send(QueryReply::NotLeader { leader: None }));
+                }
+                Some(Pending::Group) | None => {}
+            },
+            Event::ReadConfirmed { token, .. } => {
+                if let Some(Pending::Read(tx)) = self.pending.remove(&token) {
+                    let _ = tx.send(QueryReply::Routes(self.state.routes().cloned()));
+                }
+            }
+        }
+    }
+
+    fn reject(&mut self, token: Token, reason: Rejection) {
+        let leader = match reason {
+            Rejection::NotLeader { leader } => leader.map(|(_, address)| address),
+            _ => None,
+        };
+        // Whoever asked may be gone.
+        match self.pending.remove(&token) {
+            Some(Pending::Change(tx)) => {
+                let not_leader = matches!(reason, Rejection::NotLeader { .. });
+                drop(tx.send(if not_leader {
+                    ChangeReply::NotLeader { leader }
+                } else {
+                    ChangeReply::Unavailable
+                }));
+            }
+            Some(Pending::Read(tx)) => drop(tx.send(QueryReply::NotLeader { leader })),
+            Some(Pending::Group) => {
+                log::info!(event = "group_change_rejected", reason:% = reason; "group not changed");
+            }
+            None => {}
+        }
+    }
+
+    /// Does what is due: keeps the group complete, and the log short.
+    fn review(&mut self, now: Instant) -> Result<()> {
+        if self.compact_at.is_some_and(|at| now >= at) {
+            self.compact_at = None;
+            self.compact()?;
+        }
+        if now < self.review_at {
+            return Ok(());
+        }
+        self.review_at = now + REVIEW;
+        let status = self.consensus.status();
+        match self.group_change(&status, now) {
+            Some(change) => self.change_group(change),
+            None => Ok(()),
+        }
+    }
+
+    fn group_change(&self, status: &Status, now: Instant) -> Option<GroupChange> {
+        let changing = self.pending.values().any(|p| matches!(p, Pending::Group));
+        if !status.is_leader() || status.change_pending || changing {
+            return None;
+        }
+        let group = status.group.as_ref()?;
+        self.steward
+            .next(status.id, group, &status.caught_up, &self.heard, now)
+    }
+
+    fn change_group(&mut self, change: GroupChange) -> Result<()> {
+        log::info!(event = "group_change", change:? = change; "changing the control group");
+        let token = self.expect(Pending::Group);
+        self.step(Input::ChangeGroup { token, change })
+    }
+
+    fn compact(&mut self) -> Result<()> {
+        let through = self.state.applied();
+        let mut state = Vec::new();
+        self.state.encode(&mut state)?;
+        let state = Bytes::from(state);
+        self.step(Input::Compact { through, state })
+    }
+}
+
+fn unix_now() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    UnixMillis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// A gauge's value; gauges are signed.
+pub(crate) fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/replica/src/process/metrics.rs
@@ -0,0 +1,60 @@
+//! Metrics of a control host.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+
+use crate::Result;
+
+/// Metrics of a control host. Clones share the values.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Whether this host leads.
+    pub leader: IntGauge,
+    /// Term of the group.
+    pub term: IntGauge,
+    /// Last entry that is known to be committed.
+    pub commit: IntGauge,
+    /// Voters of the group.
+    pub voters: IntGauge,
+    /// Number of the routing set in force.
+    pub set: IntGauge,
+    /// Known processes.
+    pub nodes: IntGauge,
+    /// Changes, by answer.
+    pub changes: IntCounterVec,
+    /// Time from a proposal here to its answer.
+    pub change_seconds: Histogram,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// The registry already has one of the names.
+    pub fn new(registry: &Registry) -> Result<Self> {
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let opts = Opts::new("limpet_replica_changes_total", "Changes, by answer.");
+        let changes = IntCounterVec::new(opts, &["answer"])?;
+        registry.register(Box::new(changes.clone()))?;
+        let opts = HistogramOpts::new(
+            "limpet_replica_change_seconds",
+            "Time from a proposal at this host to its answer.",
+        );
+        let change_seconds = Histogram::with_opts(opts)?;
+        registry.register(Box::new(change_seconds.clone()))?;
+        Ok(Metrics {
+            leader: gauge("limpet_replica_leader", "1 while this host leads.")?,
+            term: gauge("limpet_replica_term", "Term of the control group.")?,
+            commit: gauge("limpet_replica_commit", "Last committed log entry.")?,
+            voters: gauge("limpet_replica_voters", "Voters of the control group.")?,
+            set: gauge("limpet_replica_routing_set", "Number of the routing set.")?,
+            nodes: gauge("limpet_replica_nodes", "Known processes.")?,
+            changes,
+            change_seconds,
+        })
+    }
+}
--- /dev/null
+++ b/crates/replica/src/process/nodes.rs
@@ -0,0 +1,335 @@
+//! The task that owns the socket of the nodes and the directory.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddrV4,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use consensus::Group;
+use directory::{Directory, Hello, Mark, Node, Part, Reply, Spoken};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    time::sleep_until,
+};
+use types::{MemberId, RoutingSet};
+
+use super::{
+    Settings,
+    group::{GroupCommand, gauge},
+    metrics::Metrics,
+};
+use crate::version::{Heard, RouteHistory};
+
+/// Pause between two messages to the other control hosts.
+const GOSSIP: Duration = Duration::from_millis(250);
+
+/// What was heard is repeated to the other control hosts after this time, even
+/// if it did not change. A third of a lease.
+const REPEAT: Duration = Duration::from_secs(1);
+
+/// Records in one message to another control host, so that it fits a datagram.
+const PIECE: usize = 12;
+
+/// A node that said hello here within this time is told of changes at once.
+const SUBSCRIBED: Duration = Duration::from_millis(1500);
+
+/// Bytes of a datagram at most.
+const DATAGRAM: usize = 64 * 1024;
+
+#[derive(Debug)]
+struct Subscriber {
+    reply_to: SocketAddrV4,
+    mark: Mark,
+    at: Instant,
+}
+
+/// The task that owns the socket of the nodes and the directory.
+pub(crate) struct NodeTask {
+    cfg: Settings,
+    me: Node,
+    member: MemberId,
+    socket: UdpSocket,
+    directory: Directory,
+    subscribers: BTreeMap<SocketAddrV4, Subscriber>,
+    history: Rc<RefCell<RouteHistory>>,
+    routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    group: mpsc::Sender<GroupCommand>,
+    /// Set once the process is to end.
+    stop: watch::Receiver<bool>,
+    metrics: Metrics,
+    gossip_at: Instant,
+    /// When the unchanged records were last repeated.
+    repeated_at: Instant,
+    /// Addresses of voters and learners from the disk, to be found again after
+    /// a restart when the seeds are stale.
+    remembered: Vec<SocketAddrV4>,
+}
+
+/// What a [`NodeTask`] talks to.
+pub(crate) struct Channels {
+    pub socket: UdpSocket,
+    pub history: Rc<RefCell<RouteHistory>>,
+    pub routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    pub group: mpsc::Sender<GroupCommand>,
+    pub stop: watch::Receiver<bool>,
+}
+
+impl NodeTask {
+    pub fn new(
+        cfg: Settings,
+        member: MemberId,
+        run: u64,
+        restored: Option<&Group>,
+        channels: Channels,
+        metrics: Metrics,
+    ) -> Self {
+        let now = Instant::now();
+        let me = Node {
+            address: cfg.node_address(),
+            run,
+            seq: 0,
+            data_centre: cfg.data_centre.clone(),
+            part: Part::Control(member),
+            leaving: false,
+        };
+        let port = cfg.node_port;
+        let members = restored.into_iter().flat_map(Group::members);
+        let remembered = members.filter_map(|(_, address)| match address {
+            std::net::SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
+            std::net::SocketAddr::V6(_) => None,
+        });
+        let remembered = remembered.collect();
+        NodeTask {
+            cfg,
+            me,
+            member,
+            socket: channels.socket,
+            directory: Directory::new(run),
+            subscribers: BTreeMap::new(),
+            history: channels.history,
+            routes: channels.routes,
+            group: channels.group,
+            stop: channels.stop,
+            metrics,
+            gossip_at: now,
+            repeated_at: now,
+            remembered,
+        }
+    }
+
+    /// Runs until the group task ends.
+    pub async fn run(mut self) {
+        let mut buf = vec![0; DATAGRAM];
+        self.take_routes();
+        loop {
+            let gossip_at = self.gossip_at;
+            tokio::select! {
+                received = self.socket.recv_from(&mut buf) => {
+                    if let Ok((len, _)) = received {
+                        self.receive(&buf[..len]).await;
+                    }
+                }
+                changed = self.routes.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.take_routes();
+                    self.tell_subscribers(true).await;
+                }
+                _ = self.stop.changed(), if !self.me.leaving => {
+                    self.me.leaving = true;
+                    self.me.seq += 1;
+                    self.gossip(Instant::now()).await;
+                }
+                () = sleep_until(gossip_at.into()) => self.gossip(Instant::now()).await,
+            }
+        }
+    }
+
+    fn take_routes(&mut self) {
+        if let Some(set) = self.routes.borrow_and_update().clone() {
+            self.history.borrow_mut().push(set);
+        }
+    }
+
+    async fn receive(&mut self, datagram: &[u8]) {
+        let now = Instant::now();
+        match wire::decode(datagram) {
+            Ok(Spoken::Hello(hello)) => self.hello(hello, now).await,
+            Ok(Spoken::Heard(heard)) => {
+                let mut new = false;
+                for (node, age) in heard {
+                    let age = Duration::from_millis(age);
+                    // Each host speaks for itself.
+                    if node.address != self.me.address {
+                        new |= self.directory.note_heard(node, age, now);
+                    }
+                }
+                if new {
+                    self.tell_subscribers(false).await;
+                }
+            }
+            Err(e) => {
+                log::debug!(event = "bad_hello", error:% = e; "datagram is no message of a node");
+            }
+        }
+    }
+
+    async fn hello(&mut self, hello: Hello, now: Instant) {
+        let address = hello.node.address;
+        let new = self.directory.note(hello.node.clone(), now);
+        let subscriber = Subscriber {
+            reply_to: hello.reply_to,
+            mark: hello.mark,
+            at: now,
+        };
+        self.subscribers.insert(address, subscriber);
+        self.reply(address, true).await;
+        if new {
+            log::info!(
+                event = "node", address:% = address, run = hello.node.run,
+                part:? = hello.node.part, leaving = u64::from(hello.node.leaving);
+                "a node is new or has changed"
+            );
+            self.spread(vec![(hello.node, 0)]).await;
+            self.tell_subscribers(false).await;
+        }
+    }
+
+    /// Sends a subscriber what it lacks. Each gets it once; what is lost is
+    /// sent again after its next hello.
+    async fn reply(&mut self, to: SocketAddrV4, always: bool) {
+        let routes = self.history.borrow().number();
+        let Some(subscriber) = self.subscribers.get_mut(&to) else {
+            return;
+        };
+        let mut news = self.directory.news(subscriber.mark);
+        if let Some(last) = news.last() {
+            subscriber.mark = last.to;
+        }
+        let to = subscriber.reply_to;
+        let first = if news.is_empty() {
+            None
+        } else {
+            Some(news.remove(0))
+        };
+        if first.is_none() && !always {
+            return;
+        }
+        self.send(
+            to,
+            &Reply {
+                routes,
+                news: first,
+            },
+        )
+        .await;
+        for piece in news {
+            let reply = Reply {
+                routes,
+                news: Some(piece),
+            };
+            self.send(to, &reply).await;
+        }
+    }
+
+    async fn tell_subscribers(&mut self, routes: bool) {
+        let now = Instant::now();
+        self.subscribers
+            .retain(|_, subscriber| now < subscriber.at + SUBSCRIBED);
+        let addresses: Vec<SocketAddrV4> = self.subscribers.keys().copied().collect();
+        for address in addresses {
+            self.reply(address, routes).await;
+        }
+    }
+
+    async fn send<T: serde::Serialize>(&self, to: SocketAddrV4, message: &T) {
+        match wire::encode(message) {
+            // A datagram may be lost anyway.
+            Ok(datagram) => drop(self.socket.send_to(&datagram, to).await),
+            Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
+        }
+    }
+
+    /// Tells the other control hosts what was heard here, and the group task
+    /// which control hosts were heard.
+    async fn gossip(&mut self, now: Instant) {
+        self.gossip_at = now + GOSSIP;
+        self.directory.note(self.me.clone(), now);
+        let mut told: Vec<(Node, u64)> = vec![(self.me.clone(), 0)];
+        if now >= self.repeated_at + REPEAT {
+            let since = self.repeated_at;
+            self.repeated_at = now;
+            let others = self.directory.heard(since, now);
+            let others = others.filter(|(node, _)| node.address != self.me.address);
+            told.extend(others.map(|(node, age)| (node, millis(age))));
+        }
+        self.spread(told).await;
+        let gone = self.directory.expire(now);
+        for node in &gone {
+            log::info!(event = "node_gone", address:% = node.address; "a node was not heard for a lease");
+        }
+        if !gone.is_empty() {
+            self.tell_subscribers(false).await;
+        }
+        self.report(now);
+    }
+
+    fn report(&mut self, now: Instant) {
+        let port = self.cfg.member_port;
+        let mut heard = BTreeMap::new();
+        let mut count = 0;
+        for (node, at) in self.directory.nodes() {
+            count += 1;
+            if let Part::Control(member) = node.part {
+                let address = SocketAddrV4::new(node.ip(), port).into();
+                let leaving = node.leaving;
+                heard.insert(
+                    member,
+                    Heard {
+                        address,
+                        at,
+                        leaving,
+                    },
+                );
+            }
+        }
+        self.metrics.nodes.set(gauge(count));
+        heard.entry(self.member).and_modify(|host| host.at = now);
+        // A full queue is brought up to date by the next report.
+        let _ = self.group.try_send(GroupCommand::Heard(heard));
+    }
+
+    /// Sends records to the other control hosts: those that were heard, and
+    /// the seeds and former members, which may be there unheard.
+    async fn spread(&self, told: Vec<(Node, u64)>) {
+        let port = self.cfg.node_port;
+        let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
+        let known = self.directory.nodes().filter_map(|(node, _)| {
+            let control = matches!(node.part, Part::Control(_));
+            control.then_some(node.address)
+        });
+        let mut hosts: Vec<SocketAddrV4> = seeds
+            .chain(known)
+            .chain(self.remembered.iter().copied())
+            .filter(|address| *address != self.me.address)
+            .collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        for piece in told.chunks(PIECE) {
+            let message = Spoken::Heard(piece.to_vec());
+            for host in &hosts {
+                self.send(*host, &message).await;
+            }
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/replica/src/process/settings.rs
@@ -0,0 +1,67 @@
+//! Settings of a control host.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    path::PathBuf,
+    time::Duration,
+};
+
+use types::DataCentre;
+
+use crate::version::StewardSettings;
+
+/// Settings of a control host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Address of the host.
+    pub ip: Ipv4Addr,
+    /// Where the host is.
+    pub data_centre: DataCentre,
+    /// Folder of the durable state.
+    pub data_dir: PathBuf,
+    /// Port for messages between members, the same on all of them, UDP and TCP.
+    pub member_port: u16,
+    /// UDP port to which nodes say hello, the same on all members.
+    pub node_port: u16,
+    /// Hosts where control hosts may be found.
+    pub seeds: Vec<Ipv4Addr>,
+    /// The deployment starts for the first time: the seeds form the group.
+    pub bootstrap: bool,
+    /// Times of the consensus.
+    pub consensus: consensus::Settings,
+    /// How the group is kept complete.
+    pub steward: StewardSettings,
+    /// Pause after a change before the log is replaced by a snapshot.
+    pub compact_after: Duration,
+}
+
+impl Settings {
+    /// Settings of a host, with the usual values for everything else.
+    #[must_use]
+    pub fn new(ip: Ipv4Addr, data_centre: DataCentre, data_dir: PathBuf) -> Self {
+        Settings {
+            ip,
+            data_centre,
+            data_dir,
+            member_port: 7001,
+            node_port: 7000,
+            seeds: Vec::new(),
+            bootstrap: false,
+            consensus: consensus::Settings::default(),
+            steward: StewardSettings::default(),
+            compact_after: Duration::from_millis(300),
+        }
+    }
+
+    /// Where members reach this host.
+    #[must_use]
+    pub fn member_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.member_port)
+    }
+
+    /// Where nodes reach this host.
+    #[must_use]
+    pub fn node_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.node_port)
+    }
+}
--- /dev/null
+++ b/crates/replica/src/version/steward.rs
@@ -0,0 +1,150 @@
+//! The changes by which the leader keeps its group complete.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use consensus::{Group, GroupChange};
+use types::MemberId;
+
+/// Rules of a [`Steward`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StewardSettings {
+    /// Voters that must remain when one that is silent is removed. Twice the
+    /// losses to be borne and one more: with fewer, an accepted change could be
+    /// on too few disks.
+    pub floor: usize,
+    /// Voters at most. More make each change slower and nothing safer.
+    pub most: usize,
+    /// A voter that was not heard for this long may be removed. Short, because
+    /// a voter that comes back is taken in again without loss.
+    pub silent: Duration,
+    /// A host that is to be added was heard within this time.
+    pub present: Duration,
+}
+
+impl Default for StewardSettings {
+    fn default() -> Self {
+        StewardSettings {
+            floor: 3,
+            most: 9,
+            silent: Duration::from_millis(1500),
+            present: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A control host that was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Where members reach it.
+    pub address: SocketAddr,
+    /// When it was last heard, by whatever way.
+    pub at: Instant,
+    /// It has said that it ends.
+    pub leaving: bool,
+}
+
+/// Decides how the leader changes its group.
+#[derive(Debug, Clone, Copy)]
+pub struct Steward {
+    settings: StewardSettings,
+}
+
+impl Steward {
+    /// A steward with these rules.
+    #[must_use]
+    pub fn new(settings: StewardSettings) -> Self {
+        Steward { settings }
+    }
+
+    /// The next change of the group, one at a time:
+    ///
+    /// 1. a learner that has caught up becomes a voter;
+    /// 2. a member whose address another member has taken is removed: its disk
+    ///    is lost, so it can never come back;
+    /// 3. a host that is not in the group becomes a learner;
+    /// 4. a silent member is removed, as long as enough voters remain.
+    #[must_use]
+    pub fn next(
+        &self,
+        me: MemberId,
+        group: &Group,
+        caught_up: &BTreeSet<MemberId>,
+        heard: &BTreeMap<MemberId, Heard>,
+        now: Instant,
+    ) -> Option<GroupChange> {
+        self.promotion(group, caught_up)
+            .or_else(|| self.replaced(me, group, heard, now))
+            .or_else(|| self.addition(group, heard, now))
+            .or_else(|| self.removal(me, group, heard, now))
+    }
+
+    fn promotion(&self, group: &Group, caught_up: &BTreeSet<MemberId>) -> Option<GroupChange> {
+        let ready = |id: &&MemberId| caught_up.contains(id);
+        let learner = group.learners.keys().find(ready)?;
+        let room = group.voters.len() < self.settings.most;
+        room.then_some(GroupChange::Promote(*learner))
+    }
+
+    fn is_present(&self, host: &Heard, now: Instant) -> bool {
+        !host.leaving && now < host.at + self.settings.present
+    }
+
+    fn replaced(
+        &self,
+        me: MemberId,
+        group: &Group,
+        heard: &BTreeMap<MemberId, Heard>,
+        now: Instant,
+    ) -> Option<GroupChange> {
+        let successor = |id: MemberId, address: SocketAddr| {
+            heard.iter().any(|(other, host)| {
+                *other != id && host.address == address && self.is_present(host, now)
+            })
+        };
+        let (id, _) = group
+            .members()
+            .find(|(id, address)| *id != me && successor(*id, *address))?;
+        let last_voter = group.is_voter(id) && group.voters.len() == 1;
+        (!last_voter).then_some(GroupChange::Remove(id))
+    }
+
+    fn addition(
+        &self,
+        group: &Group,
+        heard: &BTreeMap<MemberId, Heard>,
+        now: Instant,
+    ) -> Option<GroupChange> {
+        let room = group.voters.len() + group.learners.len() < self.settings.most;
+        let (id, host) = heard
+            .iter()
+            .find(|(id, host)| !group.contains(**id) && self.is_present(host, now))?;
+        room.then_some(GroupChange::AddLearner(*id, host.address))
+    }
+
+    fn removal(
+        &self,
+        me: MemberId,
+        group: &Group,
+        heard: &BTreeMap<MemberId, Heard>,
+        now: Instant,
+    ) -> Option<GroupChange> {
+        let silent = |id: MemberId| {
+            id != me
+                && heard
+                    .get(&id)
+                    .is_none_or(|host| now >= host.at + self.settings.silent)
+        };
+        if let Some(id) = group.learners.keys().find(|id| silent(**id)) {
+            return Some(GroupChange::Remove(*id));
+        }
+        if group.voters.len() <= self.settings.floor {
+            return None;
+        }
+        let id = group.voters.keys().find(|id| silent(**id))?;
+        Some(GroupChange::Remove(*id))
+    }
+}
