--- a/crates/flow/src/process/pool.rs
+++ b/crates/flow/src/process/pool.rs
@@ -29,9 +29,9 @@
     pub placed: u32,
 }
 
-/// A report counts as fresh for this long; agents report at least three times
-/// in it. An agent that is overdue is used only when no other is left.
-const FRESH: Duration = Duration::from_millis(1600);
+/// A report counts as fresh for this long; agents report at least twice in it.
+/// An agent that is overdue is used only when no other is left.
+const FRESH: Duration = Duration::from_millis(1100);
 
 /// Cost of another data centre, as a part of an upstream's slots in use: a flow
 /// goes there when it saves more waiting than the way costs.
@@ -79,10 +79,11 @@
         self.agents.keys().copied()
     }
 
-    /// Whether no agent is known.
+    /// Whether an agent that takes new flows has reported lately.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.agents.is_empty()
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let usable = |agent: &Candidate| agent.accepting && Self::is_fresh(agent, now);
+        self.agents.values().any(usable)
     }
 
     /// Whether a candidate reported lately.
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -184,10 +184,12 @@
         self.pools.values_mut()
     }
 
-    /// Whether new flows can be placed.
+    /// Whether new flows can be placed: an agent that takes them has reported
+    /// lately. A balancer that is cut off hears none, and must be left by the
+    /// fabric, which may still reach it.
     #[must_use]
-    pub fn can_place(&self) -> bool {
-        self.routes.is_some() && self.pools.values().any(|pool| !pool.is_empty())
+    pub fn can_place(&self, now: Instant) -> bool {
+        self.routes.is_some() && self.pools.values().any(|pool| pool.is_usable(now))
     }
 
     /// Decides about a datagram of a caller.
--- /dev/null
+++ b/crates/flow/tests/common/mod.rs
@@ -0,0 +1,148 @@
+//! A balancer, agents and datagrams for the tests of this crate.
+#![allow(dead_code)]
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use flow::{
+    Candidate, Holder, HolderSettings, Load, Segment, Steering, SteeringSettings, Upstream,
+};
+use types::{Part, RoutingDelta, RoutingSet, Rule, SetNumber, Slots, UpstreamId};
+
+pub const SERVICE: &str = "vouchers";
+pub const NEAR: &str = "near";
+
+/// Address of agent `n`.
+pub fn address(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 7000)
+}
+
+/// An agent that takes flows and has just reported that it is idle.
+pub fn agent(now: Instant) -> Candidate {
+    Candidate {
+        id: UpstreamId(1),
+        data_centre: NEAR.parse().unwrap(),
+        slots: Slots(4),
+        accepting: true,
+        load: Load::default(),
+        reported: now,
+        placed: 0,
+    }
+}
+
+pub fn steering() -> (Steering, Instant) {
+    let settings = SteeringSettings::default();
+    (
+        Steering::new(settings, NEAR.parse().unwrap()),
+        Instant::now(),
+    )
+}
+
+/// Gives the balancer a set with one rule, for [`service_address`].
+pub fn routes(steering: &mut Steering, number: u64) {
+    let rule = Rule {
+        parts: [(SERVICE.parse().unwrap(), Part(1))].into(),
+    };
+    let set = RoutingSet {
+        number: SetNumber(number),
+        rules: [(service_address().into(), rule)].into(),
+        ..RoutingSet::default()
+    };
+    assert!(steering.routes_mut().advance(set.delta_from(None)));
+}
+
+/// Takes the rule away again.
+pub fn no_routes(steering: &mut Steering, number: u64) {
+    let delta = RoutingDelta {
+        number: SetNumber(number),
+        ..RoutingSet::default().delta_from(None)
+    };
+    assert!(steering.routes_mut().advance(delta));
+}
+
+/// A balancer with routes and agents 1 to `agents`.
+pub fn ready(agents: u8) -> (Steering, Instant) {
+    let (mut steering, now) = steering();
+    routes(&mut steering, 1);
+    for n in 1..=agents {
+        let pool = steering.pool(&SERVICE.parse().unwrap());
+        pool.insert(address(n), agent(now));
+    }
+    (steering, now)
+}
+
+pub fn service_address() -> SocketAddrV4 {
+    "198.18.0.1:443".parse().unwrap()
+}
+
+pub fn caller(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, n), 40_000)
+}
+
+/// An opening datagram of caller `n`.
+pub fn opening(n: u8) -> Segment {
+    Segment {
+        source: caller(n),
+        destination: service_address(),
+        seq: 100,
+        opens: true,
+        ..Segment::default()
+    }
+}
+
+/// A datagram of caller `n` with data; `ack` as the upstream numbered it.
+pub fn data(n: u8, seq: u32, ack: u32) -> Segment {
+    Segment {
+        seq,
+        ack,
+        len: 10,
+        opens: false,
+        acknowledges: true,
+        ..opening(n)
+    }
+}
+
+/// The upstream agrees to the flow of caller `n`, with its first number.
+pub fn agreement(n: u8, seq: u32) -> Segment {
+    Segment {
+        source: service_address(),
+        destination: caller(n),
+        seq,
+        ack: 101,
+        opens: true,
+        acknowledges: true,
+        ..Segment::default()
+    }
+}
+
+/// Data of the upstream for caller `n`.
+pub fn answer(n: u8, seq: u32) -> Segment {
+    Segment {
+        opens: false,
+        len: 10,
+        ..agreement(n, seq)
+    }
+}
+
+/// A datagram that the upstream returns.
+pub fn bounced(seg: Segment) -> Segment {
+    Segment {
+        bounced: true,
+        ..seg
+    }
+}
+
+pub fn payload(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+/// An agent's holder beside a ready upstream of 4 slots.
+pub fn holder() -> (Holder, Instant) {
+    let now = Instant::now();
+    let mut holder = Holder::new(HolderSettings::default(), now);
+    holder.set_upstream(Some(Upstream::ready(7, Slots(4))), now);
+    (holder, now)
+}
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -21,7 +21,7 @@
 use crate::{Codec, Error, Message, Report, Result, Tag};
 
 /// Pause between two rounds of forgetting what is over.
-const EXPIRE: Duration = Duration::from_millis(500);
+const EXPIRE: Duration = Duration::from_millis(250);
 
 /// Largest datagram in bytes.
 const DATAGRAM: usize = 64 * 1024;
@@ -344,9 +344,12 @@
     }
 
     fn note_ready(&mut self) {
-        let ready = self.steering.can_place();
+        let ready = self.steering.can_place(Instant::now());
         self.ready.send_if_modified(|known| {
             let changed = *known != ready;
+            if changed {
+                log::info!(event = "ready", ready = u64::from(ready); "readiness changed");
+            }
             *known = ready;
             changed
         });
