flow: prefer an agent by hash among those that cost about the same

Change: a flow's hash prefers one of the agents whose costs differ by less than a quarter of the slots; a search tries them in that order.

--- a/crates/flow/src/process/pool.rs
+++ b/crates/flow/src/process/pool.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use twox_hash::XxHash64;
 use types::{DataCentre, Slots, UpstreamId};
 
 use super::Load;
@@ -41,6 +42,11 @@
 /// further requests, about one in a second.
 const OPEN_FLOW: f64 = 0.03;
 
+/// Agents whose costs differ by less are alike, in parts of an upstream's slots.
+/// It is below a slot of the smallest upstreams, so that none is filled while
+/// another is idle.
+const ALIKE: f64 = 0.25;
+
 /// The agents of a service.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -92,8 +98,9 @@
         now < candidate.reported + FRESH
     }
 
-    /// Chooses an agent that takes new flows and is not in `except`, the
-    /// cheapest by load and way, and counts the flow as placed there.
+    /// Chooses an agent that takes new flows and is not in `except`, and counts
+    /// the flow as placed there. Among the agents that are about as cheap as the
+    /// cheapest, by load and way, it is the one that the flow's hash prefers.
     pub fn place(
         &mut self,
         near: &DataCentre,
@@ -101,26 +108,43 @@
         except: &[SocketAddrV4],
         now: Instant,
     ) -> Option<SocketAddrV4> {
-        let address = self
+        let willing = |address: &SocketAddrV4, c: &Candidate| {
+            c.accepting && !except.contains(address) && Self::is_fresh(c, now)
+        };
+        let any_fresh = self.agents.iter().any(|(a, c)| willing(a, c));
+        let open: Vec<(SocketAddrV4, f64)> = self
             .agents
             .iter()
-            .filter(|(address, candidate)| candidate.accepting && !except.contains(address))
-            .min_by(|a, b| {
-                let overdue = |c: &Candidate| !Self::is_fresh(c, now);
-                let cost = |c: &Candidate| cost(c, near);
-                let tie = |address: &SocketAddrV4| mix(hash, *address);
-                overdue(a.1)
-                    .cmp(&overdue(b.1))
-                    .then(cost(a.1).total_cmp(&cost(b.1)))
-                    .then(tie(a.0).cmp(&tie(b.0)))
-            })
-            .map(|(address, _)| *address)?;
+            .filter(|(a, c)| willing(a, c) || (!any_fresh && c.accepting && !except.contains(a)))
+            .map(|(address, c)| (*address, cost(c, near)))
+            .collect();
+        let least = open.iter().map(|(_, cost)| *cost).min_by(f64::total_cmp)?;
+        let address = open
+            .into_iter()
+            .filter(|(_, cost)| *cost <= least + ALIKE)
+            .map(|(address, _)| address)
+            .max_by_key(|address| {
+                let agent = self.agents.get(address);
+                let is_near = agent.is_some_and(|agent| agent.data_centre == *near);
+                (is_near, preference(hash, *address))
+            })?;
         if let Some(candidate) = self.agents.get_mut(&address) {
             candidate.placed += 1;
         }
         Some(address)
     }
 
+    /// Agents in the order in which they are likely to hold a flow of this hash
+    /// that was placed by a balancer in `near`.
+    pub fn likely(&self, near: &DataCentre, hash: u64) -> Vec<SocketAddrV4> {
+        let mut agents: Vec<_> = self.agents.iter().collect();
+        agents.sort_by_key(|(address, candidate)| {
+            let far = candidate.data_centre != *near;
+            (far, std::cmp::Reverse(preference(hash, **address)))
+        });
+        agents.into_iter().map(|(address, _)| *address).collect()
+    }
+
     /// Whether some agent but `except` has a free slot by its last report.
     #[must_use]
     pub fn has_free(&self, except: &[SocketAddrV4], now: Instant) -> bool {
@@ -143,8 +167,9 @@
     (requests + flows) / slots + way
 }
 
-/// Orders equal candidates differently for each flow.
-fn mix(hash: u64, address: SocketAddrV4) -> u64 {
+/// How much a flow prefers an agent. It depends on nothing that changes, so a
+/// balancer that has lost its hints knows where a flow is likely to be.
+fn preference(hash: u64, address: SocketAddrV4) -> u64 {
     let salt = (u64::from(u32::from(*address.ip())) << 16) | u64::from(address.port());
-    (hash ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    XxHash64::oneshot(hash, &salt.to_be_bytes())
 }
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -419,10 +419,15 @@
         } else if tries.agents.len() >= settings.tries {
             return None;
         }
-        let mut fresh = search
-            .perhaps
-            .into_iter()
-            .filter(|(agent, _)| !tries.agents.contains(agent));
+        let (hash, near) = (key.hash(), &self.near);
+        let pools = self.pools.iter();
+        let likely = pools.flat_map(|(service, pool)| {
+            let agents = pool.likely(near, hash).into_iter();
+            agents.map(|agent| (agent, service.clone()))
+        });
+        let mut fresh = likely.filter(|(agent, _)| {
+            search.perhaps.contains_key(agent) && !tries.agents.contains(agent)
+        });
         let (agent, service) = fresh.next()?;
         tries.agents.insert(agent);
         Some(Release {
--- /dev/null
+++ b/crates/flow/tests/placement.rs
@@ -0,0 +1,122 @@
+//! Where new flows go.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use common::{address, agent, caller, data, opening, ready};
+use flow::{Claim, Load, Origin, Pool, Steer};
+use types::Slots;
+
+fn pool(loads: &[(u8, &str, u32)]) -> (Pool, std::time::Instant) {
+    let now = std::time::Instant::now();
+    let mut pool = Pool::default();
+    for (n, data_centre, busy) in loads {
+        let mut candidate = agent(now);
+        candidate.data_centre = data_centre.parse().unwrap();
+        candidate.load = Load {
+            busy: *busy,
+            flows: 0,
+        };
+        pool.insert(address(*n), candidate);
+    }
+    (pool, now)
+}
+
+/// Guards against requests that queue at one upstream beside an idle one, and
+/// against ways to other data centres that save nothing.
+#[test]
+fn flows_go_to_free_slots_near_by_first() {
+    let cases: [(&[(u8, &str, u32)], u8); 4] = [
+        (&[(1, "near", 0), (2, "far", 0)], 1),
+        (&[(1, "near", 4), (2, "far", 0)], 2),
+        (&[(1, "near", 3), (2, "near", 0)], 2),
+        (&[(1, "far", 0), (2, "near", 1)], 2),
+    ];
+    for (loads, expected) in cases {
+        let (mut pool, now) = pool(loads);
+        for hash in 0..50 {
+            let (mut one, _) = self::pool(loads);
+            let near = "near".parse().unwrap();
+            assert_eq!(
+                one.place(&near, hash, &[], now),
+                Some(address(expected)),
+                "{loads:?}"
+            );
+        }
+        let near = "near".parse().unwrap();
+        assert!(
+            pool.place(&near, 0, &[address(1), address(2)], now)
+                .is_none()
+        );
+    }
+}
+
+/// Guards against a burst between two reports that all goes to one upstream.
+#[test]
+fn flows_placed_since_the_last_report_count() {
+    let (mut pool, now) = pool(&[(1, "near", 0), (2, "near", 0), (3, "near", 0)]);
+    let near = "near".parse().unwrap();
+    let mut placed = BTreeMap::new();
+    for hash in 0..12 {
+        let agent = pool.place(&near, hash, &[], now).unwrap();
+        *placed.entry(agent).or_insert(0) += 1;
+    }
+    assert!(
+        placed.values().all(|count| (3..=5).contains(count)),
+        "{placed:?}"
+    );
+}
+
+/// Guards against flows that are given to an agent that has died.
+#[test]
+fn an_agent_that_stopped_reporting_is_used_only_if_no_other_is_left() {
+    let (mut pool, now) = pool(&[(1, "near", 0), (2, "near", 4)]);
+    let later = now + Duration::from_secs(2);
+    pool.get_mut(address(2)).unwrap().reported = later;
+    let near = "near".parse().unwrap();
+    assert_eq!(pool.place(&near, 3, &[], later), Some(address(2)));
+    assert_eq!(pool.place(&near, 3, &[address(2)], later), Some(address(1)));
+}
+
+/// Guards against open flows that are lost when all balancers and agents have
+/// restarted: the first agent that is tried is where a flow was placed.
+#[test]
+fn a_flow_is_first_looked_for_where_it_was_placed() {
+    let mut found = 0;
+    for n in 0..100 {
+        let (mut before, now) = ready(5);
+        let Steer::To { agent, .. } = before.steer(&opening(n), &Bytes::new(), now) else {
+            panic!("not placed");
+        };
+        let (mut after, now) = ready(5);
+        assert!(matches!(
+            after.steer(&data(n, 101, 1), &Bytes::new(), now),
+            Steer::Ask(_)
+        ));
+        for asked in 1..=5 {
+            let key = opening(n).key_from_caller();
+            assert_eq!(key.caller, caller(n));
+            after.claimed(key, address(asked), Claim::Perhaps, now);
+        }
+        let released = after.end_searches(now);
+        assert_eq!(released.len(), 1);
+        assert_eq!(released[0].origin, Origin::Tried);
+        found += u32::from(released[0].agent == agent);
+    }
+    assert_eq!(found, 100);
+}
+
+/// Guards against an upstream of few slots that is filled while others idle.
+#[test]
+fn small_upstreams_are_filled_evenly() {
+    let (mut pool, now) = pool(&[(1, "near", 0), (2, "near", 0)]);
+    for n in 1..=2 {
+        pool.get_mut(address(n)).unwrap().slots = Slots(2);
+    }
+    let near = "near".parse().unwrap();
+    let first = pool.place(&near, 9, &[], now);
+    let second = pool.place(&near, 9, &[], now);
+    assert_ne!(first, second);
+}
