relay: pace what a balancer sends to a thin link

Cause: a caller sends a window of 16 datagrams within 4 ms; the balancer passed them on at once, and its link of 4.6 Mbit/s, whose queue holds about 50 ms, lost most of them (trial: log of each datagram of one upload, which ran 6 s late). Change: datagrams leave at the pace of the link that the settings name, small ones first; what the link cannot take within 350 ms is dropped and counted. Also: an acknowledgement must lie within what the upstream has sent.

--- a/crates/flow/src/process/holder.rs
+++ b/crates/flow/src/process/holder.rs
@@ -43,10 +43,6 @@
     }
 }
 
-/// Largest distance of an acknowledgement from the first byte of an upstream,
-/// in bytes: far above the size of an answer, far below the range of numbers.
-const ACK_RANGE: u32 = 1 << 24;
-
 /// What an agent is told of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Upstream {
@@ -161,8 +157,9 @@
     stage: Stage,
     /// Number of the opening datagram, if it was seen.
     opening: Option<u32>,
-    /// First number of the upstream, if its agreement was seen.
-    upstream_seq: Option<u32>,
+    /// First number of the upstream and the one after its last byte, if its
+    /// agreement was seen.
+    upstream_seq: Option<(u32, u32)>,
     /// Highest number of the caller's data so far.
     caller_seq: Option<u32>,
     /// A request waits for the first byte of its answer.
@@ -193,11 +190,27 @@
     /// goes on with one of them.
     fn fits(&self, seg: &Segment) -> bool {
         match self.upstream_seq {
-            Some(first) if seg.acknowledges => seg.ack.wrapping_sub(first) <= ACK_RANGE,
+            // The numbers also count the opening and the end.
+            Some((first, next)) if seg.acknowledges => {
+                let sent = next.wrapping_sub(first) + 2;
+                seg.ack.wrapping_sub(first) <= sent
+            }
             _ => true,
         }
     }
 
+    fn note_upstream(&mut self, seg: &Segment) {
+        if seg.opens {
+            self.upstream_seq = Some((seg.seq, seg.seq));
+        }
+        if let Some((first, next)) = &mut self.upstream_seq {
+            let end = seg.seq.wrapping_add(u32::from(seg.len));
+            if end.wrapping_sub(*first) > next.wrapping_sub(*first) {
+                *next = end;
+            }
+        }
+    }
+
     /// Notes the caller's data; a higher number starts or goes on with a request.
     fn note_caller(&mut self, seg: &Segment) {
         self.caller_ended |= seg.ends;
@@ -422,9 +435,7 @@
         if flow.stage != Stage::Closed {
             flow.stage = Stage::Open;
         }
-        if seg.opens {
-            flow.upstream_seq = Some(seg.seq);
-        }
+        flow.note_upstream(seg);
         if seg.len > 0 {
             flow.waiting = false;
         }
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -6,4 +6,4 @@
 
 pub use holder::{Claim, FromUpstream, Holder, HolderSettings, Load, Origin, Upstream, Verdict};
 pub use pool::{Candidate, Pool};
-pub use steering::{Dropped, Release, Steer, Steering, SteeringSettings};
+pub use steering::{Dropped, Ended, Question, Release, Steer, Steering, SteeringSettings};
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -22,6 +22,10 @@
     /// Time for agents to claim a flow: twice the way to the farthest agent of
     /// a region, and time to answer.
     pub search: Duration,
+    /// Agents that are asked first, because they are the likeliest holders.
+    /// Only if none of them claims the flow are the others asked: to ask all
+    /// for each flow costs more than the flows when there are many agents.
+    pub first: usize,
     /// Searches under way at most.
     pub searches: usize,
     /// Datagrams of one flow that wait for its holder: a window of the sender.
@@ -39,6 +43,7 @@
             hints: 200_000,
             idle: Duration::from_mins(1),
             search: Duration::from_millis(30),
+            first: 3,
             searches: 512,
             parked: 16,
             tries: 2,
@@ -111,6 +116,24 @@
     pub payload: Bytes,
 }
 
+/// Agents to ask for the flow of a datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Question {
+    /// A datagram of the flow.
+    pub payload: Bytes,
+    /// The agents.
+    pub others: Vec<(SocketAddrV4, ServiceName)>,
+}
+
+/// What follows from the searches that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Ended {
+    /// Datagrams that go on.
+    pub released: Vec<Release>,
+    /// Searches that are widened.
+    pub asked: Vec<Question>,
+}
+
 #[derive(Debug)]
 struct Hint {
     agent: SocketAddrV4,
@@ -124,6 +147,8 @@
 #[derive(Debug)]
 struct Search {
     until: Instant,
+    /// Agents that are asked next, if nobody claims the flow.
+    others: Vec<(SocketAddrV4, ServiceName)>,
     waiting_for: BTreeMap<SocketAddrV4, ServiceName>,
     perhaps: BTreeMap<SocketAddrV4, ServiceName>,
     parked: Vec<Bytes>,
@@ -290,12 +315,14 @@
         if self.searches.len() >= self.settings.searches {
             return Steer::Drop(Dropped::Busy);
         }
-        let agents = self.agents_for(&key);
+        let mut agents = self.agents_for(&key);
         if agents.is_empty() {
             return Steer::Drop(Dropped::NoAgent);
         }
+        let others = agents.split_off(agents.len().min(self.settings.first));
         let search = Search {
             until: now + self.settings.search,
+            others,
             waiting_for: agents.iter().cloned().collect(),
             perhaps: BTreeMap::new(),
             parked: vec![payload],
@@ -304,8 +331,10 @@
         Steer::Ask(agents)
     }
 
-    /// The agents of all services that the address leads or may have led to.
+    /// The agents of the services that the address leads to, the likeliest
+    /// holders first.
     fn agents_for(&self, key: &Key) -> Vec<(SocketAddrV4, ServiceName)> {
+        let hash = key.hash();
         let rule = self
             .routes
             .as_ref()
@@ -313,7 +342,10 @@
         let services = rule.into_iter().flat_map(|rule| rule.parts.keys());
         services
             .filter_map(|service| Some((service, self.pools.get(service)?)))
-            .flat_map(|(service, pool)| pool.addresses().map(|a| (a, service.clone())))
+            .flat_map(|(service, pool)| {
+                let agents = pool.likely(&self.near, hash).into_iter();
+                agents.map(|agent| (agent, service.clone()))
+            })
             .collect()
     }
 
@@ -387,25 +419,37 @@
         self.search(key, payload, now)
     }
 
-    /// Ends the searches that are due. One agent that may hold the flow gets
-    /// its first datagram; the caller sends the others again.
-    pub fn end_searches(&mut self, now: Instant) -> Vec<Release> {
+    /// Ends the searches that are due. One that has asked only the likeliest
+    /// agents asks the others; otherwise one agent that may hold the flow gets
+    /// its first datagram, and the caller sends the rest again.
+    pub fn end_searches(&mut self, now: Instant) -> Ended {
         let due: Vec<Key> = self
             .searches
             .iter()
             .filter(|(_, search)| now >= search.until)
             .map(|(key, _)| *key)
             .collect();
-        due.into_iter()
-            .filter_map(|key| {
-                let search = self.searches.remove(&key)?;
-                self.try_one(key, search, now)
-            })
-            .collect()
+        let mut ended = Ended::default();
+        for key in due {
+            if let Some(search) = self.searches.get_mut(&key)
+                && !search.others.is_empty()
+            {
+                let others = std::mem::take(&mut search.others);
+                search.waiting_for.extend(others.iter().cloned());
+                search.until = now + self.settings.search;
+                if let Some(payload) = search.parked.first().cloned() {
+                    ended.asked.push(Question { payload, others });
+                }
+            } else if let Some(search) = self.searches.remove(&key) {
+                ended.released.extend(self.try_one(key, search, now));
+            }
+        }
+        ended
     }
 
     fn try_one(&mut self, key: Key, search: Search, now: Instant) -> Option<Release> {
         let settings = self.settings;
+        let likely = self.agents_for(&key);
         let tries = self.tried.entry(key).or_insert(Tries {
             agents: BTreeSet::new(),
             since: now,
@@ -419,13 +463,7 @@
         } else if tries.agents.len() >= settings.tries {
             return None;
         }
-        let (hash, near) = (key.hash(), &self.near);
-        let pools = self.pools.iter();
-        let likely = pools.flat_map(|(service, pool)| {
-            let agents = pool.likely(near, hash).into_iter();
-            agents.map(|agent| (agent, service.clone()))
-        });
-        let mut fresh = likely.filter(|(agent, _)| {
+        let mut fresh = likely.into_iter().filter(|(agent, _)| {
             search.perhaps.contains_key(agent) && !tries.agents.contains(agent)
         });
         let (agent, service) = fresh.next()?;
--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -9,7 +9,13 @@
 use flow::{Claim, Load, Origin, Pool, Steer};
 use types::Slots;
 
-fn pool(loads: &[(u8, &str, u32)]) -> (Pool, std::time::Instant) {
+/// Longer than a search waits for answers.
+const SEARCH: Duration = Duration::from_millis(100);
+
+/// Number, data centre and requests of agents.
+type Loads = [(u8, &'static str, u32)];
+
+fn pool(loads: &Loads) -> (Pool, std::time::Instant) {
     let now = std::time::Instant::now();
     let mut pool = Pool::default();
     for (n, data_centre, busy) in loads {
@@ -28,7 +34,7 @@
 /// against ways to other data centres that save nothing.
 #[test]
 fn flows_go_to_free_slots_near_by_first() {
-    let cases: [(&[(u8, &str, u32)], u8); 4] = [
+    let cases: [(&Loads, u8); 4] = [
         (&[(1, "near", 0), (2, "far", 0)], 1),
         (&[(1, "near", 4), (2, "far", 0)], 2),
         (&[(1, "near", 3), (2, "near", 0)], 2),
@@ -100,7 +106,9 @@
             assert_eq!(key.caller, caller(n));
             after.claimed(key, address(asked), Claim::Perhaps, now);
         }
-        let released = after.end_searches(now);
+        // The likeliest have answered; the others are asked, and know no better.
+        assert_eq!(after.end_searches(now).asked.len(), 1);
+        let released = after.end_searches(now + SEARCH).released;
         assert_eq!(released.len(), 1);
         assert_eq!(released[0].origin, Origin::Tried);
         found += u32::from(released[0].agent == agent);
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -33,6 +33,10 @@
 /// the way there is costly.
 const REPORT_FAR: Duration = Duration::from_millis(200);
 
+/// Listeners to whom reports go at these paces. With more, reports become rarer
+/// in proportion, so that their cost for an agent stays the same.
+const LISTENERS: u32 = 8;
+
 /// An unchanged load is reported after this time, as a sign of life.
 const REPORT_ALIVE: Duration = Duration::from_millis(500);
 
@@ -501,8 +505,14 @@
             let changed = told.1 != state && now >= told.0 + pause;
             urgent || changed || now >= told.0 + REPORT_ALIVE
         };
-        let near = due(&self.audience.near_told, REPORT_NEAR);
-        let far = due(&self.audience.far_told, REPORT_FAR);
+        let near = due(
+            &self.audience.near_told,
+            pause(REPORT_NEAR, &self.audience.near),
+        );
+        let far = due(
+            &self.audience.far_told,
+            pause(REPORT_FAR, &self.audience.far),
+        );
         if !near && !far {
             return;
         }
@@ -587,3 +597,9 @@
         placed: 0,
     }
 }
+
+/// Pause between two reports to these listeners.
+fn pause(least: Duration, listeners: &BTreeSet<SocketAddrV4>) -> Duration {
+    let count = u32::try_from(listeners.len()).unwrap_or(u32::MAX);
+    least * count.max(LISTENERS) / LISTENERS
+}
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -8,16 +8,18 @@
 
 use bytes::Bytes;
 use directory::{Changes, Node, Part};
-use flow::{Candidate, Dropped, Load, Origin, Release, Segment, Steer, Steering, SteeringSettings};
+use flow::{
+    Candidate, Claim, Dropped, Load, Origin, Release, Segment, Steer, Steering, SteeringSettings,
+};
 use prometheus::Registry;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{DataCentre, ServiceName, Slots, UpstreamId};
+use types::{BytesPerSecond, DataCentre, ServiceName, Slots, UpstreamId};
 
-use super::{Update, metrics::Metrics};
+use super::{Egress, Update, metrics::Metrics};
 use crate::{Codec, Error, Message, Report, Result, Tag};
 
 /// Pause between two rounds of forgetting what is over.
@@ -40,6 +42,8 @@
     pub caller_port: u16,
     /// Where the balancer is.
     pub data_centre: DataCentre,
+    /// Rate of the host's link; `None` if it needs no care.
+    pub link: Option<BytesPerSecond>,
     /// Times and bounds of its decisions.
     pub steering: SteeringSettings,
 }
@@ -51,6 +55,7 @@
     steering: Steering,
     ingress: UdpSocket,
     peers: UdpSocket,
+    egress: Egress,
     updates: mpsc::Receiver<Update>,
     /// Whether new flows can be placed.
     ready: watch::Sender<bool>,
@@ -80,6 +85,7 @@
         Ok(Balancer {
             ingress: bind(cfg.ingress)?,
             peers: bind(cfg.peer)?,
+            egress: Egress::new(cfg.link, Instant::now()),
             steering: Steering::new(cfg.steering, cfg.data_centre.clone()),
             cfg,
             codec,
@@ -98,6 +104,7 @@
         loop {
             let search_ends = self.steering.next_deadline().unwrap_or(self.expire_at);
             let deadline = self.expire_at.min(search_ends);
+            let link_free = self.egress.next_deadline();
             tokio::select! {
                 received = self.ingress.recv_from(&mut from_callers) => {
                     if let Ok((len, _)) = received {
@@ -113,6 +120,9 @@
                     Some(update) => self.update(update),
                     None => return,
                 },
+                () = sleep_until(link_free.unwrap_or(deadline).into()), if link_free.is_some() => {
+                    self.flush().await;
+                }
                 () = sleep_until(deadline.into()) => self.deadline_reached(Instant::now()).await,
             }
         }
@@ -152,12 +162,7 @@
                     event = "searching", flow:% = key, agents = agents.len();
                     "holder of a flow is not known; asking the agents"
                 );
-                let head = Bytes::copy_from_slice(self.codec.head(&payload));
-                for (agent, service) in agents {
-                    let tag = Tag::of(&service);
-                    let head = head.clone();
-                    self.tell(agent, &Message::Ask { tag, head }).await;
-                }
+                self.ask(&payload, agents).await;
             }
             Steer::Parked => {}
             Steer::Reset => {
@@ -174,6 +179,15 @@
         }
     }
 
+    async fn ask(&mut self, payload: &Bytes, agents: Vec<(SocketAddrV4, ServiceName)>) {
+        let head = Bytes::copy_from_slice(self.codec.head(payload));
+        for (agent, service) in agents {
+            let tag = Tag::of(&service);
+            let head = head.clone();
+            self.tell(agent, &Message::Ask { tag, head }).await;
+        }
+    }
+
     fn set_number(&self) -> u64 {
         self.steering.routes().map_or(0, |routes| routes.number.0)
     }
@@ -190,7 +204,7 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         agent: SocketAddrV4,
         origin: Origin,
         service: &ServiceName,
@@ -207,14 +221,27 @@
         self.tell(agent, &message).await;
     }
 
-    async fn tell(&self, agent: SocketAddrV4, message: &Message) {
+    async fn tell(&mut self, agent: SocketAddrV4, message: &Message) {
         match wire::encode(message) {
-            // A datagram may be lost anyway.
-            Ok(datagram) => drop(self.peers.send_to(&datagram, agent).await),
+            Ok(datagram) => {
+                if !self.egress.push(agent, datagram) {
+                    self.metrics.dropped.with_label_values(&["link_full"]).inc();
+                    log::warn!(event = "link_full", agent:% = agent; "link cannot take a datagram in time");
+                }
+                self.flush().await;
+            }
             Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
         }
     }
 
+    /// Sends what the link can take.
+    async fn flush(&mut self) {
+        while let Some((to, datagram)) = self.egress.pop(Instant::now()) {
+            // A datagram may be lost anyway.
+            let _ = self.peers.send_to(&datagram, to).await;
+        }
+    }
+
     async fn release(&mut self, released: Vec<Release>) {
         for release in released {
             let Release {
@@ -249,7 +276,9 @@
                 self.carry_out(steer, &seg, payload).await;
             }
             Message::Claim { key, claim } => {
-                log::info!(event = "claim", flow:% = key, agent:% = from, claim:? = claim; "agent answered");
+                if claim != Claim::No {
+                    log::info!(event = "claim", flow:% = key, agent:% = from, claim:? = claim; "agent answered");
+                }
                 let released = self.steering.claimed(key, from, claim, now);
                 self.release(released).await;
             }
@@ -356,7 +385,15 @@
     }
 
     async fn deadline_reached(&mut self, now: Instant) {
-        let released = self.steering.end_searches(now);
+        let ended = self.steering.end_searches(now);
+        for question in ended.asked {
+            self.metrics
+                .flows
+                .with_label_values(&["searched_wider"])
+                .inc();
+            self.ask(&question.payload, question.others).await;
+        }
+        let released = ended.released;
         for release in &released {
             if let Some(seg) = self.codec.parse(&release.payload) {
                 log::info!(
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -2,9 +2,11 @@
 
 mod agent;
 mod balancer;
+mod egress;
 mod metrics;
 mod sync;
 
 pub use agent::{Agent, AgentSettings, Announced};
 pub use balancer::{Balancer, BalancerSettings};
+pub use egress::{Egress, Outgoing};
 pub use sync::{Sync, SyncSettings, Update};
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,8 +32,8 @@
 pub use error::{Category, Error, Result};
 pub use process::{ClassName, DataCentre, HostName, MemberId, OperatorName, Role, ServiceName};
 pub use request::{
-    Answer, Change, ChangeId, ChangeRequest, Conflict, Connections, GroupRefusal, GroupRequest,
-    Refusal, RequestId, ReservationId, Slots, UnixMillis,
+    Answer, BytesPerSecond, Change, ChangeId, ChangeRequest, Conflict, Connections, GroupRefusal,
+    GroupRequest, Refusal, RequestId, ReservationId, Slots, UnixMillis,
 };
 pub use version::{
     Announcement, Balancer, CidKey, ClassLoad, KeyGeneration, KeySet, Loads, Member, Part,
--- a/crates/types/src/request/mod.rs
+++ b/crates/types/src/request/mod.rs
@@ -6,4 +6,4 @@
 
 pub use change::{Answer, Change, ChangeId, ChangeRequest, Conflict, Refusal};
 pub use group::{GroupRefusal, GroupRequest};
-pub use size::{Connections, RequestId, ReservationId, Slots, UnixMillis};
+pub use size::{BytesPerSecond, Connections, RequestId, ReservationId, Slots, UnixMillis};
