flow: do not disown flows after a copy of the agreement, nor look for flows beside a new upstream

Change: a copy takes nothing back; only beside an upstream that is older than its agent are flows looked for.

--- a/crates/flow/src/process/holder.rs
+++ b/crates/flow/src/process/holder.rs
@@ -52,18 +52,22 @@
     pub slots: Slots,
     /// Whether it takes new flows: it is neither leaving nor gone.
     pub accepting: bool,
+    /// It started before its agent, so it may hold flows that the agent has
+    /// never seen.
+    pub precedes_agent: bool,
     /// It is slow after its start until then.
     pub cold_until: Option<Instant>,
 }
 
 impl Upstream {
-    /// An upstream that takes flows and is not cold.
+    /// An upstream that takes flows, is not cold and started with its agent.
     #[must_use]
     pub fn ready(incarnation: u64, slots: Slots) -> Self {
         Upstream {
             incarnation,
             slots,
             accepting: true,
+            precedes_agent: false,
             cold_until: None,
         }
     }
@@ -200,7 +204,9 @@
     }
 
     fn note_upstream(&mut self, seg: &Segment) {
-        if seg.opens {
+        // A copy of the agreement does not take back what was sent since.
+        let first = self.upstream_seq.map(|(first, _)| first);
+        if seg.opens && first != Some(seg.seq) {
             self.upstream_seq = Some((seg.seq, seg.seq));
         }
         if let Some((first, next)) = &mut self.upstream_seq {
@@ -237,7 +243,8 @@
 pub struct Holder {
     settings: HolderSettings,
     upstream: Option<Upstream>,
-    started: Instant,
+    /// Flows that the upstream may hold unseen are looked for until then.
+    relearn_until: Instant,
     flows: BTreeMap<Key, Flow>,
     /// The first opening datagram that the upstream has not answered, since
     /// its last sign of life.
@@ -253,7 +260,7 @@
         Holder {
             settings,
             upstream: None,
-            started: now,
+            relearn_until: now + settings.relearn,
             flows: BTreeMap::new(),
             unanswered: None,
             probed: None,
@@ -270,8 +277,9 @@
                 flow.waiting = false;
             }
             self.unanswered = None;
-            // A new run holds nothing from before.
-            self.started = now.checked_sub(self.settings.relearn).unwrap_or(now);
+        }
+        if upstream.is_some_and(|upstream| !upstream.precedes_agent) {
+            self.relearn_until = now;
         }
         self.upstream = upstream;
     }
@@ -385,8 +393,10 @@
         Verdict::Deliver
     }
 
+    /// Whether the upstream may hold flows that were never seen here. Every
+    /// agent is young for a while; only beside an older upstream does it matter.
     fn is_relearning(&self, now: Instant) -> bool {
-        now < self.started + self.settings.relearn
+        now < self.relearn_until
     }
 
     /// Whether a datagram of the flow was tried and the upstream has not reacted.
--- a/crates/flow/tests/holder.rs
+++ b/crates/flow/tests/holder.rs
@@ -62,6 +62,41 @@
     }
 }
 
+/// Guards against a copy of the agreement that makes an agent forget how much
+/// its upstream has sent: it then disowned the flow, which was tried at others
+/// until it counted as broken (18 flows of a grown deployment).
+#[test]
+fn a_copy_of_the_agreement_takes_nothing_back() {
+    let (mut holder, now) = open();
+    holder.upstream_datagram(&answer(1, FIRST + 1), now);
+    holder.upstream_datagram(&agreement(1, FIRST), now);
+    let verdict = holder.caller_datagram(&data(1, 101, FIRST + 11), Origin::Held, now);
+    assert_eq!(verdict, Verdict::Deliver);
+}
+
+/// Guards against agents that offer to take any flow because they have just
+/// started, though their upstreams started with them.
+#[test]
+fn an_agent_beside_a_new_upstream_knows_all_its_flows() {
+    let (mut holder, now) = holder();
+    let seg = data(1, 101, FIRST + 1);
+    assert_eq!(holder.claim(&seg.key_from_caller(), &seg, now), Claim::No);
+    let verdict = holder.caller_datagram(&seg, Origin::Tried, now);
+    assert_eq!(verdict, Verdict::NotHeld);
+}
+
+/// A holder whose agent has restarted.
+fn beside_an_older_upstream() -> (Holder, std::time::Instant) {
+    let now = std::time::Instant::now();
+    let mut holder = Holder::new(HolderSettings::default(), now);
+    let upstream = Upstream {
+        precedes_agent: true,
+        ..Upstream::ready(7, Slots(4))
+    };
+    holder.set_upstream(Some(upstream), now);
+    (holder, now)
+}
+
 /// Guards against acknowledgements of later answers that are taken for another
 /// upstream's.
 #[test]
@@ -149,7 +184,7 @@
 /// learns its flows, and against one that keeps a flow of another upstream.
 #[test]
 fn a_restarted_agent_learns_from_what_its_upstream_does() {
-    let (mut holder, now) = holder();
+    let (mut holder, now) = beside_an_older_upstream();
     let seg = data(1, 101, FIRST + 1);
     let key = seg.key_from_caller();
     assert_eq!(holder.claim(&key, &seg, now), Claim::Perhaps);
