replica, directory, net: six control hosts, observers without a disk, one host forms the first group

On deployments with one disk in a data centre the second has none: it is an observer, which tells nodes of one another and sends operators on.

--- a/crates/directory/src/process/node.rs
+++ b/crates/directory/src/process/node.rs
@@ -8,8 +8,16 @@
 /// What a process does.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Part {
-    /// A control host with its identity in the group.
-    Control(MemberId),
+    /// A control host with a disk.
+    Control {
+        /// Its identity in the group.
+        member: MemberId,
+        /// Whether it knows its group.
+        formed: bool,
+    },
+    /// A control host without a disk: it tells nodes of one another, and
+    /// operators where the others are.
+    Observer,
     /// Takes callers' datagrams.
     Balancer,
     /// Stands beside an upstream of this service.
@@ -52,6 +60,18 @@
         }
     }
 
+    /// Whether other control hosts are to be told what this one hears.
+    #[must_use]
+    pub fn gossips(&self) -> bool {
+        matches!(self.part, Part::Control { .. } | Part::Observer)
+    }
+
+    /// Whether it holds the configuration.
+    #[must_use]
+    pub fn is_control(&self) -> bool {
+        matches!(self.part, Part::Control { .. })
+    }
+
     /// The host of the process.
     #[must_use]
     pub fn ip(&self) -> Ipv4Addr {
--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -1,10 +1,10 @@
 //! What a version of the directory is told by.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use serde::{Deserialize, Serialize};
 
-use types::SetNumber;
+use types::{MemberId, SetNumber};
 
 use crate::Node;
 
@@ -52,6 +52,8 @@
     /// By another control host: the nodes that it heard, and how many
     /// milliseconds ago.
     Heard(Vec<(Node, u64)>),
+    /// By the control host that forms the first group: its members.
+    Form(Vec<(MemberId, Ipv4Addr)>),
 }
 
 /// What a control host tells a node.
--- a/crates/net/src/process/serve.rs
+++ b/crates/net/src/process/serve.rs
@@ -114,5 +114,10 @@
         let value = header::HeaderValue::from_static(answer.content_type);
         response.headers_mut().insert(header::CONTENT_TYPE, value);
     }
+    if let Ok(value) = header::HeaderValue::from_str(&answer.location)
+        && !value.is_empty()
+    {
+        response.headers_mut().insert(header::LOCATION, value);
+    }
     response
 }
--- a/crates/net/src/request/message.rs
+++ b/crates/net/src/request/message.rs
@@ -25,17 +25,29 @@
     pub status: StatusCode,
     /// The type of the body; none without a body.
     pub content_type: &'static str,
+    /// Where else to ask; none if empty.
+    pub location: String,
     /// The body.
     pub body: Bytes,
 }
 
 impl Answer {
+    /// Sends the caller to another place.
+    #[must_use]
+    pub fn redirect(location: String) -> Self {
+        Answer {
+            location,
+            ..Answer::empty(StatusCode::TEMPORARY_REDIRECT)
+        }
+    }
+
     /// An answer without a body.
     #[must_use]
     pub fn empty(status: StatusCode) -> Self {
         Answer {
             status,
             content_type: "",
+            location: String::new(),
             body: Bytes::new(),
         }
     }
@@ -46,6 +58,7 @@
         Answer {
             status: StatusCode::OK,
             content_type,
+            location: String::new(),
             body: body.into(),
         }
     }
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -549,7 +549,7 @@
             let listens = match &node.part {
                 Part::Balancer => true,
                 Part::Agent(service) => *service == self.cfg.service,
-                Part::Control(_) => false,
+                Part::Control { .. } | Part::Observer => false,
             };
             if !listens || node.address == self.cfg.peer {
                 continue;
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use directory::{Changes, Hello, Node, Part, ROUTES_PATH, Reply, Spoken, View};
+use directory::{Changes, Hello, Node, ROUTES_PATH, Reply, Spoken, View};
 use http::{Method, StatusCode};
 use tokio::{
     net::UdpSocket,
@@ -170,7 +170,7 @@
     fn candidate(&mut self) -> Option<SocketAddrV4> {
         let port = self.cfg.node_port;
         let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
-        let known = self.view.nodes().filter(|node| is_control(node));
+        let known = self.view.nodes().filter(|node| node.is_control());
         let mut hosts: Vec<SocketAddrV4> = known.map(|node| node.address).chain(seeds).collect();
         hosts.sort_unstable();
         hosts.dedup();
@@ -207,20 +207,25 @@
         }
     }
 
-    /// Moves to a control host of the own data centre.
+    /// Moves to a control host of the own data centre, or at least to one that
+    /// holds the configuration.
     fn prefer_near(&mut self, now: Instant) {
-        let near = |node: &&Node| {
-            is_control(node) && !node.leaving && node.data_centre == self.cfg.node.data_centre
-        };
-        let is_near = |address| {
-            let mut nodes = self.view.nodes();
-            nodes.any(|node| node.address == address && near(&node))
-        };
-        if self.host.is_some_and(is_near) {
+        let usable = |node: &&Node| node.is_control() && !node.leaving;
+        let near = |node: &&Node| node.data_centre == self.cfg.node.data_centre;
+        let host = self
+            .view
+            .nodes()
+            .find(|node| Some(node.address) == self.host);
+        if host.is_some_and(|node| usable(&node) && near(&node)) {
             return;
         }
-        if let Some(node) = self.view.nodes().find(near) {
-            log::info!(event = "control_moved", host:% = node.address; "using the control host of the own data centre");
+        let mut nodes = self.view.nodes().filter(usable);
+        let better = match host.filter(|node| usable(node)) {
+            Some(_) => nodes.find(near),
+            None => nodes.max_by_key(|node| near(node)),
+        };
+        if let Some(node) = better {
+            log::info!(event = "control_moved", host:% = node.address; "using another control host");
             self.host = Some(node.address);
             self.heard = now;
             self.hello_at = now;
@@ -262,10 +267,6 @@
     }
 }
 
-fn is_control(node: &Node) -> bool {
-    matches!(node.part, Part::Control(_))
-}
-
 async fn fetch(host: SocketAddrV4, have: SetNumber) -> Option<RoutingDelta> {
     let body = Bytes::from(wire::encode(&have).ok()?);
     let deadline = Instant::now() + FETCH;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -23,6 +23,6 @@
 pub mod version;
 
 pub use error::{Error, Result};
-pub use process::{Replica, Settings, start};
+pub use process::{Replica, Settings, observe, start};
 pub use request::{Outcome, Reading};
 pub use version::{RouteHistory, Steward, StewardSettings};
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -40,6 +40,8 @@
     Read(oneshot::Sender<QueryReply>),
     /// The control hosts that were heard.
     Heard(BTreeMap<MemberId, Heard>),
+    /// The first group.
+    Form(Group),
 }
 
 /// The task that owns the consensus and the configuration.
@@ -61,6 +63,7 @@
     disk: store::Handle,
     outgoing: mpsc::Sender<Envelope>,
     routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    formed: watch::Sender<bool>,
     metrics: Metrics,
     commands: mpsc::Receiver<GroupCommand>,
 }
@@ -70,6 +73,8 @@
     pub disk: store::Handle,
     pub outgoing: mpsc::Sender<Envelope>,
     pub routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    /// Whether this member knows its group.
+    pub formed: watch::Sender<bool>,
     pub commands: mpsc::Receiver<GroupCommand>,
 }
 
@@ -98,6 +103,7 @@
             disk: channels.disk,
             outgoing: channels.outgoing,
             routes: channels.routes,
+            formed: channels.formed,
             metrics,
             commands: channels.commands,
         };
@@ -107,11 +113,6 @@
         Ok(task)
     }
 
-    /// Forms the first group, unless this member knows one.
-    pub fn form(&mut self, group: Group) -> Result<()> {
-        self.step(Input::Form(group))
-    }
-
     /// Runs until the senders of commands are gone or the disk thread fails.
     pub async fn run(mut self) -> Result<()> {
         loop {
@@ -148,6 +149,7 @@
                 let token = self.expect(Pending::Read(tx));
                 self.step(Input::ConfirmRead { token })
             }
+            GroupCommand::Form(group) => self.step(Input::Form(group)),
             GroupCommand::Heard(heard) => {
                 self.heard = heard;
                 Ok(())
@@ -214,6 +216,9 @@
         self.metrics.commit.set(gauge(status.commit.0));
         let voters = status.group.as_ref().map_or(0, |group| group.voters.len());
         self.metrics.voters.set(gauge(voters as u64));
+        let formed = !status.is_blank();
+        self.formed
+            .send_if_modified(|known| std::mem::replace(known, formed) != formed);
         let told = (status.is_leader(), status.group.clone());
         if self.told.as_ref() == Some(&told) {
             return;
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -10,5 +10,5 @@
 mod transport;
 
 pub use replica::Replica;
-pub use run::start;
+pub use run::{observe, start};
 pub use settings::Settings;
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -38,6 +38,10 @@
 /// A node that said hello here within this time is told of changes at once.
 const SUBSCRIBED: Duration = Duration::from_millis(1500);
 
+/// Time for the hosts of a first start to say hello before the group is formed.
+/// Those that are later join the group by themselves.
+const GATHER: Duration = Duration::from_millis(1200);
+
 /// Bytes of a datagram at most.
 const DATAGRAM: usize = 64 * 1024;
 
@@ -52,13 +56,18 @@
 pub(crate) struct NodeTask {
     cfg: Settings,
     me: Node,
-    member: MemberId,
     socket: UdpSocket,
     directory: Directory,
     subscribers: BTreeMap<SocketAddrV4, Subscriber>,
     history: Rc<RefCell<RouteHistory>>,
-    routes: watch::Receiver<Option<Arc<RoutingSet>>>,
-    group: mpsc::Sender<GroupCommand>,
+    /// The member beside it; none without a disk.
+    member: Option<Member>,
+    /// Hosts of the members, for those who have none beside them.
+    members: watch::Sender<Vec<Ipv4Addr>>,
+    /// The first group that this host forms, once it is chosen.
+    first_group: Option<Vec<(MemberId, Ipv4Addr)>>,
+    /// When the first group is formed, if this host does that.
+    form_at: Option<Instant>,
     /// Set once the process is to end.
     stop: watch::Receiver<bool>,
     metrics: Metrics,
@@ -70,19 +79,36 @@
     remembered: Vec<SocketAddrV4>,
 }
 
+/// The member beside a [`NodeTask`].
+pub(crate) struct Member {
+    pub id: MemberId,
+    pub routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    /// Whether it knows its group.
+    pub formed: watch::Receiver<bool>,
+    pub group: mpsc::Sender<GroupCommand>,
+}
+
+impl Member {
+    fn part(&self) -> Part {
+        Part::Control {
+            member: self.id,
+            formed: *self.formed.borrow(),
+        }
+    }
+}
+
 /// What a [`NodeTask`] talks to.
 pub(crate) struct Channels {
     pub socket: UdpSocket,
     pub history: Rc<RefCell<RouteHistory>>,
-    pub routes: watch::Receiver<Option<Arc<RoutingSet>>>,
-    pub group: mpsc::Sender<GroupCommand>,
+    pub member: Option<Member>,
+    pub members: watch::Sender<Vec<Ipv4Addr>>,
     pub stop: watch::Receiver<bool>,
 }
 
 impl NodeTask {
     pub fn new(
         cfg: Settings,
-        member: MemberId,
         run: u64,
         restored: Option<&Group>,
         channels: Channels,
@@ -94,7 +120,10 @@
             run,
             seq: 0,
             data_centre: cfg.data_centre.clone(),
-            part: Part::Control(member),
+            part: channels
+                .member
+                .as_ref()
+                .map_or(Part::Observer, Member::part),
             leaving: false,
         };
         let port = cfg.node_port;
@@ -104,16 +133,20 @@
             std::net::SocketAddr::V6(_) => None,
         });
         let remembered = remembered.collect();
+        // One host forms the first group: if each did, two could form different ones.
+        let forms = cfg.bootstrap && cfg.seeds.iter().min() == Some(&cfg.ip);
+        let form_at = forms.then(|| now + GATHER);
         NodeTask {
             cfg,
             me,
-            member,
             socket: channels.socket,
             directory: Directory::new(run),
             subscribers: BTreeMap::new(),
             history: channels.history,
-            routes: channels.routes,
-            group: channels.group,
+            member: channels.member,
+            members: channels.members,
+            first_group: None,
+            form_at,
             stop: channels.stop,
             metrics,
             gossip_at: now,
@@ -125,7 +158,7 @@
     /// Runs until the group task ends.
     pub async fn run(mut self) {
         let mut buf = vec![0; DATAGRAM];
-        self.take_routes();
+        self.take_member();
         loop {
             let gossip_at = self.gossip_at;
             tokio::select! {
@@ -134,11 +167,11 @@
                         self.receive(&buf[..len]).await;
                     }
                 }
-                changed = self.routes.changed() => {
-                    if changed.is_err() {
+                changed = member_changed(&mut self.member) => {
+                    if !changed {
                         return;
                     }
-                    self.take_routes();
+                    self.take_member();
                     self.tell_subscribers(true).await;
                 }
                 _ = self.stop.changed(), if !self.me.leaving => {
@@ -151,10 +184,19 @@
         }
     }
 
-    fn take_routes(&mut self) {
-        if let Some(set) = self.routes.borrow_and_update().clone() {
+    /// Takes over what the member beside this task has published.
+    fn take_member(&mut self) {
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        if let Some(set) = member.routes.borrow_and_update().clone() {
             self.history.borrow_mut().push(set);
         }
+        let part = member.part();
+        if self.me.part != part {
+            self.me.part = part;
+            self.me.seq += 1;
+        }
     }
 
     async fn receive(&mut self, datagram: &[u8]) {
@@ -174,6 +216,7 @@
                     self.tell_subscribers(false).await;
                 }
             }
+            Ok(Spoken::Form(members)) => self.form(&members),
             Err(e) => {
                 log::debug!(event = "bad_hello", error:% = e; "datagram is no message of a node");
             }
@@ -201,6 +244,67 @@
         }
     }
 
+    /// Hands the first group to the member beside this task; one that knows a
+    /// group already ignores it.
+    fn form(&self, members: &[(MemberId, Ipv4Addr)]) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        if members.iter().all(|(id, _)| *id != member.id) || *member.formed.borrow() {
+            return;
+        }
+        log::info!(event = "forming", voters = members.len(); "joining the first group");
+        let port = self.cfg.member_port;
+        let group = Group::of(
+            members
+                .iter()
+                .map(|(id, ip)| (*id, SocketAddrV4::new(*ip, port).into())),
+        );
+        // A full queue is made up for by the next call to form.
+        let _ = member.group.try_send(GroupCommand::Form(group));
+    }
+
+    /// Forms the first group of the blank hosts that have said hello, unless
+    /// there is one already. It is told again until all its members know it.
+    async fn form_first(&mut self, now: Instant) {
+        if self.form_at.is_none_or(|at| now < at) {
+            return;
+        }
+        let port = self.cfg.node_port;
+        let controls = self
+            .directory
+            .nodes()
+            .filter_map(|(node, _)| match node.part {
+                Part::Control { member, formed } => Some((member, node.ip(), formed)),
+                _ => None,
+            });
+        let controls: Vec<_> = controls.collect();
+        let group = match &self.first_group {
+            Some(group) => group.clone(),
+            None if controls.is_empty() => return,
+            None if controls.iter().any(|(_, _, formed)| *formed) => {
+                self.form_at = None;
+                return;
+            }
+            None => controls.iter().map(|(id, ip, _)| (*id, *ip)).collect(),
+        };
+        let waiting = |(id, _): &&(MemberId, Ipv4Addr)| {
+            controls
+                .iter()
+                .any(|(other, _, formed)| other == id && !formed)
+        };
+        let late: Vec<Ipv4Addr> = group.iter().filter(waiting).map(|(_, ip)| *ip).collect();
+        if late.is_empty() {
+            self.form_at = None;
+        }
+        self.form(&group);
+        let message = Spoken::Form(group.clone());
+        for ip in late {
+            self.send(SocketAddrV4::new(ip, port), &message).await;
+        }
+        self.first_group = Some(group);
+    }
+
     /// Sends a subscriber what it lacks. Each gets it once; what is lost is
     /// sent again after its next hello.
     async fn reply(&mut self, to: SocketAddrV4, always: bool) {
@@ -270,6 +374,7 @@
             told.extend(others.map(|(node, age)| (node, millis(age))));
         }
         self.spread(told).await;
+        self.form_first(now).await;
         let gone = self.directory.expire(now);
         for node in &gone {
             log::info!(event = "node_gone", address:% = node.address; "a node was not heard for a lease");
@@ -286,7 +391,7 @@
         let mut count = 0;
         for (node, at) in self.directory.nodes() {
             count += 1;
-            if let Part::Control(member) = node.part {
+            if let Part::Control { member, .. } = node.part {
                 let address = SocketAddrV4::new(node.ip(), port).into();
                 let leaving = node.leaving;
                 heard.insert(
@@ -300,9 +405,14 @@
             }
         }
         self.metrics.nodes.set(gauge(count));
-        heard.entry(self.member).and_modify(|host| host.at = now);
-        // A full queue is brought up to date by the next report.
-        let _ = self.group.try_send(GroupCommand::Heard(heard));
+        let hosts = self.directory.nodes().map(|(node, _)| node);
+        let hosts = hosts.filter(|node| node.is_control() && !node.leaving);
+        self.members.send_replace(hosts.map(Node::ip).collect());
+        if let Some(member) = &self.member {
+            heard.entry(member.id).and_modify(|host| host.at = now);
+            // A full queue is brought up to date by the next report.
+            let _ = member.group.try_send(GroupCommand::Heard(heard));
+        }
     }
 
     /// Sends records to the other control hosts: those that were heard, and
@@ -310,10 +420,8 @@
     async fn spread(&self, told: Vec<(Node, u64)>) {
         let port = self.cfg.node_port;
         let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
-        let known = self.directory.nodes().filter_map(|(node, _)| {
-            let control = matches!(node.part, Part::Control(_));
-            control.then_some(node.address)
-        });
+        let known = self.directory.nodes().map(|(node, _)| node);
+        let known = known.filter(|node| node.gossips()).map(|node| node.address);
         let mut hosts: Vec<SocketAddrV4> = seeds
             .chain(known)
             .chain(self.remembered.iter().copied())
@@ -330,6 +438,19 @@
     }
 }
 
+/// Waits until the member has published something. Returns whether it lives;
+/// waits for ever without one.
+async fn member_changed(member: &mut Option<Member>) -> bool {
+    let Some(member) = member else {
+        return std::future::pending().await;
+    };
+    let Member { routes, formed, .. } = member;
+    tokio::select! {
+        changed = routes.changed() => changed.is_ok(),
+        changed = formed.changed() => changed.is_ok(),
+    }
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -3,12 +3,12 @@
 use std::{
     cell::RefCell,
     future::Future,
-    net::{SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::Instant,
 };
 
-use consensus::{Consensus, Group, Identity};
+use consensus::{Consensus, Identity};
 use net::Limits;
 use prometheus::Registry;
 use rand::Rng;
@@ -17,9 +17,10 @@
     net::TcpListener,
     sync::{mpsc, watch},
 };
-use types::MemberId;
 
-use super::{Replica, Settings, group, http::Interface, metrics::Metrics, nodes, transport};
+use super::{
+    Replica, Settings, group, http::Interface, metrics::Metrics, nodes, nodes::NodeTask, transport,
+};
 use crate::{Error, Result, version::RouteHistory};
 
 /// Commands that may wait for the group task.
@@ -37,7 +38,7 @@
     stop: watch::Receiver<bool>,
 ) -> Result<(Replica, impl Future<Output = Result<()>>)> {
     let metrics = Metrics::new(registry)?;
-    let (store, found) = store::open_as(Dir::new(&cfg.data_dir)?, new_id(&cfg))?;
+    let (store, found) = store::open(Dir::new(&cfg.data_dir)?)?;
     let disk = store::start(store)?;
     let member = found.member;
     let blank = found.restored.snapshot.is_none();
@@ -63,33 +64,36 @@
     let (commands_tx, commands_rx) = mpsc::channel(COMMANDS);
     let (outgoing_tx, outgoing_rx) = mpsc::channel(COMMANDS);
     let (routes_tx, routes_rx) = watch::channel(None);
+    let (formed_tx, formed_rx) = watch::channel(!blank);
     let channels = group::Channels {
         disk,
         outgoing: outgoing_tx,
         routes: routes_tx,
+        formed: formed_tx,
         commands: commands_rx,
     };
-    let mut group_task = group::GroupTask::new(
+    let group_task = group::GroupTask::new(
         cfg.clone(),
         consensus,
         snapshot.as_ref(),
         channels,
         metrics.clone(),
     )?;
-    if blank && let Some(group) = first_group(&cfg) {
-        group_task.form(group)?;
-    }
     let history = Rc::new(RefCell::new(RouteHistory::default()));
     let channels = nodes::Channels {
         socket: node_socket,
         history: history.clone(),
-        routes: routes_rx,
-        group: commands_tx.clone(),
+        member: Some(nodes::Member {
+            id: member,
+            routes: routes_rx,
+            formed: formed_rx,
+            group: commands_tx.clone(),
+        }),
+        members: watch::channel(Vec::new()).0,
         stop,
     };
-    let node_task = nodes::NodeTask::new(
+    let node_task = NodeTask::new(
         cfg,
-        member,
         rand::rng().random_range(1..=u64::MAX),
         snapshot.as_ref().map(|snapshot| &snapshot.group),
         channels,
@@ -113,29 +117,31 @@
     Ok((replica, group_task.run()))
 }
 
-/// The id that an empty folder gets. The seeds of a first start draw theirs
-/// from their addresses, so that each knows the first group without asking; a
-/// host that lost its disk is no first start and gets a random one.
-fn new_id(cfg: &Settings) -> MemberId {
-    if first_group(cfg).is_some() {
-        seed_id(cfg.member_address())
-    } else {
-        MemberId(rand::rng().random())
-    }
-}
-
-fn seed_id(address: SocketAddrV4) -> MemberId {
-    let ip = u64::from(u32::from(*address.ip()));
-    MemberId((ip << 16) | u64::from(address.port()))
-}
-
-/// The group that the seeds form at the first start, if this host is a seed.
-fn first_group(cfg: &Settings) -> Option<Group> {
-    let forms = cfg.bootstrap && cfg.seeds.contains(&cfg.ip);
-    forms.then(|| {
-        Group::of(cfg.seeds.iter().map(|ip| {
-            let address = SocketAddrV4::new(*ip, cfg.member_port);
-            (seed_id(address), address.into())
-        }))
-    })
+/// Starts a control host without a disk. Returns the hosts of the others, as
+/// far as they are known.
+///
+/// # Errors
+///
+/// The socket cannot be used.
+pub fn observe(
+    cfg: Settings,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
+) -> Result<watch::Receiver<Vec<Ipv4Addr>>> {
+    let metrics = Metrics::new(registry)?;
+    let address = SocketAddr::V4(cfg.node_address());
+    let socket = net::bind_udp(address).map_err(|e| Error::Bind(address, e))?;
+    log::info!(event = "observer_started", address:% = address; "control host without a disk started");
+    let (members_tx, members) = watch::channel(Vec::new());
+    let channels = nodes::Channels {
+        socket,
+        history: Rc::default(),
+        member: None,
+        members: members_tx,
+        stop,
+    };
+    let run = rand::rng().random_range(1..=u64::MAX);
+    let task = NodeTask::new(cfg, run, None, channels, metrics);
+    actix_rt::spawn(task.run());
+    Ok(members)
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -41,4 +41,4 @@
 pub mod version;
 
 pub use error::{Category, Error, Result};
-pub use process::{Dir, Disk, Found, Handle, Report, Store, open, open_as, start};
+pub use process::{Dir, Disk, Found, Handle, Report, Store, open, start};
--- a/crates/store/src/process/mod.rs
+++ b/crates/store/src/process/mod.rs
@@ -6,6 +6,6 @@
 mod thread;
 
 pub use dir::{Dir, Disk};
-pub use open::{Found, open, open_as};
+pub use open::{Found, open};
 pub use store::Store;
 pub use thread::{Handle, Report, start};
--- a/crates/store/src/process/open.rs
+++ b/crates/store/src/process/open.rs
@@ -24,23 +24,13 @@
 /// Fails if the folder cannot be read or written, has another layout, or if
 /// what was synced earlier is damaged or missing.
 pub fn open<D: Disk>(disk: D) -> Result<(Store<D>, Found)> {
-    open_as(disk, MemberId(rand::random()))
-}
-
-/// Like [`open`], with the id that an empty folder gets. An id must not be
-/// given twice: a member whose log is lost must come back under another one.
-///
-/// # Errors
-///
-/// As [`open`].
-pub fn open_as<D: Disk>(disk: D, new_id: MemberId) -> Result<(Store<D>, Found)> {
     let mut names = disk.list().map_err(Error::io("list", "the data folder"))?;
     names.sort();
     check_layout(&disk, &names)?;
     for name in names.iter().filter(|name| name.ends_with(TEMPORARY)) {
         disk.remove(name).map_err(Error::io("remove", name))?;
     }
-    let member = member(&disk, &names, new_id)?;
+    let member = member(&disk, &names)?;
     let snapshots = numbered(&names, "snapshot-");
     let snapshot = match snapshots.last() {
         Some((index, name)) => Some(read_snapshot(&disk, *index, name)?),
@@ -92,8 +82,8 @@
     Ok(())
 }
 
-/// The id on disk, or the new one if nothing else is on disk.
-fn member<D: Disk>(disk: &D, names: &[String], id: MemberId) -> Result<MemberId> {
+/// The id on disk, or a new one if nothing else is on disk.
+fn member<D: Disk>(disk: &D, names: &[String]) -> Result<MemberId> {
     let holds_log = names.iter().any(|name| name.starts_with("log-"));
     if names.iter().any(|name| name == MEMBER_FILE) {
         if !holds_log {
@@ -119,6 +109,7 @@
     }
     // The first segment is made before the id: an id without a log then means
     // that the log was lost, and this host must not vote under the id again.
+    let id = MemberId(rand::random());
     Store::<D>::make_segment(disk, 1, &Vec::new())?;
     put(disk, MEMBER_FILE, id.to_string().as_bytes())?;
     Ok(id)
