--- a/crates/directory/src/process/node.rs
+++ b/crates/directory/src/process/node.rs
@@ -14,6 +14,9 @@
         member: MemberId,
         /// Whether it knows its group.
         formed: bool,
+        /// Whether it hears the leader, so that what it knows of the
+        /// configuration is the latest.
+        current: bool,
     },
     /// A control host without a disk: it tells nodes of one another, and
     /// operators where the others are.
@@ -72,6 +75,12 @@
         matches!(self.part, Part::Control { .. })
     }
 
+    /// Whether it holds the latest configuration.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        matches!(self.part, Part::Control { current: true, .. }) && !self.leaving
+    }
+
     /// The host of the process.
     #[must_use]
     pub fn ip(&self) -> Ipv4Addr {
--- a/crates/directory/src/process/store.rs
+++ b/crates/directory/src/process/store.rs
@@ -170,12 +170,14 @@
         pieces
     }
 
-    /// What this control host heard itself since `since`, with the time that
-    /// has passed, for the other control hosts.
+    /// What this control host heard itself since `since`, and what it knows of
+    /// other control hosts, with the time that has passed. Hosts that are no
+    /// seeds would otherwise never hear of one another.
     pub fn heard(&self, since: Instant, now: Instant) -> impl Iterator<Item = (Node, Duration)> {
         self.known
             .values()
-            .filter(move |known| known.direct && known.heard >= since)
+            .filter(move |known| known.direct || known.node.gossips())
+            .filter(move |known| known.heard >= since)
             .map(move |known| {
                 (
                     known.node.clone(),
--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -59,8 +59,10 @@
 /// What a control host tells a node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
-    /// The routing set in force.
+    /// The routing set in force, as far as the control host knows.
     pub routes: SetNumber,
+    /// Whether the control host hears the leader of its group.
+    pub current: bool,
     /// Changes of the directory, if any.
     pub news: Option<News>,
 }
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -27,6 +27,11 @@
 /// A control host that did not answer for this long is given up for another.
 const SILENT: Duration = Duration::from_millis(1200);
 
+/// A control host that has not heard its leader for this long is left for one
+/// that has. Longer than most elections, and well within the time in which a
+/// change must be in force everywhere.
+const OUTDATED: Duration = Duration::from_millis(900);
+
 /// Time for a control host to send what a node lacks of the routing set.
 const FETCH: Duration = Duration::from_millis(800);
 
@@ -69,6 +74,8 @@
     /// Where the search for a control host goes on.
     next_host: usize,
     heard: Instant,
+    /// When the control host in use last heard the leader of its group.
+    current_at: Instant,
     hello_at: Instant,
     have: SetNumber,
     /// Outcome of the call for the routing set that is under way.
@@ -102,6 +109,7 @@
             view: View::default(),
             host: None,
             heard: now,
+            current_at: now,
             hello_at: now,
             have: SetNumber(0),
             fetch_tx,
@@ -200,34 +208,48 @@
         if let Some(news) = reply.news {
             let changes = self.view.apply(news, now);
             self.tell(changes).await;
-            self.prefer_near(now);
         }
+        if reply.current {
+            self.current_at = now;
+        }
+        self.prefer_current(now);
         if self.cfg.routes && reply.routes > self.have && !self.fetching {
             self.fetch(from);
         }
     }
 
-    /// Moves to a control host of the own data centre, or at least to one that
-    /// holds the configuration.
-    fn prefer_near(&mut self, now: Instant) {
-        let usable = |node: &&Node| node.is_control() && !node.leaving;
+    /// Moves to a control host that knows the latest configuration, of the own
+    /// data centre if there is one. One that has lost its leader for a moment is
+    /// not left: all have during an election.
+    fn prefer_current(&mut self, now: Instant) {
         let near = |node: &&Node| node.data_centre == self.cfg.node.data_centre;
         let host = self
             .view
             .nodes()
             .find(|node| Some(node.address) == self.host);
-        if host.is_some_and(|node| usable(&node) && near(&node)) {
+        let known = host.is_some_and(Node::is_control);
+        let outdated = !known || now >= self.current_at + OUTDATED;
+        if !outdated && host.is_some_and(|node| near(&node)) {
             return;
         }
-        let mut nodes = self.view.nodes().filter(usable);
-        let better = match host.filter(|node| usable(node)) {
-            Some(_) => nodes.find(near),
-            None => nodes.max_by_key(|node| near(node)),
+        let others = self
+            .view
+            .nodes()
+            .filter(|node| Some(node.address) != self.host);
+        let mut others = others.filter(|node| node.is_current());
+        let better = if outdated {
+            others.max_by_key(|node| near(node))
+        } else {
+            others.find(near)
         };
         if let Some(node) = better {
-            log::info!(event = "control_moved", host:% = node.address; "using another control host");
+            log::info!(
+                event = "control_moved", host:% = node.address, outdated = u64::from(outdated);
+                "using another control host"
+            );
             self.host = Some(node.address);
             self.heard = now;
+            self.current_at = now;
             self.hello_at = now;
         }
     }
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -63,18 +63,26 @@
     disk: store::Handle,
     outgoing: mpsc::Sender<Envelope>,
     routes: watch::Sender<Option<Arc<RoutingSet>>>,
-    formed: watch::Sender<bool>,
+    standing: watch::Sender<Standing>,
     metrics: Metrics,
     commands: mpsc::Receiver<GroupCommand>,
 }
 
+/// How a member stands to its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Standing {
+    /// It knows its group.
+    pub formed: bool,
+    /// It hears the leader, or leads.
+    pub current: bool,
+}
+
 /// What a [`GroupTask`] talks to.
 pub(crate) struct Channels {
     pub disk: store::Handle,
     pub outgoing: mpsc::Sender<Envelope>,
     pub routes: watch::Sender<Option<Arc<RoutingSet>>>,
-    /// Whether this member knows its group.
-    pub formed: watch::Sender<bool>,
+    pub standing: watch::Sender<Standing>,
     pub commands: mpsc::Receiver<GroupCommand>,
 }
 
@@ -103,7 +111,7 @@
             disk: channels.disk,
             outgoing: channels.outgoing,
             routes: channels.routes,
-            formed: channels.formed,
+            standing: channels.standing,
             metrics,
             commands: channels.commands,
         };
@@ -216,9 +224,12 @@
         self.metrics.commit.set(gauge(status.commit.0));
         let voters = status.group.as_ref().map_or(0, |group| group.voters.len());
         self.metrics.voters.set(gauge(voters as u64));
-        let formed = !status.is_blank();
-        self.formed
-            .send_if_modified(|known| std::mem::replace(known, formed) != formed);
+        let standing = Standing {
+            formed: !status.is_blank(),
+            current: status.leader.is_some(),
+        };
+        self.standing
+            .send_if_modified(|known| std::mem::replace(known, standing) != standing);
         let told = (status.is_leader(), status.group.clone());
         if self.told.as_ref() == Some(&told) {
             return;
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Settings,
-    group::{GroupCommand, gauge},
+    group::{GroupCommand, Standing, gauge},
     metrics::Metrics,
 };
 use crate::version::{Heard, RouteHistory};
@@ -83,8 +83,7 @@
 pub(crate) struct Member {
     pub id: MemberId,
     pub routes: watch::Receiver<Option<Arc<RoutingSet>>>,
-    /// Whether it knows its group.
-    pub formed: watch::Receiver<bool>,
+    pub standing: watch::Receiver<Standing>,
     pub group: mpsc::Sender<GroupCommand>,
 }
 
@@ -92,7 +91,8 @@
     fn part(&self) -> Part {
         Part::Control {
             member: self.id,
-            formed: *self.formed.borrow(),
+            formed: self.standing.borrow().formed,
+            current: self.standing.borrow().current,
         }
     }
 }
@@ -192,6 +192,7 @@
         if let Some(set) = member.routes.borrow_and_update().clone() {
             self.history.borrow_mut().push(set);
         }
+        member.standing.mark_unchanged();
         let part = member.part();
         if self.me.part != part {
             self.me.part = part;
@@ -250,7 +251,7 @@
         let Some(member) = &self.member else {
             return;
         };
-        if members.iter().all(|(id, _)| *id != member.id) || *member.formed.borrow() {
+        if members.iter().all(|(id, _)| *id != member.id) || member.standing.borrow().formed {
             return;
         }
         log::info!(event = "forming", voters = members.len(); "joining the first group");
@@ -275,7 +276,7 @@
             .directory
             .nodes()
             .filter_map(|(node, _)| match node.part {
-                Part::Control { member, formed } => Some((member, node.ip(), formed)),
+                Part::Control { member, formed, .. } => Some((member, node.ip(), formed)),
                 _ => None,
             });
         let controls: Vec<_> = controls.collect();
@@ -309,6 +310,7 @@
     /// sent again after its next hello.
     async fn reply(&mut self, to: SocketAddrV4, always: bool) {
         let routes = self.history.borrow().number();
+        let current = self.me.is_current();
         let Some(subscriber) = self.subscribers.get_mut(&to) else {
             return;
         };
@@ -329,6 +331,7 @@
             to,
             &Reply {
                 routes,
+                current,
                 news: first,
             },
         )
@@ -336,6 +339,7 @@
         for piece in news {
             let reply = Reply {
                 routes,
+                current,
                 news: Some(piece),
             };
             self.send(to, &reply).await;
@@ -444,10 +448,12 @@
     let Some(member) = member else {
         return std::future::pending().await;
     };
-    let Member { routes, formed, .. } = member;
+    let Member {
+        routes, standing, ..
+    } = member;
     tokio::select! {
         changed = routes.changed() => changed.is_ok(),
-        changed = formed.changed() => changed.is_ok(),
+        changed = standing.changed() => changed.is_ok(),
     }
 }
 
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -19,7 +19,8 @@
 };
 
 use super::{
-    Replica, Settings, group, http::Interface, metrics::Metrics, nodes, nodes::NodeTask, transport,
+    Replica, Settings, group, group::Standing, http::Interface, metrics::Metrics, nodes,
+    nodes::NodeTask, transport,
 };
 use crate::{Error, Result, version::RouteHistory};
 
@@ -64,12 +65,12 @@
     let (commands_tx, commands_rx) = mpsc::channel(COMMANDS);
     let (outgoing_tx, outgoing_rx) = mpsc::channel(COMMANDS);
     let (routes_tx, routes_rx) = watch::channel(None);
-    let (formed_tx, formed_rx) = watch::channel(!blank);
+    let (standing_tx, standing_rx) = watch::channel(Standing::default());
     let channels = group::Channels {
         disk,
         outgoing: outgoing_tx,
         routes: routes_tx,
-        formed: formed_tx,
+        standing: standing_tx,
         commands: commands_rx,
     };
     let group_task = group::GroupTask::new(
@@ -86,7 +87,7 @@
         member: Some(nodes::Member {
             id: member,
             routes: routes_rx,
-            formed: formed_rx,
+            standing: standing_rx,
             group: commands_tx.clone(),
         }),
         members: watch::channel(Vec::new()).0,
--- a/crates/replica/src/version/steward.rs
+++ b/crates/replica/src/version/steward.rs
@@ -79,7 +79,7 @@
         self.promotion(group, caught_up)
             .or_else(|| self.replaced(me, group, heard, now))
             .or_else(|| self.addition(group, heard, now))
-            .or_else(|| self.removal(me, group, heard, now))
+            .or_else(|| self.removal(me, group, caught_up, heard, now))
     }
 
     fn promotion(&self, group: &Group, caught_up: &BTreeSet<MemberId>) -> Option<GroupChange> {
@@ -129,11 +129,14 @@
         &self,
         me: MemberId,
         group: &Group,
+        caught_up: &BTreeSet<MemberId>,
         heard: &BTreeMap<MemberId, Heard>,
         now: Instant,
     ) -> Option<GroupChange> {
+        // A member that answers the leader is there, whatever else was heard.
         let silent = |id: MemberId| {
             id != me
+                && !caught_up.contains(&id)
                 && heard
                     .get(&id)
                     .is_none_or(|host| now >= host.at + self.settings.silent)
