--- a/crates/flow/src/process/holder.rs
+++ b/crates/flow/src/process/holder.rs
@@ -46,8 +46,9 @@
 /// What an agent is told of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Upstream {
-    /// Differs for each run of the upstream.
-    pub incarnation: u64,
+    /// Differs for each run of the upstream; `None` while it has not announced
+    /// itself and is only known to listen.
+    pub incarnation: Option<u64>,
     /// Requests that it serves at a time.
     pub slots: Slots,
     /// Whether it takes new flows: it is neither leaving nor gone.
@@ -60,11 +61,26 @@
 }
 
 impl Upstream {
+    /// An upstream that listens and has not announced itself yet. An agent that
+    /// has restarted need not wait for that to give it flows.
+    #[must_use]
+    pub fn listening() -> Self {
+        /// As few slots as an upstream may have and still serve two callers.
+        const ASSUMED: Slots = Slots(2);
+        Upstream {
+            incarnation: None,
+            slots: ASSUMED,
+            accepting: true,
+            precedes_agent: true,
+            cold_until: None,
+        }
+    }
+
     /// An upstream that takes flows, is not cold and started with its agent.
     #[must_use]
     pub fn ready(incarnation: u64, slots: Slots) -> Self {
         Upstream {
-            incarnation,
+            incarnation: Some(incarnation),
             slots,
             accepting: true,
             precedes_agent: false,
@@ -269,8 +285,8 @@
 
     /// Notes what is known of the upstream. Flows of an earlier run of it are lost.
     pub fn set_upstream(&mut self, upstream: Option<Upstream>, now: Instant) {
-        let known = self.upstream.map(|upstream| upstream.incarnation);
-        let present = upstream.map(|upstream| upstream.incarnation);
+        let known = self.upstream.and_then(|upstream| upstream.incarnation);
+        let present = upstream.and_then(|upstream| upstream.incarnation);
         if known.is_some() && present.is_some() && known != present {
             for flow in self.flows.values_mut() {
                 flow.stage = Stage::Lost;
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -219,7 +219,7 @@
         if state(before) != state(announced.upstream) {
             log::info!(
                 event = "upstream",
-                incarnation = announced.upstream.map_or(0, |u| u.incarnation),
+                incarnation = announced.upstream.and_then(|u| u.incarnation).unwrap_or(0),
                 accepting = u64::from(announced.upstream.is_some_and(|u| u.accepting)),
                 slots = announced.upstream.map_or(0, |u| u.slots.0);
                 "state of the upstream changed"
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -54,8 +54,8 @@
     pub node: Node,
     /// Local address of the task's socket.
     pub listen: SocketAddrV4,
-    /// Hosts where control hosts may be found.
-    pub seeds: Vec<Ipv4Addr>,
+    /// Hosts where control hosts may be found; they may change.
+    pub seeds: watch::Receiver<Vec<Ipv4Addr>>,
     /// UDP port of control hosts for hellos.
     pub node_port: u16,
     /// TCP port of control hosts for calls.
@@ -177,7 +177,8 @@
     /// all others that are known, and the seeds.
     fn candidate(&mut self) -> Option<SocketAddrV4> {
         let port = self.cfg.node_port;
-        let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
+        let seeds = self.cfg.seeds.borrow().clone();
+        let seeds = seeds.into_iter().map(|ip| SocketAddrV4::new(ip, port));
         let known = self.view.nodes().filter(|node| node.is_control());
         let mut hosts: Vec<SocketAddrV4> = known.map(|node| node.address).chain(seeds).collect();
         hosts.sort_unstable();
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -134,7 +134,7 @@
         });
         let remembered = remembered.collect();
         // One host forms the first group: if each did, two could form different ones.
-        let forms = cfg.bootstrap && cfg.seeds.iter().min() == Some(&cfg.ip);
+        let forms = cfg.bootstrap && cfg.seeds.borrow().iter().min() == Some(&cfg.ip);
         let form_at = forms.then(|| now + GATHER);
         NodeTask {
             cfg,
@@ -423,7 +423,8 @@
     /// the seeds and former members, which may be there unheard.
     async fn spread(&self, told: Vec<(Node, u64)>) {
         let port = self.cfg.node_port;
-        let seeds = self.cfg.seeds.iter().map(|ip| SocketAddrV4::new(*ip, port));
+        let seeds = self.cfg.seeds.borrow().clone();
+        let seeds = seeds.into_iter().map(|ip| SocketAddrV4::new(ip, port));
         let known = self.directory.nodes().map(|(node, _)| node);
         let known = known.filter(|node| node.gossips()).map(|node| node.address);
         let mut hosts: Vec<SocketAddrV4> = seeds
--- a/crates/replica/src/process/settings.rs
+++ b/crates/replica/src/process/settings.rs
@@ -6,12 +6,13 @@
     time::Duration,
 };
 
+use tokio::sync::watch;
 use types::DataCentre;
 
 use crate::version::StewardSettings;
 
 /// Settings of a control host.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Address of the host.
     pub ip: Ipv4Addr,
@@ -23,8 +24,8 @@
     pub member_port: u16,
     /// UDP port to which nodes say hello, the same on all members.
     pub node_port: u16,
-    /// Hosts where control hosts may be found.
-    pub seeds: Vec<Ipv4Addr>,
+    /// Hosts where control hosts may be found; they may change.
+    pub seeds: watch::Receiver<Vec<Ipv4Addr>>,
     /// The deployment starts for the first time: the seeds form the group.
     pub bootstrap: bool,
     /// Times of the consensus.
@@ -38,14 +39,19 @@
 impl Settings {
     /// Settings of a host, with the usual values for everything else.
     #[must_use]
-    pub fn new(ip: Ipv4Addr, data_centre: DataCentre, data_dir: PathBuf) -> Self {
+    pub fn new(
+        ip: Ipv4Addr,
+        data_centre: DataCentre,
+        data_dir: PathBuf,
+        seeds: watch::Receiver<Vec<Ipv4Addr>>,
+    ) -> Self {
         Settings {
             ip,
             data_centre,
             data_dir,
             member_port: 7001,
             node_port: 7000,
-            seeds: Vec::new(),
+            seeds,
             bootstrap: false,
             consensus: consensus::Settings::default(),
             steward: StewardSettings::default(),
