relay: seek a control host among several, and none on an empty disk

Change: a node without a control host asks six at a time and takes one that holds a routing set; it moves only to hosts that know their group.

--- a/crates/config/tests/bounds.rs
+++ b/crates/config/tests/bounds.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{HOUR, Log, MINUTE, START, add_key, create, delete, drain, id, snapshot};
-use config::{AUDIT_KEPT, Category, Delta, REMOVED_KEPT, State};
+use config::{AUDIT_KEPT, Category, Delta, FORMAT, REMOVED_KEPT, State};
 use types::{Answer, Change, Refusal, Revision, ServiceId, UnixMillis};
 
 /// Guards against a key that goes while flows still carry its ids.
@@ -123,5 +123,6 @@
     let category = |bytes: &[u8]| State::decode(bytes).unwrap_err().category();
     assert_eq!(category(&other), Category::Format);
     assert_eq!(category(short), Category::Io);
-    assert_eq!(category(b"\x01\xc1"), Category::Data);
+    let format = u8::try_from(FORMAT).unwrap();
+    assert_eq!(category(&[format, 0xc1]), Category::Data);
 }
--- a/crates/directory/src/process/node.rs
+++ b/crates/directory/src/process/node.rs
@@ -75,6 +75,13 @@
         matches!(self.part, Part::Control { .. })
     }
 
+    /// Whether it holds a configuration: a control host on an empty disk holds
+    /// none until it has joined its group.
+    #[must_use]
+    pub fn is_formed(&self) -> bool {
+        matches!(self.part, Part::Control { formed: true, .. })
+    }
+
     /// Whether it holds the latest configuration.
     #[must_use]
     pub fn is_current(&self) -> bool {
--- /dev/null
+++ b/crates/directory/tests/news.rs
@@ -0,0 +1,131 @@
+//! What nodes learn of one another.
+
+use std::time::{Duration, Instant};
+
+use arbtest::arbtest;
+use directory::{Directory, LEASE, Mark, Node, Part, View};
+use types::MemberId;
+
+fn node(n: u8, run: u64, seq: u64) -> Node {
+    Node {
+        run,
+        seq,
+        ..Node::example(&format!("10.0.0.{n}:7000"))
+    }
+}
+
+fn follow(view: &mut View, directory: &Directory, now: Instant) {
+    for news in directory.news(view.mark()) {
+        view.apply(news, now);
+    }
+}
+
+fn known(view: &View) -> Vec<Node> {
+    view.nodes().cloned().collect()
+}
+
+fn held(directory: &Directory) -> Vec<Node> {
+    directory.nodes().map(|(node, _)| node.clone()).collect()
+}
+
+/// Guards against a view that differs from the directory it follows, whatever
+/// order hellos, silences and lost news come in.
+#[test]
+fn a_view_that_follows_equals_the_directory() {
+    arbtest(|u| {
+        let mut now = Instant::now();
+        let mut directory = Directory::new(1);
+        let mut view = View::default();
+        for _ in 0..u.int_in_range(1..=60)? {
+            now += Duration::from_millis(u.int_in_range(1..=1500)?);
+            let n = u.int_in_range(1..=40)?;
+            match u.int_in_range(0..=3)? {
+                0 => drop(directory.expire(now)),
+                1 => follow(&mut view, &directory, now),
+                _ => drop(
+                    directory.note(node(n, u.int_in_range(1..=2)?, u.int_in_range(0..=3)?), now),
+                ),
+            }
+        }
+        follow(&mut view, &directory, now);
+        assert_eq!(known(&view), held(&directory));
+        assert!(directory.news(view.mark()).is_empty());
+        Ok(())
+    })
+    .seed(0x11_0000_4000)
+    .run();
+}
+
+/// Guards against nodes that are forgotten because another control host, which
+/// has just started, does not know them yet.
+#[test]
+fn a_new_control_host_takes_nobody_away_at_once() {
+    let now = Instant::now();
+    let mut old = Directory::new(1);
+    for n in 1..=5 {
+        old.note(node(n, 1, 0), now);
+    }
+    let mut view = View::default();
+    follow(&mut view, &old, now);
+    let mut new = Directory::new(2);
+    new.note(node(1, 1, 0), now);
+    follow(&mut view, &new, now);
+    assert!(view.expire(now + LEASE).is_empty());
+    assert_eq!(view.nodes().count(), 5);
+    assert_eq!(view.expire(now + 2 * LEASE).len(), 4);
+}
+
+/// Guards against a node that an earlier run, heard late, takes the place of.
+#[test]
+fn what_an_earlier_run_said_does_not_replace_a_later_one() {
+    let now = Instant::now();
+    let mut directory = Directory::new(1);
+    directory.note(node(1, 2, 0), now + Duration::from_secs(1));
+    let late = directory.note_heard(
+        node(1, 1, 9),
+        Duration::from_secs(1),
+        now + Duration::from_secs(1),
+    );
+    assert!(!late);
+    assert_eq!(held(&directory), [node(1, 2, 0)]);
+}
+
+/// Guards against control hosts that are no seeds and never hear of one
+/// another: a new leader then took one for silent.
+#[test]
+fn control_hosts_are_told_on() {
+    let now = Instant::now();
+    let mut directory = Directory::new(1);
+    let control = Node {
+        part: Part::Control {
+            member: MemberId(3),
+            formed: true,
+            current: true,
+        },
+        ..node(1, 1, 0)
+    };
+    directory.note_heard(control.clone(), Duration::from_millis(200), now);
+    directory.note_heard(node(2, 1, 0), Duration::from_millis(200), now);
+    let told: Vec<Node> = directory
+        .heard(now - LEASE, now)
+        .map(|(node, _)| node)
+        .collect();
+    assert_eq!(told, [control]);
+}
+
+/// Guards against news that is applied to what it does not follow on.
+#[test]
+fn news_that_does_not_follow_on_is_left_out() {
+    let now = Instant::now();
+    let mut directory = Directory::new(1);
+    directory.note(node(1, 1, 0), now);
+    let first = directory.mark();
+    directory.note(node(2, 1, 0), now);
+    let later = directory.news(first);
+    let mut view = View::default();
+    for news in later {
+        view.apply(news, now);
+    }
+    assert_eq!(view.mark(), Mark::default());
+    assert_eq!(view.nodes().count(), 0);
+}
--- /dev/null
+++ b/crates/net/tests/http.rs
@@ -0,0 +1,105 @@
+//! The small HTTP server and client.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use actix_rt::{System, spawn};
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use net::{Answer, Call, CallError, Handler, Limits, call, serve};
+use tokio::net::TcpListener;
+
+#[derive(Clone)]
+struct Echo;
+
+impl Handler for Echo {
+    async fn answer(&self, call: Call) -> Answer {
+        match call.path.as_str() {
+            "/echo" => Answer::ok("text/plain", call.body),
+            "/slow" => {
+                actix_rt::time::sleep(Duration::from_secs(5)).await;
+                Answer::empty(StatusCode::OK)
+            }
+            _ => Answer::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+async fn server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = Limits {
+        body: 1000,
+        request: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    spawn(serve(listener, Echo, limits));
+    address
+}
+
+async fn post(
+    address: SocketAddr,
+    path: &str,
+    len: usize,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let body = Bytes::from(vec![7; len]);
+    call(address, Method::POST, path, body, 1000, deadline).await
+}
+
+/// Guards against bodies that are cut, and against too large ones that are taken.
+#[test]
+fn answers_by_size_and_path() {
+    System::new().block_on(async {
+        let address = server().await;
+        let (status, body) = post(address, "/echo", 1000).await.unwrap();
+        assert_eq!((status, body.len()), (StatusCode::OK, 1000));
+        let cases = [
+            ("/echo", 1001, StatusCode::PAYLOAD_TOO_LARGE),
+            ("/none", 1, StatusCode::NOT_FOUND),
+            ("/slow", 1, StatusCode::SERVICE_UNAVAILABLE),
+        ];
+        for (path, len, expected) in cases {
+            assert_eq!(
+                post(address, path, len).await.unwrap().0,
+                expected,
+                "{path} {len}"
+            );
+        }
+    });
+}
+
+/// Guards against a call that waits for ever on a host that takes connections
+/// and says nothing.
+#[test]
+fn a_silent_host_costs_no_more_than_the_deadline() {
+    System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let start = Instant::now();
+        let deadline = start + Duration::from_millis(100);
+        let answer = call(address, Method::GET, "/", Bytes::new(), 10, deadline).await;
+        assert!(matches!(answer, Err(CallError::Deadline)));
+        assert!(start.elapsed() < Duration::from_secs(2));
+    });
+}
+
+/// Guards against a server that ends on bytes that are no HTTP.
+#[test]
+fn garbage_does_not_end_the_server() {
+    System::new().block_on(async {
+        let address = server().await;
+        for garbage in [
+            &b"\x00\xff\x00"[..],
+            b"GET",
+            b"POST /echo HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
+        ] {
+            let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+            stream.writable().await.unwrap();
+            stream.try_write(garbage).unwrap();
+        }
+        assert_eq!(post(address, "/echo", 1).await.unwrap().0, StatusCode::OK);
+    });
+}
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -27,6 +27,13 @@
 /// A control host that did not answer for this long is given up for another.
 const SILENT: Duration = Duration::from_millis(1200);
 
+/// Control hosts that are tried at a time.
+const TRIED: usize = 6;
+
+/// A control host without a routing set is not used for this long while others
+/// may answer: it may have no disk, or an empty one.
+const PATIENCE: Duration = Duration::from_secs(1);
+
 /// A control host that has not heard its leader for this long is left for one
 /// that has. Longer than most elections, and well within the time in which a
 /// change must be in force everywhere.
@@ -74,6 +81,8 @@
     /// Where the search for a control host goes on.
     next_host: usize,
     heard: Instant,
+    /// Since when no control host is in use, if none is.
+    seeking_since: Instant,
     /// When the control host in use last heard the leader of its group.
     current_at: Instant,
     hello_at: Instant,
@@ -109,6 +118,7 @@
             view: View::default(),
             host: None,
             heard: now,
+            seeking_since: now,
             current_at: now,
             hello_at: now,
             have: SetNumber(0),
@@ -155,27 +165,31 @@
         {
             log::warn!(event = "control_lost", host:% = host; "control host does not answer; trying another");
             self.host = None;
+            self.seeking_since = now;
         }
-        let Some(host) = self.host.or_else(|| self.candidate()) else {
-            self.hello_at = now + HELLO;
-            return;
-        };
         self.hello_at = now + if self.host.is_some() { HELLO } else { SEEK };
+        let hosts = self
+            .host
+            .map_or_else(|| self.candidates(), |host| vec![host]);
         let hello = Spoken::Hello(Hello {
             node: self.cfg.node.clone(),
             reply_to: self.cfg.listen,
             mark: self.view.mark(),
         });
         match wire::encode(&hello) {
-            // A datagram may be lost anyway.
-            Ok(datagram) => drop(self.socket.send_to(&datagram, host).await),
+            Ok(datagram) => {
+                for host in hosts {
+                    // A datagram may be lost anyway.
+                    let _ = self.socket.send_to(&datagram, host).await;
+                }
+            }
             Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
         }
     }
 
-    /// The next control host to try: those of the own data centre first, then
-    /// all others that are known, and the seeds.
-    fn candidate(&mut self) -> Option<SocketAddrV4> {
+    /// The control hosts to try while none is in use, some of those that are
+    /// known and the seeds.
+    fn candidates(&mut self) -> Vec<SocketAddrV4> {
         let port = self.cfg.node_port;
         let seeds = self.cfg.seeds.borrow().clone();
         let seeds = seeds.into_iter().map(|ip| SocketAddrV4::new(ip, port));
@@ -183,9 +197,11 @@
         let mut hosts: Vec<SocketAddrV4> = known.map(|node| node.address).chain(seeds).collect();
         hosts.sort_unstable();
         hosts.dedup();
-        self.next_host += 1;
         let len = hosts.len();
-        hosts.get(self.next_host.checked_rem(len)?).copied()
+        self.next_host += 1;
+        hosts.rotate_left(self.next_host.checked_rem(len).unwrap_or(0));
+        hosts.truncate(TRIED);
+        hosts
     }
 
     async fn receive(&mut self, datagram: &[u8], from: SocketAddrV4) {
@@ -198,6 +214,15 @@
             }
         };
         if self.host.is_none() {
+            let holds_routes = reply.current || reply.routes > SetNumber(0);
+            if !holds_routes && now < self.seeking_since + PATIENCE {
+                // It may know where others are.
+                if let Some(news) = reply.news {
+                    let changes = self.view.apply(news, now);
+                    self.tell(changes).await;
+                }
+                return;
+            }
             log::info!(event = "control_found", host:% = from; "control host answers");
             self.host = Some(from);
             self.hello_at = now + HELLO;
@@ -228,20 +253,23 @@
             .view
             .nodes()
             .find(|node| Some(node.address) == self.host);
-        let known = host.is_some_and(Node::is_control);
-        let outdated = !known || now >= self.current_at + OUTDATED;
-        if !outdated && host.is_some_and(|node| near(&node)) {
+        let holds_routes = host.is_some_and(Node::is_formed);
+        let outdated = now >= self.current_at + OUTDATED;
+        if holds_routes && !outdated && host.is_some_and(|node| near(&node)) {
             return;
         }
         let others = self
             .view
             .nodes()
             .filter(|node| Some(node.address) != self.host);
-        let mut others = others.filter(|node| node.is_current());
-        let better = if outdated {
-            others.max_by_key(|node| near(node))
+        let mut others = others.filter(|node| node.is_formed() && !node.leaving);
+        let better = if !holds_routes {
+            // A set from the disk is better than none while no leader is elected.
+            others.max_by_key(|node| (node.is_current(), near(node)))
+        } else if outdated {
+            others.filter(|node| node.is_current()).max_by_key(near)
         } else {
-            others.find(near)
+            others.find(|node| node.is_current() && near(node))
         };
         if let Some(node) = better {
             log::info!(
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -25,4 +25,4 @@
 pub use error::{Error, Result};
 pub use process::{Replica, Settings, observe, start};
 pub use request::{Outcome, Reading};
-pub use version::{RouteHistory, Steward, StewardSettings};
+pub use version::{Heard, RouteHistory, Steward, StewardSettings};
--- a/crates/replica/src/process/replica.rs
+++ b/crates/replica/src/process/replica.rs
@@ -81,6 +81,12 @@
         outcome
     }
 
+    /// Voters of the group, as far as this member knows.
+    #[must_use]
+    pub fn voters(&self) -> i64 {
+        self.metrics.voters.get()
+    }
+
     async fn try_change(&self, req: ChangeRequest, deadline: Instant) -> ChangeReply {
         let (tx, rx) = oneshot::channel();
         let command = GroupCommand::Change(Box::new(req.clone()), tx);
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -37,7 +37,7 @@
     cfg: Settings,
     registry: &Registry,
     stop: watch::Receiver<bool>,
-) -> Result<(Replica, impl Future<Output = Result<()>>)> {
+) -> Result<(Replica, impl Future<Output = Result<()>> + use<>)> {
     let metrics = Metrics::new(registry)?;
     let (store, found) = store::open(Dir::new(&cfg.data_dir)?)?;
     let disk = store::start(store)?;
--- /dev/null
+++ b/crates/replica/tests/history.rs
@@ -0,0 +1,68 @@
+//! What nodes are told of routing sets.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use replica::RouteHistory;
+use types::{Part, RoutingSet, Rule, SetNumber};
+
+fn set(number: u64, ports: &[u16]) -> RoutingSet {
+    let rule = Rule {
+        parts: [("vouchers".parse().unwrap(), Part(1))].into(),
+    };
+    let address = |port: &u16| SocketAddr::from(([198, 18, 0, 1], *port));
+    RoutingSet {
+        number: SetNumber(number),
+        rules: ports
+            .iter()
+            .map(|port| (address(port), rule.clone()))
+            .collect(),
+        ..RoutingSet::default()
+    }
+}
+
+/// Guards against a node that has another set than the control hosts after it
+/// was told the difference, from whatever set it had.
+#[test]
+fn a_node_has_the_set_in_force_after_a_delta() {
+    let mut history = RouteHistory::default();
+    let sets = [
+        set(2, &[1, 2]),
+        set(5, &[2, 3]),
+        set(9, &[3, 4, 5]),
+        set(10, &[]),
+    ];
+    for i in 0..sets.len() {
+        assert!(history.push(Arc::new(sets[i].clone())));
+        let known = std::iter::once(RoutingSet::default()).chain(sets[..i].iter().cloned());
+        for mut node in known {
+            let delta = history.delta(node.number).unwrap();
+            assert!(node.advance(delta));
+            assert_eq!((node.number, &node.rules), (sets[i].number, &sets[i].rules));
+            assert_eq!(history.delta(node.number), None);
+        }
+    }
+}
+
+/// Guards against a set that goes back.
+#[test]
+fn an_older_set_changes_nothing() {
+    let mut history = RouteHistory::default();
+    assert!(history.push(Arc::new(set(5, &[1]))));
+    assert!(!history.push(Arc::new(set(5, &[2]))));
+    assert!(!history.push(Arc::new(set(4, &[2]))));
+    assert_eq!(history.number(), SetNumber(5));
+}
+
+/// Guards against a difference that is applied to another set.
+#[test]
+fn a_delta_from_another_set_is_refused() {
+    let mut history = RouteHistory::default();
+    history.push(Arc::new(set(5, &[1])));
+    history.push(Arc::new(set(6, &[1, 2])));
+    let delta = history.delta(SetNumber(5)).unwrap();
+    let mut node = set(4, &[9]);
+    assert!(!node.advance(delta));
+    assert_eq!(node, set(4, &[9]));
+    // A set that is too old for a difference gets everything.
+    assert_eq!(history.delta(SetNumber(4)).unwrap().base, None);
+}
