flow, relay: give a cold upstream half its slots; split the holder and the agent

Cause: an upstream says for how long it is slow after its start; nothing used that. Change: until then it counts with half its slots, in its agent and in reports. A test that failed first (no such bound). Moved: what an agent knows of one flow to connection::flow, who is told of its load to process::audience.

--- a/crates/flow/src/connection/mod.rs
+++ b/crates/flow/src/connection/mod.rs
@@ -1,7 +1,9 @@
 //! What lasts for a flow.
 
+mod flow;
 mod key;
 mod segment;
 
+pub(crate) use flow::{Flow, Stage};
 pub use key::Key;
 pub use segment::Segment;
--- a/crates/flow/src/process/holder.rs
+++ b/crates/flow/src/process/holder.rs
@@ -8,7 +8,10 @@
 use serde::{Deserialize, Serialize};
 use types::Slots;
 
-use crate::{Key, Segment};
+use crate::{
+    Key, Segment,
+    connection::{Flow, Stage},
+};
 
 /// Times and bounds of a [`Holder`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -156,104 +159,6 @@
     pub flows: u32,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// The opening datagram went to the upstream.
-    Opening,
-    /// The upstream has agreed, or has sent on the flow.
-    Open,
-    /// A datagram was tried; the upstream has not reacted yet.
-    Tried,
-    /// Both ends have said that they end, or one has reset the flow.
-    Closed,
-    /// The upstream does not hold the flow any more.
-    Lost,
-    /// The upstream has returned a datagram that was tried.
-    Foreign,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Flow {
-    stage: Stage,
-    /// Number of the opening datagram, if it was seen.
-    opening: Option<u32>,
-    /// First number of the upstream and the one after its last byte, if its
-    /// agreement was seen.
-    upstream_seq: Option<(u32, u32)>,
-    /// Highest number of the caller's data so far.
-    caller_seq: Option<u32>,
-    /// A request waits for the first byte of its answer.
-    waiting: bool,
-    caller_ended: bool,
-    upstream_ended: bool,
-    opened_at: Instant,
-    last: Instant,
-}
-
-impl Flow {
-    fn new(stage: Stage, now: Instant) -> Self {
-        Flow {
-            stage,
-            opening: None,
-            upstream_seq: None,
-            caller_seq: None,
-            waiting: false,
-            caller_ended: false,
-            upstream_ended: false,
-            opened_at: now,
-            last: now,
-        }
-    }
-
-    /// Whether the caller acknowledges what this upstream has sent. Two
-    /// upstreams may have answered copies of one opening datagram; the caller
-    /// goes on with one of them.
-    fn fits(&self, seg: &Segment) -> bool {
-        match self.upstream_seq {
-            // The numbers also count the opening and the end.
-            Some((first, next)) if seg.acknowledges => {
-                let sent = next.wrapping_sub(first) + 2;
-                seg.ack.wrapping_sub(first) <= sent
-            }
-            _ => true,
-        }
-    }
-
-    fn note_upstream(&mut self, seg: &Segment) {
-        // A copy of the agreement does not take back what was sent since.
-        let first = self.upstream_seq.map(|(first, _)| first);
-        if seg.opens && first != Some(seg.seq) {
-            self.upstream_seq = Some((seg.seq, seg.seq));
-        }
-        if let Some((first, next)) = &mut self.upstream_seq {
-            let end = seg.seq.wrapping_add(u32::from(seg.len));
-            if end.wrapping_sub(*first) > next.wrapping_sub(*first) {
-                *next = end;
-            }
-        }
-    }
-
-    /// Notes the caller's data; a higher number starts or goes on with a request.
-    fn note_caller(&mut self, seg: &Segment) {
-        self.caller_ended |= seg.ends;
-        if seg.len == 0 {
-            return;
-        }
-        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
-        if self.caller_seq.is_none_or(newer) {
-            self.caller_seq = Some(seg.seq);
-            self.waiting = true;
-        }
-    }
-
-    fn note_end(&mut self) {
-        if self.caller_ended && self.upstream_ended {
-            self.stage = Stage::Closed;
-            self.waiting = false;
-        }
-    }
-}
-
 /// The flows of an upstream. See the [crate] documentation.
 #[derive(Debug)]
 pub struct Holder {
@@ -504,11 +409,25 @@
         }
     }
 
+    /// Requests that the upstream should serve at a time. A cold one is given
+    /// half: it is slow, so what it is given waits there longer than elsewhere.
+    #[must_use]
+    pub fn slots(&self, now: Instant) -> Slots {
+        let Some(upstream) = &self.upstream else {
+            return Slots(0);
+        };
+        let cold = upstream.cold_until.is_some_and(|until| now < until);
+        if cold {
+            Slots(upstream.slots.0.div_ceil(2))
+        } else {
+            upstream.slots
+        }
+    }
+
     /// Whether the upstream has as many requests as slots.
     #[must_use]
     pub fn is_full(&self, now: Instant) -> bool {
-        let slots = self.upstream.map_or(0, |upstream| upstream.slots.0);
-        self.load(now).busy >= slots
+        self.load(now).busy >= self.slots(now).0
     }
 
     /// The work of the upstream.
--- a/crates/flow/tests/holder.rs
+++ b/crates/flow/tests/holder.rs
@@ -252,3 +252,19 @@
     holder.expire(now + settings.idle);
     assert_eq!(holder.load(now).flows, 0);
 }
+
+/// Guards against a cold upstream that is given as much as a warm one.
+#[test]
+fn a_cold_upstream_is_given_half() {
+    let (mut holder, now) = holder();
+    let warm_at = now + Duration::from_secs(2);
+    let cold = Upstream {
+        cold_until: Some(warm_at),
+        ..Upstream::ready(7, Slots(7))
+    };
+    holder.set_upstream(Some(cold), now);
+    assert_eq!(holder.slots(now), Slots(4));
+    assert_eq!(holder.slots(warm_at), Slots(7));
+    holder.set_upstream(None, now);
+    assert_eq!(holder.slots(now), Slots(0));
+}
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -1,7 +1,7 @@
 //! The data path of an agent.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::{SocketAddr, SocketAddrV4},
     time::{Duration, Instant},
 };
@@ -9,8 +9,7 @@
 use bytes::Bytes;
 use directory::{Changes, Part};
 use flow::{
-    Candidate, FromUpstream, Holder, HolderSettings, Key, Load, Origin, Pool, Segment, Upstream,
-    Verdict,
+    Candidate, FromUpstream, Holder, HolderSettings, Key, Origin, Pool, Segment, Upstream, Verdict,
 };
 use prometheus::Registry;
 use tokio::{
@@ -18,28 +17,14 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, ServiceName, Slots, UpstreamId};
+use types::{DataCentre, ServiceName, UpstreamId};
 
-use super::{Update, metrics::Metrics};
+use super::{Update, audience::Audience, metrics::Metrics};
 use crate::{Codec, Error, Message, Report, Result, Tag};
 
 /// Pause between two looks at what is to be reported and forgotten.
 const TICK: Duration = Duration::from_millis(50);
 
-/// A changed load is reported to the own data centre after this time at least.
-const REPORT_NEAR: Duration = Duration::from_millis(50);
-
-/// A changed load is reported to other data centres after this time at least:
-/// the way there is costly.
-const REPORT_FAR: Duration = Duration::from_millis(200);
-
-/// Listeners to whom reports go at these paces. With more, reports become rarer
-/// in proportion, so that their cost for an agent stays the same.
-const LISTENERS: u32 = 8;
-
-/// An unchanged load is reported after this time, as a sign of life.
-const REPORT_ALIVE: Duration = Duration::from_millis(500);
-
 /// Pause between two rounds of forgetting what is over.
 const EXPIRE: Duration = Duration::from_secs(1);
 
@@ -81,15 +66,6 @@
     pub done: oneshot::Sender<()>,
 }
 
-/// Who is told of the load, and when.
-#[derive(Debug)]
-struct Audience {
-    near: BTreeSet<SocketAddrV4>,
-    far: BTreeSet<SocketAddrV4>,
-    near_told: (Instant, Option<(Load, bool)>),
-    far_told: (Instant, Option<(Load, bool)>),
-}
-
 /// The task of an agent: it owns the sockets and the decisions.
 pub struct Agent<C> {
     cfg: AgentSettings,
@@ -153,12 +129,7 @@
             codec,
             holder: Holder::new(cfg.holder, now),
             pool: Pool::default(),
-            audience: Audience {
-                near: BTreeSet::new(),
-                far: BTreeSet::new(),
-                near_told: (now, None),
-                far_told: (now, None),
-            },
+            audience: Audience::new(now),
             outbound: bind(cfg.outbound)?,
             callers: bind(cfg.callers)?,
             peers: bind(cfg.peer)?,
@@ -499,21 +470,8 @@
     async fn report(&mut self, now: Instant) {
         let load = self.holder.load(now);
         let accepting = self.accepts(now);
-        let state = Some((load, accepting));
-        let due = |told: &(Instant, Option<(Load, bool)>), pause: Duration| {
-            let urgent = told.1.is_none_or(|(_, known)| known != accepting);
-            let changed = told.1 != state && now >= told.0 + pause;
-            urgent || changed || now >= told.0 + REPORT_ALIVE
-        };
-        let near = due(
-            &self.audience.near_told,
-            pause(REPORT_NEAR, &self.audience.near),
-        );
-        let far = due(
-            &self.audience.far_told,
-            pause(REPORT_FAR, &self.audience.far),
-        );
-        if !near && !far {
+        let listeners = self.audience.due(load, accepting, now);
+        if listeners.is_empty() {
             return;
         }
         self.metrics.busy.set(i64::from(load.busy));
@@ -521,28 +479,18 @@
             run: self.cfg.run,
             data_centre: self.cfg.data_centre.clone(),
             service: self.cfg.service.clone(),
-            slots: self.holder.upstream().map_or(Slots(0), |u| u.slots),
+            slots: self.holder.slots(now),
             accepting,
             load,
         });
-        if near {
-            self.audience.near_told = (now, state);
-            for address in &self.audience.near {
-                self.tell(*address, &report).await;
-            }
-        }
-        if far {
-            self.audience.far_told = (now, state);
-            for address in &self.audience.far {
-                self.tell(*address, &report).await;
-            }
+        for listener in listeners {
+            self.tell(listener, &report).await;
         }
     }
 
     fn nodes_changed(&mut self, changes: Changes) {
         for node in changes.removed {
-            self.audience.near.remove(&node.address);
-            self.audience.far.remove(&node.address);
+            self.audience.remove(node.address);
             self.pool.remove(node.address);
         }
         for node in changes.changed {
@@ -554,15 +502,8 @@
             if !listens || node.address == self.cfg.peer {
                 continue;
             }
-            let audience = if node.data_centre == self.cfg.data_centre {
-                &mut self.audience.near
-            } else {
-                &mut self.audience.far
-            };
-            audience.insert(node.address);
-            // A newcomer is told at once.
-            self.audience.near_told.1 = None;
-            self.audience.far_told.1 = None;
+            let near = node.data_centre == self.cfg.data_centre;
+            self.audience.insert(node.address, near);
             let leaving = node.leaving;
             if let Some(known) = self.pool.get_mut(node.address) {
                 known.accepting &= !leaving || known.id != UpstreamId(node.run);
@@ -597,9 +538,3 @@
         placed: 0,
     }
 }
-
-/// Pause between two reports to these listeners.
-fn pause(least: Duration, listeners: &BTreeSet<SocketAddrV4>) -> Duration {
-    let count = u32::try_from(listeners.len()).unwrap_or(u32::MAX);
-    least * count.max(LISTENERS) / LISTENERS
-}
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lasts as long as the process: tasks, settings, metrics.
 
 mod agent;
+mod audience;
 mod balancer;
 mod egress;
 mod metrics;
--- a/crates/relay/tests/egress.rs
+++ b/crates/relay/tests/egress.rs
@@ -32,8 +32,8 @@
         while egress.pop(now).is_some() {
             sent += 1;
         }
-        let taken = (now - start).as_secs_f64() * 575_000.0 / 1288.0;
-        ahead = ahead.max(sent - taken as i64);
+        let taken = (now - start).as_micros() * 575 / 1_288_000;
+        ahead = ahead.max(sent - i64::try_from(taken).unwrap());
     }
     assert_eq!(sent, 16);
     // The queue of a link holds some 24 of these.
