flow, relay, replica: break off a flow that certainly no agent holds

Change: a control host says when it has run long enough to know every process; a balancer that has its whole list, and hears from every agent of the service that it does not hold the flow, breaks it off if the datagram carries data. An agent that does not answer, or may hold the flow, prevents that.

--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -125,3 +125,63 @@
     assert!(!steering.routes_mut().advance(set.delta_from(None)));
     assert_eq!(steering.routes().unwrap().rules.len(), 1);
 }
+
+/// Guards against callers that wait in vain for a flow which no agent holds,
+/// and against a living flow that is broken off while an agent is not heard,
+/// may hold it, or is not known yet.
+#[test]
+fn only_a_flow_that_all_agents_deny_is_unheld() {
+    let cases = [
+        (
+            true,
+            [
+                Some(Claim::No),
+                Some(Claim::No),
+                Some(Claim::No),
+                Some(Claim::No),
+            ],
+            1,
+        ),
+        (
+            false,
+            [
+                Some(Claim::No),
+                Some(Claim::No),
+                Some(Claim::No),
+                Some(Claim::No),
+            ],
+            0,
+        ),
+        (
+            true,
+            [Some(Claim::No), Some(Claim::No), Some(Claim::No), None],
+            0,
+        ),
+        (
+            true,
+            [
+                Some(Claim::No),
+                Some(Claim::Perhaps),
+                Some(Claim::No),
+                Some(Claim::No),
+            ],
+            0,
+        ),
+    ];
+    for (complete, claims, expected) in cases {
+        let (mut steering, now) = ready(4);
+        steering.set_complete(complete);
+        let seg = data(1, 101, 1);
+        let key = seg.key_from_caller();
+        assert!(matches!(steer(&mut steering, &seg, now), Steer::Ask(_)));
+        let later = now + Duration::from_millis(50);
+        assert_eq!(steering.end_searches(later).unheld.len(), 0);
+        for (n, claim) in (1..).zip(claims) {
+            if let Some(claim) = claim {
+                steering.claimed(key, address(n), claim, later);
+            }
+        }
+        let ended = steering.end_searches(later + Duration::from_millis(50));
+        assert_eq!(ended.unheld.len(), expected, "{complete} {claims:?}");
+    }
+}
