--- a/crates/directory/tests/news.rs
+++ b/crates/directory/tests/news.rs
@@ -107,7 +107,7 @@
     directory.note_heard(control.clone(), Duration::from_millis(200), now);
     directory.note_heard(node(2, 1, 0), Duration::from_millis(200), now);
     let told: Vec<Node> = directory
-        .heard(now - LEASE, now)
+        .heard(now.checked_sub(LEASE).unwrap(), now)
         .map(|(node, _)| node)
         .collect();
     assert_eq!(told, [control]);
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -179,6 +179,7 @@
             Query::Audit { limit } => {
                 QueryReply::Audit(state.audit().rev().take(limit).cloned().collect())
             }
+            Query::Routes => QueryReply::Routes(state.routes().cloned()),
             Query::Status => QueryReply::Status(Box::new(self.status())),
             Query::Lagging(_) => match self.host.spread {
                 Spread::InForce => QueryReply::Lagging(Vec::new()),
--- a/crates/replica/tests/steward.rs
+++ b/crates/replica/tests/steward.rs
@@ -52,7 +52,7 @@
         .map(|(id, at, age)| {
             let heard = Heard {
                 address: address(*at),
-                at: now - Duration::from_millis(*age),
+                at: now.checked_sub(Duration::from_millis(*age)).unwrap(),
                 leaving: case.leaving.contains(id),
             };
             (MemberId(*id), heard)
