Revert "flow, relay, replica: break off a flow that certainly no agent holds"

Suspected from the code, not traced: in a split of the core a control host forgets the agents that say hello to the other side after a lease, and the list still counted as complete.

--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -63,9 +63,6 @@
     pub routes: SetNumber,
     /// Whether the control host hears the leader of its group.
     pub current: bool,
-    /// Whether the control host has run long enough to know every process that
-    /// can reach it.
-    pub settled: bool,
     /// Changes of the directory, if any.
     pub news: Option<News>,
 }
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -132,8 +132,6 @@
     pub released: Vec<Release>,
     /// Searches that are widened.
     pub asked: Vec<Question>,
-    /// A datagram of each flow that certainly no agent holds.
-    pub unheld: Vec<Bytes>,
 }
 
 #[derive(Debug)]
@@ -156,13 +154,6 @@
     parked: Vec<Bytes>,
 }
 
-impl Search {
-    /// Whether every agent has answered that it does not hold the flow.
-    fn is_denied(&self) -> bool {
-        self.waiting_for.is_empty() && self.perhaps.is_empty()
-    }
-}
-
 #[derive(Debug)]
 struct Tries {
     agents: BTreeSet<SocketAddrV4>,
@@ -176,8 +167,6 @@
     near: DataCentre,
     routes: Option<RoutingSet>,
     pools: BTreeMap<ServiceName, Pool>,
-    /// Every agent that can reach a control host is in `pools`.
-    complete: bool,
     hints: BTreeMap<Key, Hint>,
     searches: BTreeMap<Key, Search>,
     /// Agents that were tried for a flow and may not hold it.
@@ -193,7 +182,6 @@
             near,
             routes: None,
             pools: BTreeMap::new(),
-            complete: false,
             hints: BTreeMap::new(),
             searches: BTreeMap::new(),
             tried: BTreeMap::new(),
@@ -221,12 +209,6 @@
         self.pools.values_mut()
     }
 
-    /// Notes whether all agents are known. Only then does the answer of all of
-    /// them mean that nobody holds a flow.
-    pub fn set_complete(&mut self, complete: bool) {
-        self.complete = complete;
-    }
-
     /// Whether new flows can be placed: an agent that takes them has reported
     /// lately. A balancer that is cut off hears none, and must be left by the
     /// fabric, which may still reach it.
@@ -459,10 +441,6 @@
                     ended.asked.push(Question { payload, others });
                 }
             } else if let Some(search) = self.searches.remove(&key) {
-                if self.complete && search.is_denied() {
-                    ended.unheld.extend(search.parked.into_iter().next());
-                    continue;
-                }
                 ended.released.extend(self.try_one(key, search, now));
             }
         }
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -164,7 +164,7 @@
                 }
                 update = self.updates.recv() => match update {
                     Some(Update::Nodes(changes)) => self.nodes_changed(changes),
-                    Some(Update::Routes(_) | Update::Complete(_)) => {}
+                    Some(Update::Routes(_)) => {}
                     None => return,
                 },
                 Some(announced) = self.announced.recv() => self.announced(announced).await,
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -165,7 +165,16 @@
                 self.ask(&payload, agents).await;
             }
             Steer::Parked => {}
-            Steer::Reset => self.reset(seg, "no_rule").await,
+            Steer::Reset => {
+                self.metrics.flows.with_label_values(&["reset"]).inc();
+                log::info!(
+                    event = "reset", flow:% = key, cause = "no_rule", set = self.set_number();
+                    "flow broken off: its address has no rule"
+                );
+                let to = SocketAddrV4::new(*seg.source.ip(), self.cfg.caller_port);
+                // A datagram may be lost anyway.
+                let _ = self.ingress.send_to(&self.codec.reset(seg), to).await;
+            }
             Steer::Drop(cause) => self.drop_datagram(seg, cause),
         }
     }
@@ -179,29 +188,6 @@
         }
     }
 
-    /// No agent holds the flow of a datagram. A caller that waits for an answer
-    /// is told at once; anything else needs none.
-    async fn no_holder(&mut self, payload: &Bytes) {
-        let Some(seg) = self.codec.parse(payload) else {
-            return;
-        };
-        if seg.len == 0 || seg.resets {
-            return self.drop_datagram(&seg, Dropped::NotFound);
-        }
-        self.reset(&seg, "no_holder").await;
-    }
-
-    async fn reset(&self, seg: &Segment, cause: &str) {
-        self.metrics.flows.with_label_values(&["reset"]).inc();
-        log::info!(
-            event = "reset", flow:% = seg.key_from_caller(), cause = cause,
-            set = self.set_number(); "flow broken off"
-        );
-        let to = SocketAddrV4::new(*seg.source.ip(), self.cfg.caller_port);
-        // A datagram may be lost anyway.
-        let _ = self.ingress.send_to(&self.codec.reset(seg), to).await;
-    }
-
     fn set_number(&self) -> u64 {
         self.steering.routes().map_or(0, |routes| routes.number.0)
     }
@@ -339,10 +325,6 @@
 
     fn update(&mut self, update: Update) {
         match update {
-            Update::Complete(complete) => {
-                log::info!(event = "complete", complete = u64::from(complete); "whether all agents are known");
-                self.steering.set_complete(complete);
-            }
             Update::Nodes(changes) => self.nodes_changed(changes, Instant::now()),
             Update::Routes(delta) => {
                 let (number, changed) = (delta.number, delta.changed.len());
@@ -411,9 +393,6 @@
                 .inc();
             self.ask(&question.payload, question.others).await;
         }
-        for payload in ended.unheld {
-            self.no_holder(&payload).await;
-        }
         let released = ended.released;
         for release in &released {
             if let Some(seg) = self.codec.parse(&release.payload) {
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -52,8 +52,6 @@
     Nodes(Changes),
     /// A newer routing set.
     Routes(RoutingDelta),
-    /// Whether every process that can reach a control host is known.
-    Complete(bool),
 }
 
 /// Settings of a [`Sync`] task.
@@ -89,8 +87,6 @@
     current_at: Instant,
     hello_at: Instant,
     have: SetNumber,
-    /// What was last told of the view.
-    complete: bool,
     /// Outcome of the call for the routing set that is under way.
     fetch_tx: mpsc::Sender<Option<RoutingDelta>>,
     fetch_rx: mpsc::Receiver<Option<RoutingDelta>>,
@@ -126,7 +122,6 @@
             current_at: now,
             hello_at: now,
             have: SetNumber(0),
-            complete: false,
             fetch_tx,
             fetch_rx,
             fetching: false,
@@ -171,7 +166,6 @@
             log::warn!(event = "control_lost", host:% = host; "control host does not answer; trying another");
             self.host = None;
             self.seeking_since = now;
-            self.note_complete(false).await;
         }
         self.hello_at = now + if self.host.is_some() { HELLO } else { SEEK };
         let hosts = self
@@ -240,8 +234,6 @@
         if let Some(news) = reply.news {
             let changes = self.view.apply(news, now);
             self.tell(changes).await;
-        } else if reply.settled {
-            self.note_complete(true).await;
         }
         if reply.current {
             self.current_at = now;
@@ -318,13 +310,6 @@
         self.hello_at = Instant::now();
     }
 
-    async fn note_complete(&mut self, complete: bool) {
-        if std::mem::replace(&mut self.complete, complete) != complete {
-            // The receiver ends only with the process.
-            let _ = self.updates.send(Update::Complete(complete)).await;
-        }
-    }
-
     async fn tell(&mut self, changes: Changes) {
         if changes != Changes::default() {
             // The receiver ends only with the process.
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -38,10 +38,6 @@
 /// A node that said hello here within this time is told of changes at once.
 const SUBSCRIBED: Duration = Duration::from_millis(1500);
 
-/// Time after which a control host knows every process that can reach it: two
-/// hellos, and a repetition by the other control hosts.
-const SETTLE: Duration = Duration::from_millis(1200);
-
 /// Time for the hosts of a first start to say hello before the group is formed.
 /// Those that are later join the group by themselves.
 const GATHER: Duration = Duration::from_millis(1200);
@@ -76,8 +72,6 @@
     stop: watch::Receiver<bool>,
     metrics: Metrics,
     gossip_at: Instant,
-    /// From then on the directory is complete.
-    settled_at: Instant,
     /// When the unchanged records were last repeated.
     repeated_at: Instant,
     /// Addresses of voters and learners from the disk, to be found again after
@@ -156,7 +150,6 @@
             stop: channels.stop,
             metrics,
             gossip_at: now,
-            settled_at: now + SETTLE,
             repeated_at: now,
             remembered,
         }
@@ -318,7 +311,6 @@
     async fn reply(&mut self, to: SocketAddrV4, always: bool) {
         let routes = self.history.borrow().number();
         let current = self.me.is_current();
-        let settled = Instant::now() >= self.settled_at;
         let Some(subscriber) = self.subscribers.get_mut(&to) else {
             return;
         };
@@ -340,7 +332,6 @@
             &Reply {
                 routes,
                 current,
-                settled,
                 news: first,
             },
         )
@@ -349,7 +340,6 @@
             let reply = Reply {
                 routes,
                 current,
-                settled,
                 news: Some(piece),
             };
             self.send(to, &reply).await;
