replica: wait for the change of the group in its test

Cause: it waited until the new host saw three voters, which a learner does at once, and ended another host before the group had changed, so no majority was left. It now waits for four voters and then for three; what is checked afterwards is unchanged.

--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -139,10 +139,17 @@
         hosts.pop().unwrap().task.abort();
         let fresh = tempfile::tempdir().unwrap();
         hosts.push(site.host(9, fresh.path(), false).await);
-        let until = Instant::now() + LIMIT;
-        while voters(&hosts[2]) != 3 {
-            assert!(Instant::now() < until, "the new host does not come in");
-            sleep(Duration::from_millis(50)).await;
+        // It becomes the fourth voter; then the one that is gone goes out. A
+        // learner already sees three voters.
+        for expected in [4, 3] {
+            let until = Instant::now() + LIMIT;
+            while hosts[2].replica.voters() != expected {
+                assert!(
+                    Instant::now() < until,
+                    "the group does not get to {expected} voters"
+                );
+                sleep(Duration::from_millis(5)).await;
+            }
         }
         // Only hosts that came in later, and the second, are left.
         hosts.remove(0).task.abort();
@@ -150,7 +157,3 @@
         assert_eq!(read(&hosts[0]).await, Some(SetNumber(6)));
     });
 }
-
-fn voters(host: &Host) -> i64 {
-    host.replica.voters()
-}
