trace, limpetctl: explain a flow or request from the log lines of several processes

Change: crate trace reads JSON lines, splits sources into runs of a process, orders a run by the steady clock (new field up_ms of each line) and corrects a run whose time of day contradicts what it received and sent. `limpetctl explain ID FILE...` prints one timeline with what the processes believed around it, the clocks corrected, the kinds of lines left out, and the outcome.

Tests: crates/trace/tests/timeline.rs (clocks wrong from the start and stepped in a run, restarts, left out and foreign lines).

--- a/crates/limpetctl/src/error.rs
+++ b/crates/limpetctl/src/error.rs
@@ -37,6 +37,20 @@
     /// The name of the server in a URL has no address.
     #[error("{0} has no address; the request was not sent, name one by --resolve")]
     NoAddress(String),
+    /// The log lines of a process cannot be read.
+    #[error("{0}")]
+    Lines(#[from] trace::Error),
+    /// No process wrote a line about the id.
+    #[error(
+        "no line names {id}; {lines} of the lines read are not of this project. Check the id and \
+         that the files hold the time of the request; see lines_left_out there"
+    )]
+    NotFound {
+        /// What was asked for.
+        id: String,
+        /// Lines in another form.
+        lines: u64,
+    },
     /// A request to a service brought no answer.
     #[error("{0}")]
     Call(#[from] caller::Error),
--- a/crates/limpetctl/src/process/mod.rs
+++ b/crates/limpetctl/src/process/mod.rs
@@ -9,6 +9,6 @@
 pub use output::{Format, Output, Report, message, table};
 pub use parse::Body;
 pub use settings::{
-    CallArgs, ChangeFlags, Command, ControlCommand, Global, KeyCommand, ServiceCommand, Settings,
-    TargetCommand, UpstreamCommand, usage,
+    CallArgs, ChangeFlags, Command, ControlCommand, ExplainArgs, Global, KeyCommand,
+    ServiceCommand, Settings, TargetCommand, UpstreamCommand, usage,
 };
--- a/crates/limpetctl/src/process/parse.rs
+++ b/crates/limpetctl/src/process/parse.rs
@@ -12,6 +12,9 @@
 /// Shortest and longest time that `--leave-within` accepts.
 const LEAVES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_hours(1);
 
+/// Shortest and longest time that `--around` accepts.
+const AROUND: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_hours(1);
+
 /// A flag has a value that is not accepted.
 #[derive(Debug, thiserror::Error)]
 pub enum Invalid {
@@ -50,6 +53,10 @@
     span(s, &LEAVES)
 }
 
+pub fn around(s: &str) -> Result<Duration, Invalid> {
+    span(s, &AROUND)
+}
+
 fn span(s: &str, range: &RangeInclusive<Duration>) -> Result<Duration, Invalid> {
     let span = humantime::parse_duration(s).ok();
     span.filter(|span| range.contains(span)).ok_or_else(|| {
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -167,6 +167,10 @@
     /// Example: `limpetctl call https://vouchers.example/feed --resolve
     /// 198.51.100.1:443 --ca roots.pem`
     Call(Box<CallArgs>),
+    /// Shows what the log lines of several processes say of one flow or request
+    ///
+    /// Example: limpetctl explain 100.64.0.7:40001-198.18.0.1:443 logs/*.log
+    Explain(ExplainArgs),
     /// Writes completions for a shell
     ///
     /// Example: limpetctl completions bash > limpetctl.bash
@@ -334,6 +338,20 @@
     },
 }
 
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Id of the flow or request, for example 100.64.0.7:40001-198.18.0.1:443
+    pub id: String,
+    /// Files with the log lines of one process each; - is the standard input
+    #[arg(required = true, value_name = "FILE")]
+    pub files: Vec<PathBuf>,
+    /// Time before and after the lines of the id for which what the processes
+    /// believed is shown too, for example --around 5s
+    #[arg(long, env = "LIMPET_AROUND", value_name = "TIME", default_value = "2s",
+        value_parser = parse::around)]
+    pub around: Duration,
+}
+
 #[derive(Debug, Args)]
 #[command(group = ArgGroup::new("trust").required(true).args(["insecure", "ca"]))]
 pub struct CallArgs {
@@ -386,7 +404,10 @@
     }
 
     fn needs_control(&self) -> bool {
-        !matches!(self.command, Command::Call(_) | Command::Completions { .. })
+        !matches!(
+            self.command,
+            Command::Call(_) | Command::Completions { .. } | Command::Explain(_)
+        )
     }
 
     /// Whether the command makes a change that the audit trail records.
--- /dev/null
+++ b/crates/limpetctl/src/request/explain.rs
@@ -0,0 +1,84 @@
+//! What became of a flow or request, from the log lines of several processes.
+
+use std::{fmt::Write, fs::File, io::stdin, path::Path};
+
+use serde::Serialize;
+use trace::{Around, Reader, Timeline};
+
+use crate::{
+    error::{Error, Result},
+    process::{Exit, ExplainArgs, Output, Report, table},
+};
+
+/// The file name that stands for the standard input.
+const STDIN: &str = "-";
+
+/// A timeline with its outcome.
+#[derive(Debug, Serialize)]
+struct ExplainView {
+    id: String,
+    outcome: String,
+    #[serde(flatten)]
+    timeline: Timeline,
+}
+
+impl Report for ExplainView {
+    fn text(&self) -> String {
+        let entries = self.timeline.entries.iter();
+        let rows = entries.map(|entry| {
+            [
+                if entry.concerns { "*" } else { "" }.to_owned(),
+                format!("{} ms", entry.at_ms),
+                entry.process.clone(),
+                entry.event.clone(),
+                entry.message.clone(),
+                entry.inputs.clone(),
+            ]
+        });
+        let mut text = table(&["", "AT", "PROCESS", "EVENT", "MESSAGE", "INPUTS"], rows);
+        for (process, shift) in &self.timeline.corrected {
+            // Writing to a string does not fail.
+            let _ = write!(text, "\nclock of {process} corrected by {shift} ms");
+        }
+        if !self.timeline.left_out.is_empty() {
+            let kinds = self.timeline.left_out.join(", ");
+            let _ = write!(text, "\nlines left out at that time, of the kinds: {kinds}");
+        }
+        let _ = write!(text, "\noutcome: {}", self.outcome);
+        text
+    }
+}
+
+pub fn run(args: &ExplainArgs, out: Output) -> Result<Exit> {
+    let mut reader = Reader::default();
+    for file in &args.files {
+        read(&mut reader, file)?;
+    }
+    let around = Around { span: args.around };
+    let timeline = reader.timeline(&args.id, around);
+    if timeline.entries.is_empty() {
+        return Err(Error::NotFound {
+            id: args.id.clone(),
+            lines: reader.foreign(),
+        });
+    }
+    out.result(&ExplainView {
+        id: args.id.clone(),
+        outcome: timeline.outcome(),
+        timeline,
+    })?;
+    Ok(Exit::Done)
+}
+
+fn read(reader: &mut Reader, file: &Path) -> Result<()> {
+    if file.as_os_str() == STDIN {
+        return Ok(reader.read(STDIN, stdin().lock())?);
+    }
+    let name = file.file_stem().unwrap_or(file.as_os_str());
+    let name = name.to_string_lossy();
+    let source = File::open(file).map_err(|source| trace::Error {
+        name: file.display().to_string(),
+        source,
+    })?;
+    Ok(reader.read(&name, source)?)
+}
--- a/crates/limpetctl/src/request/mod.rs
+++ b/crates/limpetctl/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod change;
 mod control;
+mod explain;
 mod key;
 mod query;
 mod resend;
@@ -87,6 +88,7 @@
             return Ok(Exit::Done);
         }
         Command::Call(args) => return call::run(args, deadline(CALL_DEADLINE)).await,
+        Command::Explain(args) => return explain::run(args, out),
         _ => {}
     }
     let http = Http::new(settings.global.credentials().as_ref());
--- a/crates/logs/src/line.rs
+++ b/crates/logs/src/line.rs
@@ -1,6 +1,10 @@
 //! One line.
 
-use std::{collections::BTreeMap, time::SystemTime};
+use std::{
+    collections::BTreeMap,
+    sync::LazyLock,
+    time::{Instant, SystemTime},
+};
 
 use log::{
     Record,
@@ -8,6 +12,14 @@
 };
 use serde_json::{Map, Value as Json};
 
+/// When the process started: the first use is at the start of the log.
+static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Starts the clock of the lines, unless it runs already.
+pub(crate) fn start_clock() {
+    LazyLock::force(&STARTED);
+}
+
 /// The kind of a line: its `event`, or its target if it has none.
 pub(crate) fn kind(record: &Record<'_>) -> String {
     let event = record.key_values().get(Key::from_str("event"));
@@ -39,7 +51,9 @@
 fn start(level: &str, target: &str) -> Map<String, Json> {
     let time = humantime::format_rfc3339_millis(SystemTime::now());
     let mut line = Map::new();
+    let up = STARTED.elapsed().as_millis();
     line.insert("time".into(), time.to_string().into());
+    line.insert("up_ms".into(), u64::try_from(up).unwrap_or(u64::MAX).into());
     line.insert("level".into(), level.into());
     line.insert("target".into(), target.into());
     line
--- a/crates/logs/src/output.rs
+++ b/crates/logs/src/output.rs
@@ -72,6 +72,7 @@
 /// Starts the log. `LIMPET_LOG` sets the level; `info` is the default. Only the
 /// first call in a process has an effect.
 pub fn init(output: Output) {
+    line::start_clock();
     let budget = Mutex::new(Budget::new(Instant::now()));
     let not_read = Arc::new(AtomicU64::new(0));
     let pipe = NonBlocking {
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -343,7 +343,7 @@
         };
         if let Some(peer) = peer {
             log::info!(
-                event = "passed_on", flow:% = key, to:% = peer, full = u64::from(full);
+                event = "passed_on", flow:% = key, copy = seg.ack, to:% = peer, full = u64::from(full);
                 "new flow passed on to another agent"
             );
             self.metrics.flows.with_label_values(&["passed_on"]).inc();
--- /dev/null
+++ b/crates/trace/src/process/reader.rs
@@ -0,0 +1,155 @@
+//! The lines of all processes.
+
+use std::{
+    collections::BTreeSet,
+    io::{BufRead, BufReader, Read},
+};
+
+use super::{Run, clock};
+use crate::{Around, Entry, Error, Line, Result, Timeline};
+
+/// The lines of all processes.
+#[derive(Debug, Default)]
+pub struct Reader {
+    runs: Vec<Run>,
+    /// Lines that are not in the form of this project.
+    foreign: u64,
+}
+
+impl Reader {
+    /// Takes the lines of a source, which may hold several runs of a process.
+    ///
+    /// # Errors
+    ///
+    /// The source cannot be read.
+    pub fn read(&mut self, name: &str, source: impl Read) -> Result<()> {
+        let mut run: Option<Run> = None;
+        for text in BufReader::new(source).split(b'\n') {
+            let text = text.map_err(|source| Error {
+                name: name.to_owned(),
+                source,
+            })?;
+            let text = String::from_utf8_lossy(&text);
+            if text.trim().is_empty() {
+                continue;
+            }
+            let Some(line) = Line::parse(&text) else {
+                self.foreign += 1;
+                continue;
+            };
+            match &mut run {
+                Some(run) if !run.is_over_at(&line) => run.lines.push(line),
+                _ => self.runs.extend(run.replace(Run::begin(name, line))),
+            }
+        }
+        self.runs.extend(run);
+        Ok(())
+    }
+
+    /// Lines that are not in the form of this project.
+    #[must_use]
+    pub fn foreign(&self) -> u64 {
+        self.foreign
+    }
+
+    /// What happened to a flow or request, with what the processes involved
+    /// believed around that time.
+    #[must_use]
+    pub fn timeline(&self, id: &str, around: Around) -> Timeline {
+        let mut runs = self.runs.clone();
+        clock::align(&mut runs);
+        let involved = involved(&runs, id);
+        let times = runs
+            .iter()
+            .flat_map(|run| run.lines.iter().map(move |line| (run, line)));
+        let times: Vec<i64> = times
+            .filter(|(_, line)| line.concerns(id))
+            .map(|(run, line)| run.at_ms(line))
+            .collect();
+        let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
+            return Timeline::default();
+        };
+        let span = i64::try_from(around.span.as_millis()).unwrap_or(i64::MAX);
+        let shown = first.saturating_sub(span)..=last.saturating_add(span);
+        let mut timeline = Timeline::default();
+        let mut left_out = BTreeSet::new();
+        for (n, run) in runs.iter().enumerate() {
+            if !involved.contains(&n) {
+                continue;
+            }
+            if run.shift_ms != 0 {
+                timeline.corrected.push((run.name.clone(), run.shift_ms));
+            }
+            for line in &run.lines {
+                let at = run.at_ms(line);
+                let concerns = line.concerns(id);
+                if !shown.contains(&at) || !(concerns || is_belief(line)) {
+                    continue;
+                }
+                left_out.extend(kinds_left_out(line));
+                timeline.entries.push(Entry {
+                    at_ms: at - first,
+                    process: run.name.clone(),
+                    event: line.event.clone(),
+                    message: line.message.clone(),
+                    inputs: line.inputs(),
+                    concerns,
+                });
+            }
+        }
+        // Stable: lines of one run stay in the order in which they were written.
+        timeline.entries.sort_by_key(|entry| entry.at_ms);
+        timeline.left_out = left_out.into_iter().collect();
+        timeline
+    }
+}
+
+/// The runs that wrote of an id, and those at the hosts that they name.
+fn involved(runs: &[Run], id: &str) -> BTreeSet<usize> {
+    let mut involved = BTreeSet::new();
+    let mut hosts = BTreeSet::new();
+    for (n, run) in runs.iter().enumerate() {
+        for line in run.lines.iter().filter(|line| line.concerns(id)) {
+            involved.insert(n);
+            hosts.extend(["agent", "to"].into_iter().filter_map(|f| line.host(f)));
+        }
+    }
+    let named = runs.iter().enumerate().filter(|(_, run)| {
+        let ip = run.ip.as_deref();
+        ip.is_some_and(|ip| hosts.contains(ip))
+    });
+    involved.extend(named.map(|(n, _)| n));
+    involved
+}
+
+/// Kinds of lines that are written once for each flow, request or datagram.
+const PER_FLOW: [&str; 14] = [
+    "placed",
+    "opened",
+    "passed_on",
+    "taken",
+    "bounced",
+    "reset",
+    "dropped",
+    "tried",
+    "refused",
+    "searching",
+    "claim",
+    "not_held",
+    "learned",
+    "link_full",
+];
+
+/// Whether a line says what a process believes, not what it did with one flow.
+fn is_belief(line: &Line) -> bool {
+    !PER_FLOW.contains(&line.event.as_str())
+}
+
+fn kinds_left_out(line: &Line) -> Vec<String> {
+    let counts = line.fields.get("counts").and_then(|c| c.as_object());
+    let kinds = counts.into_iter().flat_map(|counts| counts.keys());
+    kinds
+        .filter(|kind| PER_FLOW.contains(&kind.as_str()))
+        .cloned()
+        .collect()
+}
--- /dev/null
+++ b/crates/trace/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lasts for one question: lines and the timeline of an id.
+
+mod line;
+mod timeline;
+
+pub use line::Line;
+pub use timeline::{Around, Entry, Timeline};
