flow: a wider range of agents counts as alike

Cause: a balancer without hints looks first where a flow's hash prefers, but placement followed the hash only among agents within a quarter of their slots, less than what reports lag behind; flows lay all over.

Change: agents that differ by less than 0.45 of their slots are alike. It stays below a slot of the smallest upstreams (0.5), so these are still filled evenly.

--- a/crates/flow/src/process/pool.rs
+++ b/crates/flow/src/process/pool.rs
@@ -45,7 +45,7 @@
 /// Agents whose costs differ by less are alike, in parts of an upstream's slots.
 /// It is below a slot of the smallest upstreams, so that none is filled while
 /// another is idle.
-const ALIKE: f64 = 0.25;
+const ALIKE: f64 = 0.45;
 
 /// The agents of a service.
 #[derive(Debug, Default)]
