flow, relay, replica: break off a flow that certainly no agent holds; search less after a loss of all

Change: - If most of the agents asked first have restarted, the likeliest is tried at once; the others know no better. A search that found nothing is not repeated for 300 ms. - A flow is broken off if all agents, those of other services too, have said that they do not hold it, and all were known from the start of the search to its end. A control host says that its list is whole only after it has heard all other members and the leader for 1.6 s without a break (directory::Coverage); a balancer believes it for 1 s, and only if it lacks no news of the list.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -23,5 +23,5 @@
 pub mod process;
 pub mod version;
 
-pub use process::{Changes, Directory, LEASE, Node, Part, View};
+pub use process::{Changes, Coverage, Directory, LEASE, Node, Part, View};
 pub use version::{Hello, Mark, News, ROUTES_PATH, Reply, Spoken};
--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -65,4 +65,9 @@
     pub current: bool,
     /// Changes of the directory, if any.
     pub news: Option<News>,
+    /// The last change of the directory.
+    pub mark: Mark,
+    /// Whether the directory lists all processes: the control host hears all
+    /// others.
+    pub whole: bool,
 }
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -38,6 +38,9 @@
     pub tries: usize,
     /// See `tries`.
     pub tries_per: Duration,
+    /// Pause after a search that found nothing, before the next one for the
+    /// same flow. A caller sends again after 200 ms, then ever more rarely.
+    pub pause: Duration,
 }
 
 impl Default for SteeringSettings {
@@ -52,6 +55,7 @@
             parked: 16,
             tries: 2,
             tries_per: Duration::from_millis(2500),
+            pause: Duration::from_millis(300),
         }
     }
 }
@@ -136,6 +140,9 @@
     pub released: Vec<Release>,
     /// Searches that are widened.
     pub asked: Vec<Question>,
+    /// A datagram of each flow that certainly no agent holds: it is to be
+    /// broken off, so that its caller need not wait.
+    pub lost: Vec<Bytes>,
 }
 
 #[derive(Debug)]
@@ -150,6 +157,7 @@
 
 #[derive(Debug)]
 struct Search {
+    key: Key,
     until: Instant,
     /// Agents that are asked next, if nobody claims the flow; the likeliest first.
     others: Vec<(SocketAddrV4, ServiceName)>,
@@ -158,12 +166,32 @@
     waiting_for: BTreeMap<SocketAddrV4, ServiceName>,
     perhaps: BTreeMap<SocketAddrV4, ServiceName>,
     parked: Vec<Bytes>,
+    /// All processes were listed when it began.
+    whole: bool,
+    /// The agents of other services are asked too, before the flow is broken
+    /// off: its address may have led to them when it was opened.
+    confirming: bool,
+}
+
+impl Search {
+    /// Whether all agents that were asked have said that they do not hold the flow.
+    fn is_denied(&self) -> bool {
+        self.waiting_for.is_empty() && self.perhaps.is_empty()
+    }
+
+    /// Whether most agents that were asked have restarted: others will know no
+    /// more than these, the likeliest.
+    fn is_vain(&self) -> bool {
+        self.waiting_for.is_empty() && self.perhaps.len() * 2 > self.asked
+    }
 }
 
 #[derive(Debug)]
 struct Tries {
     agents: BTreeSet<SocketAddrV4>,
     since: Instant,
+    /// A search found nothing; there is none until then.
+    pause_until: Instant,
 }
 
 /// The decisions of a balancer. See the [crate] documentation.
@@ -177,6 +205,8 @@
     searches: BTreeMap<Key, Search>,
     /// Agents that were tried for a flow and may not hold it.
     tried: BTreeMap<Key, Tries>,
+    /// All processes are listed until then, if the list was ever complete.
+    whole_until: Option<Instant>,
 }
 
 impl Steering {
@@ -191,6 +221,7 @@
             hints: BTreeMap::new(),
             searches: BTreeMap::new(),
             tried: BTreeMap::new(),
+            whole_until: None,
         }
     }
 
@@ -205,6 +236,15 @@
         self.routes.get_or_insert_default()
     }
 
+    /// Notes that all processes are listed, so that no agent is unknown here.
+    pub fn set_whole(&mut self, until: Instant) {
+        self.whole_until = Some(until);
+    }
+
+    fn is_whole(&self, now: Instant) -> bool {
+        self.whole_until.is_some_and(|until| now < until)
+    }
+
     /// The agents of a service.
     pub fn pool(&mut self, service: &ServiceName) -> &mut Pool {
         self.pools.entry(service.clone()).or_default()
@@ -318,6 +358,9 @@
             search.parked.push(payload);
             return Steer::Parked;
         }
+        if self.tried.get(&key).is_some_and(|t| now < t.pause_until) {
+            return Steer::Drop(Dropped::NotFound);
+        }
         if self.searches.len() >= self.settings.searches {
             return Steer::Drop(Dropped::Busy);
         }
@@ -327,27 +370,34 @@
         }
         let others = agents.split_off(agents.len().min(self.settings.first));
         let search = Search {
+            key,
             until: now + self.settings.search,
             others,
             asked: agents.len(),
             waiting_for: agents.iter().cloned().collect(),
             perhaps: BTreeMap::new(),
             parked: vec![payload],
+            whole: self.is_whole(now),
+            confirming: false,
         };
         self.searches.insert(key, search);
         Steer::Ask(agents)
     }
 
+    /// The services that the address of a flow leads to.
+    fn services_of(&self, key: Key) -> Vec<&ServiceName> {
+        let routes = self.routes.as_ref();
+        let rule = routes.and_then(|routes| routes.rules.get(&SocketAddr::V4(key.service)));
+        let parts = rule.into_iter().flat_map(|rule| rule.parts.keys());
+        parts.collect()
+    }
+
     /// The agents of the services that the address leads to, the likeliest
     /// holders first.
     fn agents_for(&self, key: &Key) -> Vec<(SocketAddrV4, ServiceName)> {
         let hash = key.hash();
-        let rule = self
-            .routes
-            .as_ref()
-            .and_then(|routes| routes.rules.get(&SocketAddr::V4(key.service)));
-        let services = rule.into_iter().flat_map(|rule| rule.parts.keys());
-        services
+        self.services_of(*key)
+            .into_iter()
             .filter_map(|service| Some((service, self.pools.get(service)?)))
             .flat_map(|(service, pool)| {
                 let agents = pool.likely(&self.near, hash).into_iter();
@@ -446,7 +496,8 @@
     }
 
     /// Ends the searches that are due. One that has not asked all agents asks
-    /// the next; otherwise one agent that may hold the flow gets
+    /// the next. A flow that all have denied, while all are known, is lost;
+    /// otherwise one agent that may hold the flow gets
     /// its first datagram, and the caller sends the rest again.
     pub fn end_searches(&mut self, now: Instant) -> Ended {
         let settings = self.settings;
@@ -458,30 +509,74 @@
             .collect();
         let mut ended = Ended::default();
         for key in due {
-            if let Some(search) = self.searches.get_mut(&key)
-                && !search.others.is_empty()
-            {
-                search.asked = (search.asked * settings.wider).min(search.others.len());
-                let others: Vec<_> = search.others.drain(..search.asked).collect();
+            let Some(mut search) = self.searches.remove(&key) else {
+                continue;
+            };
+            if search.is_vain() && self.may_try(&key, now) {
+                ended.released.extend(self.try_one(key, &search, now));
+                continue;
+            }
+            let others = self.next_to_ask(&mut search, now);
+            if let (false, Some(payload)) = (others.is_empty(), search.parked.first().cloned()) {
                 search.waiting_for.extend(others.iter().cloned());
                 search.until = now + settings.search;
-                if let Some(payload) = search.parked.first().cloned() {
-                    ended.asked.push(Question { payload, others });
-                }
-            } else if let Some(search) = self.searches.remove(&key) {
-                ended.released.extend(self.try_one(key, search, now));
+                self.searches.insert(key, search);
+                ended.asked.push(Question { payload, others });
+                continue;
+            }
+            if search.whole && search.is_denied() && self.is_whole(now) {
+                ended.lost.extend(search.parked.into_iter().next());
+                continue;
+            }
+            let released = self.try_one(key, &search, now);
+            if released.is_none() {
+                self.tries(key, now).pause_until = now + settings.pause;
             }
+            ended.released.extend(released);
         }
         ended
     }
 
-    fn try_one(&mut self, key: Key, search: Search, now: Instant) -> Option<Release> {
-        let settings = self.settings;
-        let likely = self.agents_for(&key);
-        let tries = self.tried.entry(key).or_insert(Tries {
+    /// The agents that a search asks next; none once it has asked all.
+    fn next_to_ask(&self, search: &mut Search, now: Instant) -> Vec<(SocketAddrV4, ServiceName)> {
+        if !search.others.is_empty() {
+            search.asked = (search.asked * self.settings.wider).min(search.others.len());
+            return search.others.drain(..search.asked).collect();
+        }
+        let lost = search.whole && search.is_denied() && self.is_whole(now);
+        if !lost || search.confirming {
+            return Vec::new();
+        }
+        search.confirming = true;
+        let asked = self.services_of(search.key);
+        let pools = self.pools.iter().filter(|(name, _)| !asked.contains(name));
+        let agents = pools.flat_map(|(service, pool)| {
+            let addresses = pool.addresses();
+            addresses.map(|address| (address, service.clone()))
+        });
+        agents.collect()
+    }
+
+    fn tries(&mut self, key: Key, now: Instant) -> &mut Tries {
+        self.tried.entry(key).or_insert(Tries {
             agents: BTreeSet::new(),
             since: now,
-        });
+            pause_until: now,
+        })
+    }
+
+    /// Whether another agent may be tried for a flow.
+    fn may_try(&self, key: &Key, now: Instant) -> bool {
+        self.tried.get(key).is_none_or(|tries| {
+            tries.agents.len() < self.settings.tries || now >= tries.since + self.settings.tries_per
+        })
+    }
+
+    fn try_one(&mut self, key: Key, search: &Search, now: Instant) -> Option<Release> {
+        let settings = self.settings;
+        // An agent of another service may hold a flow, but is not tried for it.
+        let likely = self.agents_for(&key);
+        let tries = self.tries(key, now);
         if now >= tries.since + settings.tries_per {
             tries.since = now;
             // Those that were tried come last: start over once all had a turn.
@@ -500,7 +595,7 @@
             agent,
             origin: Origin::Tried,
             service,
-            payload: search.parked.into_iter().next()?,
+            payload: search.parked.first().cloned()?,
         })
     }
 
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -162,3 +162,152 @@
     let told = to(&steer(&mut steering, &data(2, 101, 1), now));
     assert_eq!(told, (other, Origin::Held));
 }
+
+/// How the agents of a balancer answer when a flow is looked for.
+struct Answers {
+    /// The list is complete when the search begins, and when it ends.
+    whole: (bool, bool),
+    /// Answer of agent 1; the other one denies.
+    first: Option<Claim>,
+    /// Answer of the agent of another service.
+    other: Option<Claim>,
+}
+
+/// Returns whether the flow was broken off, and what was sent on.
+fn looked_for(answers: &Answers) -> (bool, usize) {
+    let (mut steering, mut now) = ready(2);
+    let other = "others".parse().unwrap();
+    steering.pool(&other).insert(address(9), common::agent(now));
+    if answers.whole.0 {
+        steering.set_whole(now + Duration::from_secs(1));
+    }
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    steer(&mut steering, &seg, now);
+    let (mut lost, mut released) = (0, 0);
+    let claims = [(1, answers.first), (2, Some(Claim::No)), (9, answers.other)];
+    for _ in 0..3 {
+        for (n, claim) in claims {
+            if let Some(claim) = claim {
+                released += steering.claimed(key, address(n), claim, now).len();
+            }
+        }
+        now += Duration::from_millis(40);
+        steering.set_whole(now + Duration::from_millis(if answers.whole.1 { 1000 } else { 0 }));
+        let ended = steering.end_searches(now);
+        lost += ended.lost.len();
+        released += ended.released.len();
+    }
+    (lost > 0, released)
+}
+
+/// Guards against a living flow that is broken off, and against a caller that
+/// waits for a flow which no upstream holds.
+#[test]
+fn a_flow_is_broken_off_only_if_no_agent_can_hold_it() {
+    let no = Some(Claim::No);
+    let whole = (true, true);
+    let cases = [
+        (
+            "all deny",
+            Answers {
+                whole,
+                first: no,
+                other: no,
+            },
+            (true, 0),
+        ),
+        (
+            "one is silent",
+            Answers {
+                whole,
+                first: None,
+                other: no,
+            },
+            (false, 0),
+        ),
+        (
+            "one has restarted",
+            Answers {
+                whole,
+                first: Some(Claim::Perhaps),
+                other: no,
+            },
+            (false, 1),
+        ),
+        (
+            "one holds it",
+            Answers {
+                whole,
+                first: Some(Claim::Holds),
+                other: no,
+            },
+            (false, 1),
+        ),
+        (
+            "one of another service is silent",
+            Answers {
+                whole,
+                first: no,
+                other: None,
+            },
+            (false, 0),
+        ),
+        (
+            "one of another service has restarted",
+            Answers {
+                whole,
+                first: no,
+                other: Some(Claim::Perhaps),
+            },
+            (false, 0),
+        ),
+        (
+            "one of another service holds it",
+            Answers {
+                whole,
+                first: no,
+                other: Some(Claim::Holds),
+            },
+            (false, 1),
+        ),
+        (
+            "agents were unknown",
+            Answers {
+                whole: (false, true),
+                first: no,
+                other: no,
+            },
+            (false, 0),
+        ),
+        (
+            "the list is out of date",
+            Answers {
+                whole: (true, false),
+                first: no,
+                other: no,
+            },
+            (false, 0),
+        ),
+    ];
+    for (what, answers, expected) in cases {
+        assert_eq!(looked_for(&answers), expected, "{what}");
+    }
+}
+
+/// Guards against searches for one flow that follow on each other: after a loss
+/// of all processes they took the time of all balancers.
+#[test]
+fn a_search_that_found_nothing_is_not_repeated_at_once() {
+    let (mut steering, now) = ready(3);
+    let seg = data(1, 101, 1);
+    for n in [0, 100, 200, 350] {
+        let at = now + Duration::from_millis(n);
+        let steered = steer(&mut steering, &seg, at);
+        let asks = matches!(steered, Steer::Ask(_));
+        assert_eq!(asks, n == 0 || n == 350, "after {n} ms: {steered:?}");
+        if asks {
+            steering.end_searches(at + Duration::from_millis(31));
+        }
+    }
+}
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -178,7 +178,7 @@
                 }
                 update = self.updates.recv() => match update {
                     Some(Update::Nodes(changes)) => self.nodes_changed(changes).await,
-                    Some(Update::Routes(_)) => {}
+                    Some(Update::Routes(_) | Update::Whole(_)) => {}
                     None => return,
                 },
                 Some(announced) = self.announced.recv() => self.announced(announced).await,
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -165,20 +165,26 @@
                 self.ask(&payload, agents).await;
             }
             Steer::Parked => {}
-            Steer::Reset => {
-                self.metrics.flows.with_label_values(&["reset"]).inc();
-                log::info!(
-                    event = "reset", flow:% = key, cause = "no_rule", set = self.set_number();
-                    "flow broken off: its address has no rule"
-                );
-                let to = SocketAddrV4::new(*seg.source.ip(), self.cfg.caller_port);
-                // A datagram may be lost anyway.
-                let _ = self.ingress.send_to(&self.codec.reset(seg), to).await;
-            }
+            Steer::Reset => self.break_off(&payload, "no_rule").await,
             Steer::Drop(cause) => self.drop_datagram(seg, cause),
         }
     }
 
+    /// Breaks off the flow of a caller's datagram.
+    async fn break_off(&self, payload: &Bytes, cause: &str) {
+        let Some(seg) = self.codec.parse(payload) else {
+            return;
+        };
+        self.metrics.flows.with_label_values(&["reset"]).inc();
+        log::info!(
+            event = "reset", flow:% = seg.key_from_caller(), cause = cause,
+            set = self.set_number(); "flow broken off"
+        );
+        let to = SocketAddrV4::new(*seg.source.ip(), self.cfg.caller_port);
+        // A datagram may be lost anyway.
+        let _ = self.ingress.send_to(&self.codec.reset(&seg), to).await;
+    }
+
     async fn ask(&mut self, payload: &Bytes, agents: Vec<(SocketAddrV4, ServiceName)>) {
         let head = Bytes::copy_from_slice(self.codec.head(payload));
         for (agent, service) in agents {
@@ -334,6 +340,7 @@
     fn update(&mut self, update: Update) {
         match update {
             Update::Nodes(changes) => self.nodes_changed(changes, Instant::now()),
+            Update::Whole(until) => self.steering.set_whole(until),
             Update::Routes(delta) => {
                 let (number, changed) = (delta.number, delta.changed.len());
                 let advanced = self.steering.routes_mut().advance(delta);
@@ -401,6 +408,9 @@
                 .inc();
             self.ask(&question.payload, question.others).await;
         }
+        for payload in ended.lost {
+            self.break_off(&payload, "held_by_no_agent").await;
+        }
         let released = ended.released;
         for release in &released {
             if let Some(seg) = self.codec.parse(&release.payload) {
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -39,6 +39,10 @@
 /// change must be in force everywhere.
 const OUTDATED: Duration = Duration::from_millis(900);
 
+/// The word of a control host that the list of nodes is complete holds for this
+/// long: two pauses between hellos, so that one may be lost.
+const WHOLE: Duration = HELLO.saturating_mul(2);
+
 /// Time for a control host to send what a node lacks of the routing set.
 const FETCH: Duration = Duration::from_millis(800);
 
@@ -52,6 +56,8 @@
     Nodes(Changes),
     /// A newer routing set.
     Routes(RoutingDelta),
+    /// All processes are listed, until then.
+    Whole(Instant),
 }
 
 /// Settings of a [`Sync`] task.
@@ -238,6 +244,11 @@
         if reply.current {
             self.current_at = now;
         }
+        // News of the list may have been lost on its way here.
+        if reply.whole && self.view.mark() == reply.mark {
+            // The receiver ends only with the process.
+            let _ = self.updates.send(Update::Whole(now + WHOLE)).await;
+        }
         self.prefer_current(now);
         if self.cfg.routes && reply.routes > self.have && !self.fetching {
             self.fetch(from);
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -69,12 +70,14 @@
 }
 
 /// How a member stands to its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(crate) struct Standing {
     /// It knows its group.
     pub formed: bool,
     /// It hears the leader, or leads.
     pub current: bool,
+    /// The other members of the group.
+    pub others: Vec<SocketAddr>,
 }
 
 /// What a [`GroupTask`] talks to.
@@ -224,12 +227,18 @@
         self.metrics.commit.set(gauge(status.commit.0));
         let voters = status.group.as_ref().map_or(0, |group| group.voters.len());
         self.metrics.voters.set(gauge(voters as u64));
+        let members = status.group.iter().flat_map(Group::members);
+        let others = members.filter(|(id, _)| *id != status.id);
         let standing = Standing {
             formed: !status.is_blank(),
             current: status.leader.is_some(),
+            others: others.map(|(_, address)| address).collect(),
         };
-        self.standing
-            .send_if_modified(|known| std::mem::replace(known, standing) != standing);
+        self.standing.send_if_modified(|known| {
+            let changed = *known != standing;
+            *known = standing;
+            changed
+        });
         let told = (status.is_leader(), status.group.clone());
         if self.told.as_ref() == Some(&told) {
             return;
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -3,14 +3,14 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use consensus::Group;
-use directory::{Directory, Hello, Mark, Node, Part, Reply, Spoken};
+use directory::{Coverage, Directory, Hello, Mark, Node, Part, Reply, Spoken};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -58,6 +58,7 @@
     me: Node,
     socket: UdpSocket,
     directory: Directory,
+    coverage: Coverage,
     subscribers: BTreeMap<SocketAddrV4, Subscriber>,
     history: Rc<RefCell<RouteHistory>>,
     /// The member beside it; none without a disk.
@@ -129,8 +130,8 @@
         let port = cfg.node_port;
         let members = restored.into_iter().flat_map(Group::members);
         let remembered = members.filter_map(|(_, address)| match address {
-            std::net::SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
-            std::net::SocketAddr::V6(_) => None,
+            SocketAddr::V4(address) => Some(SocketAddrV4::new(*address.ip(), port)),
+            SocketAddr::V6(_) => None,
         });
         let remembered = remembered.collect();
         // One host forms the first group: if each did, two could form different ones.
@@ -141,6 +142,7 @@
             me,
             socket: channels.socket,
             directory: Directory::new(run),
+            coverage: Coverage::new(now),
             subscribers: BTreeMap::new(),
             history: channels.history,
             member: channels.member,
@@ -163,8 +165,8 @@
             let gossip_at = self.gossip_at;
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
-                    if let Ok((len, _)) = received {
-                        self.receive(&buf[..len]).await;
+                    if let Ok((len, from)) = received {
+                        self.receive(&buf[..len], from).await;
                     }
                 }
                 changed = member_changed(&mut self.member) => {
@@ -200,11 +202,14 @@
         }
     }
 
-    async fn receive(&mut self, datagram: &[u8]) {
+    async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         let now = Instant::now();
         match wire::decode(datagram) {
             Ok(Spoken::Hello(hello)) => self.hello(hello, now).await,
             Ok(Spoken::Heard(heard)) => {
+                if let SocketAddr::V4(from) = from {
+                    self.coverage.note(*from.ip(), now);
+                }
                 let mut new = false;
                 for (node, age) in heard {
                     let age = Duration::from_millis(age);
@@ -311,6 +316,8 @@
     async fn reply(&mut self, to: SocketAddrV4, always: bool) {
         let routes = self.history.borrow().number();
         let current = self.me.is_current();
+        let mark = self.directory.mark();
+        let whole = self.coverage.is_whole(Instant::now());
         let Some(subscriber) = self.subscribers.get_mut(&to) else {
             return;
         };
@@ -333,6 +340,8 @@
                 routes,
                 current,
                 news: first,
+                mark,
+                whole,
             },
         )
         .await;
@@ -341,6 +350,8 @@
                 routes,
                 current,
                 news: Some(piece),
+                mark,
+                whole,
             };
             self.send(to, &reply).await;
         }
@@ -386,9 +397,27 @@
         if !gone.is_empty() {
             self.tell_subscribers(false).await;
         }
+        self.review_coverage(now);
         self.report(now);
     }
 
+    /// Looks whether this host hears of all processes; one without a disk never
+    /// says so, since it does not know the members of the group.
+    fn review_coverage(&mut self, now: Instant) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        let others = member.standing.borrow().others.clone();
+        let others: Vec<Ipv4Addr> = others
+            .into_iter()
+            .filter_map(|address| match address {
+                SocketAddr::V4(address) => Some(*address.ip()),
+                SocketAddr::V6(_) => None,
+            })
+            .collect();
+        self.coverage.review(&others, self.me.is_current(), now);
+    }
+
     fn report(&mut self, now: Instant) {
         let port = self.cfg.member_port;
         let mut heard = BTreeMap::new();
