flow, relay: bound the questions of searches by the link

Some 1,100 requests a second on dead flows were each searched for among 58 agents.

Ruled out: agents (the losses are the same for all), the balancers' own queue (link_full was silent at that time).

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -44,6 +44,6 @@
 
 pub use connection::{Key, Segment};
 pub use process::{
-    Candidate, Claim, Dropped, Ended, FromUpstream, Holder, HolderSettings, Load, Origin, Pool,
-    Question, Release, Steer, Steering, SteeringSettings, Upstream, Verdict,
+    Allowance, Candidate, Claim, Dropped, Ended, FromUpstream, Holder, HolderSettings, Load,
+    Origin, Pool, Question, Release, Steer, Steering, SteeringSettings, Upstream, Verdict,
 };
--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use types::{DataCentre, RoutingSet, ServiceName};
 
-use super::{Claim, Origin, Pool};
+use super::{Allowance, Claim, Origin, Pool};
 use crate::{Key, Segment};
 
 /// Times and bounds of a [`Steering`].
@@ -29,6 +29,10 @@
     pub first: usize,
     /// See `first`.
     pub wider: usize,
+    /// Agents that may be asked in a second by searches that widen. Searches
+    /// beyond that end with the likeliest agents: after a loss of all processes
+    /// there is one for each open flow, and their questions would fill the link.
+    pub questions: u32,
     /// Searches under way at most.
     pub searches: usize,
     /// Datagrams of one flow that wait for its holder: a window of the sender.
@@ -51,6 +55,7 @@
             search: Duration::from_millis(30),
             first: 3,
             wider: 3,
+            questions: 20_000,
             searches: 512,
             parked: 16,
             tries: 2,
@@ -163,6 +168,8 @@
     others: Vec<(SocketAddrV4, ServiceName)>,
     /// Agents that were asked last.
     asked: usize,
+    /// It may ask all agents, step by step.
+    is_wide: bool,
     waiting_for: BTreeMap<SocketAddrV4, ServiceName>,
     perhaps: BTreeMap<SocketAddrV4, ServiceName>,
     parked: Vec<Bytes>,
@@ -176,7 +183,7 @@
 impl Search {
     /// Whether all agents that were asked have said that they do not hold the flow.
     fn is_denied(&self) -> bool {
-        self.waiting_for.is_empty() && self.perhaps.is_empty()
+        self.others.is_empty() && self.waiting_for.is_empty() && self.perhaps.is_empty()
     }
 
     /// Whether most agents that were asked have restarted: others will know no
@@ -205,6 +212,8 @@
     searches: BTreeMap<Key, Search>,
     /// Agents that were tried for a flow and may not hold it.
     tried: BTreeMap<Key, Tries>,
+    /// Questions of searches that widen.
+    questions: Allowance,
     /// All processes are listed until then, if the list was ever complete.
     whole_until: Option<Instant>,
 }
@@ -214,6 +223,7 @@
     #[must_use]
     pub fn new(settings: SteeringSettings, near: DataCentre) -> Self {
         Steering {
+            questions: Allowance::new(settings.questions),
             settings,
             near,
             routes: None,
@@ -374,6 +384,7 @@
             until: now + self.settings.search,
             others,
             asked: agents.len(),
+            is_wide: false,
             waiting_for: agents.iter().cloned().collect(),
             perhaps: BTreeMap::new(),
             parked: vec![payload],
@@ -538,8 +549,20 @@
     }
 
     /// The agents that a search asks next; none once it has asked all.
-    fn next_to_ask(&self, search: &mut Search, now: Instant) -> Vec<(SocketAddrV4, ServiceName)> {
+    fn next_to_ask(
+        &mut self,
+        search: &mut Search,
+        now: Instant,
+    ) -> Vec<(SocketAddrV4, ServiceName)> {
         if !search.others.is_empty() {
+            if !search.is_wide {
+                // Half a search costs as much and finds less.
+                let all = self.pools.values().map(|pool| pool.addresses().count());
+                search.is_wide = self.questions.take(all.sum(), now);
+            }
+            if !search.is_wide {
+                return Vec::new();
+            }
             search.asked = (search.asked * self.settings.wider).min(search.others.len());
             return search.others.drain(..search.asked).collect();
         }
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -31,6 +31,17 @@
 /// An agent that is not listed and did not report for this long is forgotten.
 const FORGET: Duration = Duration::from_secs(5);
 
+/// Part of the link, in percent, that questions of searches may take.
+const QUESTIONS_PERCENT: u64 = 10;
+
+/// Bytes of a question with the headers below it.
+const QUESTION: u64 = 72;
+
+/// Questions that a link can take in a second.
+fn questions(link: BytesPerSecond) -> u32 {
+    u32::try_from(link.0 * QUESTIONS_PERCENT / 100 / QUESTION).unwrap_or(u32::MAX)
+}
+
 /// Settings of a [`Balancer`].
 #[derive(Debug, Clone)]
 pub struct BalancerSettings {
@@ -82,11 +93,17 @@
             let address = SocketAddr::V4(address);
             net::bind_udp(address).map_err(|e| Error::Bind(address, e))
         };
+        let steering = SteeringSettings {
+            questions: cfg.link.map_or(cfg.steering.questions, |link| {
+                questions(link).min(cfg.steering.questions)
+            }),
+            ..cfg.steering
+        };
         Ok(Balancer {
             ingress: bind(cfg.ingress)?,
             peers: bind(cfg.peer)?,
             egress: Egress::new(cfg.link, Instant::now()),
-            steering: Steering::new(cfg.steering, cfg.data_centre.clone()),
+            steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
             codec,
             updates,
