--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent.rs
@@ -57,6 +57,8 @@
     pub callers: SocketAddrV4,
     /// Where balancers and other agents reach the agent.
     pub peer: SocketAddrV4,
+    /// Local address for it.
+    pub peer_listen: SocketAddrV4,
     /// Where the upstream takes datagrams.
     pub upstream: SocketAddrV4,
     /// Port of callers.
@@ -146,7 +148,7 @@
             balancers: Balancers::default(),
             outbound: bind(cfg.outbound)?,
             callers: bind(cfg.callers)?,
-            peers: bind(cfg.peer)?,
+            peers: bind(cfg.peer_listen)?,
             cfg,
             updates,
             announced,
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -49,6 +49,8 @@
     pub ingress: SocketAddrV4,
     /// Where agents reach the balancer.
     pub peer: SocketAddrV4,
+    /// Local address for it.
+    pub peer_listen: SocketAddrV4,
     /// Port of callers.
     pub caller_port: u16,
     /// Where the balancer is.
@@ -101,7 +103,7 @@
         };
         Ok(Balancer {
             ingress: bind(cfg.ingress)?,
-            peers: bind(cfg.peer)?,
+            peers: bind(cfg.peer_listen)?,
             egress: Egress::new(cfg.link, Instant::now()),
             steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -67,6 +67,8 @@
     pub node: Node,
     /// Local address of the task's socket.
     pub listen: SocketAddrV4,
+    /// Where control hosts reach it.
+    pub reply_to: SocketAddrV4,
     /// Hosts where control hosts may be found; they may change.
     pub seeds: watch::Receiver<Vec<Ipv4Addr>>,
     /// UDP port of control hosts for hellos.
@@ -179,7 +181,7 @@
             .map_or_else(|| self.candidates(), |host| vec![host]);
         let hello = Spoken::Hello(Hello {
             node: self.cfg.node.clone(),
-            reply_to: self.cfg.listen,
+            reply_to: self.cfg.reply_to,
             mark: self.view.mark(),
         });
         match wire::encode(&hello) {
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -1,12 +1,6 @@
 //! Starting a control host.
 
-use std::{
-    cell::RefCell,
-    future::Future,
-    net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
-    time::Instant,
-};
+use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, time::Instant};
 
 use consensus::{Consensus, Identity};
 use net::Limits;
@@ -55,11 +49,11 @@
     let seed = rand::rng().random();
     let consensus = Consensus::new(cfg.consensus, me, found.restored, seed, Instant::now());
 
-    let member_address = SocketAddr::V4(cfg.member_address());
+    let member_address = cfg.local(cfg.member_address());
     let bind = |e| Error::Bind(member_address, e);
     let listener = TcpListener::bind(member_address).await.map_err(bind)?;
     let member_socket = net::bind_udp(member_address).map_err(bind)?;
-    let node_address = SocketAddr::V4(cfg.node_address());
+    let node_address = cfg.local(cfg.node_address());
     let node_socket = net::bind_udp(node_address).map_err(|e| Error::Bind(node_address, e))?;
 
     let (commands_tx, commands_rx) = mpsc::channel(COMMANDS);
@@ -130,7 +124,7 @@
     stop: watch::Receiver<bool>,
 ) -> Result<watch::Receiver<Vec<Ipv4Addr>>> {
     let metrics = Metrics::new(registry)?;
-    let address = SocketAddr::V4(cfg.node_address());
+    let address = cfg.local(cfg.node_address());
     let socket = net::bind_udp(address).map_err(|e| Error::Bind(address, e))?;
     log::info!(event = "observer_started", address:% = address; "control host without a disk started");
     let (members_tx, members) = watch::channel(Vec::new());
--- a/crates/replica/src/process/settings.rs
+++ b/crates/replica/src/process/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a control host.
 
 use std::{
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     path::PathBuf,
     time::Duration,
 };
@@ -14,8 +14,10 @@
 /// Settings of a control host.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Address of the host.
+    /// Address by which others reach the host.
     pub ip: Ipv4Addr,
+    /// Local address for it.
+    pub listen_ip: Ipv4Addr,
     /// Where the host is.
     pub data_centre: DataCentre,
     /// Folder of the durable state.
@@ -47,6 +49,7 @@
     ) -> Self {
         Settings {
             ip,
+            listen_ip: ip,
             data_centre,
             data_dir,
             member_port: 7001,
@@ -65,6 +68,11 @@
         SocketAddrV4::new(self.ip, self.member_port)
     }
 
+    /// A local address for one by which this host is reached.
+    pub(crate) fn local(&self, address: SocketAddrV4) -> SocketAddr {
+        SocketAddrV4::new(self.listen_ip, address.port()).into()
+    }
+
     /// Where nodes reach this host.
     #[must_use]
     pub fn node_address(&self) -> SocketAddrV4 {
