flow: a late answer still tells the holder of a flow

A search waits 30 ms; the holder's answer came 280 ms after the question, each time after its search had ended, and was thrown away. The caller got no answer for 12 s. `limpetctl explain` shows searching, dropped (not_found) and claim (Holds) by turns.

Change: an answer that an agent holds a flow is remembered also after the search.

--- a/crates/flow/src/process/steering.rs
+++ b/crates/flow/src/process/steering.rs
@@ -475,6 +475,7 @@
         now: Instant,
     ) -> Vec<Release> {
         let Some(search) = self.searches.get_mut(&key) else {
+            self.claimed_late(key, agent, claim, now);
             return Vec::new();
         };
         let Some(service) = search.waiting_for.remove(&agent) else {
@@ -491,6 +492,19 @@
         Vec::new()
     }
 
+    /// Notes an answer that came after its search: the way may take longer than
+    /// a search waits.
+    fn claimed_late(&mut self, key: Key, agent: SocketAddrV4, claim: Claim, now: Instant) {
+        if claim != Claim::Holds || self.hints.contains_key(&key) {
+            return;
+        }
+        let mut pools = self.pools.iter();
+        let service = pools.find(|(_, pool)| pool.get(agent).is_some());
+        if let Some(service) = service.map(|(service, _)| service.clone()) {
+            self.held(key, agent, &service, now);
+        }
+    }
+
     /// Notes that an agent does not hold a flow that was sent to it, and
     /// searches for the holder with the datagram that came back.
     pub fn not_held(
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -311,3 +311,20 @@
         }
     }
 }
+
+/// Guards against a flow that is never found where the way to its agent takes
+/// longer than a search waits: seen in the soak, seed 1003, with slow links.
+#[test]
+fn an_answer_that_comes_late_still_tells_the_holder() {
+    let (mut steering, now) = ready(3);
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    steer(&mut steering, &seg, now);
+    let ended = now + Duration::from_millis(40);
+    steering.end_searches(ended);
+    let late = ended + Duration::from_millis(100);
+    assert_eq!(steering.claimed(key, address(1), Claim::Perhaps, late), []);
+    assert_eq!(steering.claimed(key, address(2), Claim::Holds, late), []);
+    let steered = steer(&mut steering, &seg, late);
+    assert_eq!(to(&steered), (address(2), Origin::Held));
+}
