limpetd: tests that fail keep the logs of their processes

a_leader_that_wakes_answers_nobody (KNOWN-RED.txt) failed once because a process refused a connection, and nothing told whether it had ended and why. The next failure leaves its logs.

--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -134,6 +134,30 @@
     starts: u32,
 }
 
+/// Keeps the logs of a test that failed, and tells which processes had ended.
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for (role, processes) in [
+            ("control", &mut self.control),
+            ("balancer", &mut self.balancers),
+            ("agent", &mut self.agents),
+        ] {
+            for (n, process) in processes.iter_mut().enumerate() {
+                if let Some(success) = process.ended() {
+                    eprintln!("{role} {n} had ended; success: {success}");
+                }
+            }
+        }
+        let kept = self.dir.path().with_extension("kept");
+        if std::fs::rename(self.dir.path(), &kept).is_ok() {
+            eprintln!("logs are kept in {}", kept.display());
+        }
+    }
+}
+
 pub const SERVICE: &str = "vouchers";
 
 impl Site {
