--- a/crates/trace/src/process/reader.rs
+++ b/crates/trace/src/process/reader.rs
@@ -58,7 +58,8 @@
     pub fn timeline(&self, id: &str, around: Around) -> Timeline {
         let mut runs = self.runs.clone();
         clock::align(&mut runs);
-        let involved = involved(&runs, id);
+        let hosts = hosts(&runs, id);
+        let involved = involved(&runs, id, &hosts);
         let times = runs
             .iter()
             .flat_map(|run| run.lines.iter().map(move |line| (run, line)));
@@ -83,7 +84,7 @@
             for line in &run.lines {
                 let at = run.at_ms(line);
                 let concerns = line.concerns(id);
-                if !shown.contains(&at) || !(concerns || is_belief(line)) {
+                if !shown.contains(&at) || !(concerns || is_belief(line, &hosts)) {
                     continue;
                 }
                 left_out.extend(kinds_left_out(line));
@@ -104,24 +105,30 @@
     }
 }
 
-/// The runs that wrote of an id, and those at the hosts that they name.
-fn involved(runs: &[Run], id: &str) -> BTreeSet<usize> {
-    let mut involved = BTreeSet::new();
+/// The hosts of the processes that wrote of an id, and those that they name.
+fn hosts<'a>(runs: &'a [Run], id: &str) -> BTreeSet<&'a str> {
     let mut hosts = BTreeSet::new();
-    for (n, run) in runs.iter().enumerate() {
+    for run in runs {
         for line in run.lines.iter().filter(|line| line.concerns(id)) {
-            involved.insert(n);
-            hosts.extend(["agent", "to"].into_iter().filter_map(|f| line.host(f)));
+            hosts.extend(run.ip.as_deref());
+            hosts.extend(NAMING.into_iter().filter_map(|field| line.host(field)));
         }
     }
-    let named = runs.iter().enumerate().filter(|(_, run)| {
-        let ip = run.ip.as_deref();
-        ip.is_some_and(|ip| hosts.contains(ip))
+    hosts
+}
+
+/// The runs that wrote of an id, and those at the hosts involved.
+fn involved(runs: &[Run], id: &str, hosts: &BTreeSet<&str>) -> BTreeSet<usize> {
+    let runs = runs.iter().enumerate().filter(|(_, run)| {
+        let at_host = run.ip.as_deref().is_some_and(|ip| hosts.contains(ip));
+        at_host || run.lines.iter().any(|line| line.concerns(id))
     });
-    involved.extend(named.map(|(n, _)| n));
-    involved
+    runs.map(|(n, _)| n).collect()
 }
 
+/// Fields that name a process on another host.
+const NAMING: [&str; 3] = ["address", "agent", "to"];
+
 /// Kinds of lines that are written once for each flow, request or datagram.
 const PER_FLOW: [&str; 14] = [
     "placed",
@@ -141,8 +148,10 @@
 ];
 
 /// Whether a line says what a process believes, not what it did with one flow.
-fn is_belief(line: &Line) -> bool {
-    !PER_FLOW.contains(&line.event.as_str())
+/// What it believes of hosts that are not involved is left out.
+fn is_belief(line: &Line, hosts: &BTreeSet<&str>) -> bool {
+    let mut named = NAMING.into_iter().filter_map(|field| line.host(field));
+    !PER_FLOW.contains(&line.event.as_str()) && named.all(|host| hosts.contains(host))
 }
 
 fn kinds_left_out(line: &Line) -> Vec<String> {
--- a/crates/trace/tests/timeline.rs
+++ b/crates/trace/tests/timeline.rs
@@ -62,6 +62,8 @@
     let opened = flow(r#""copy":0,"origin":"Passed","busy":3"#);
     second.line(1004, "opened", &opened);
     second.line(1500, "upstream", r#""accepting":0"#);
+    balancer.line(1510, "agent", r#""agent":"192.0.2.9:7082","accepting":0"#);
+    balancer.line(1511, "agent", r#""agent":"192.0.2.77:7082","accepting":0"#);
     let lost = flow(r#""cause":"upstream_lost_flow""#);
     second.line(1600, "reset", &lost);
     second.line(
@@ -128,6 +130,9 @@
     let beliefs = timeline.entries.iter().filter(|entry| !entry.concerns);
     let beliefs: Vec<&str> = beliefs.map(|entry| entry.event.as_str()).collect();
     assert!(beliefs.contains(&"upstream"), "{beliefs:?}");
+    // Only what it believes of an agent that is involved.
+    let agents = beliefs.iter().filter(|event| **event == "agent");
+    assert_eq!(agents.count(), 1, "{beliefs:?}");
 }
 
 /// Guards against runs of a restarted process that are taken for one.
