replica, relay: find the control hosts sooner after a loss of all power

Control hosts have their sets at 38.94 s, but nodes know only the seeds, which have no disk there and start at 39.29 to 39.35. A seed learns of a control host by a message that comes every 250 ms (one came 2 ms before a seed listened), and a node that a seed tells of one waited up to 100 ms more before it said hello there; balancers were ready at 39.43 to 39.49.

--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -227,6 +227,9 @@
                 // It may know where others are.
                 if let Some(news) = reply.news {
                     let changes = self.view.apply(news, now);
+                    if changes.changed.iter().any(Node::is_formed) {
+                        self.hello_at = now;
+                    }
                     self.tell(changes).await;
                 }
                 return;
--- a/crates/replica/src/process/nodes.rs
+++ b/crates/replica/src/process/nodes.rs
@@ -28,6 +28,13 @@
 /// Pause between two messages to the other control hosts.
 const GOSSIP: Duration = Duration::from_millis(250);
 
+/// Pause between two messages to the other control hosts during [`EAGER`].
+const EAGER_GOSSIP: Duration = Duration::from_millis(60);
+
+/// After a start messages to the other control hosts are frequent for this
+/// long: after a loss of all power, nodes learn of one another by these alone.
+const EAGER: Duration = Duration::from_secs(3);
+
 /// What was heard is repeated to the other control hosts after this time, even
 /// if it did not change. A third of a lease.
 const REPEAT: Duration = Duration::from_secs(1);
@@ -73,6 +80,8 @@
     stop: watch::Receiver<bool>,
     metrics: Metrics,
     gossip_at: Instant,
+    /// Messages to the other control hosts are frequent until then.
+    eager_until: Instant,
     /// When the unchanged records were last repeated.
     repeated_at: Instant,
     /// Addresses of voters and learners from the disk, to be found again after
@@ -152,6 +161,7 @@
             stop: channels.stop,
             metrics,
             gossip_at: now,
+            eager_until: now + EAGER,
             repeated_at: now,
             remembered,
         }
@@ -378,7 +388,8 @@
     /// Tells the other control hosts what was heard here, and the group task
     /// which control hosts were heard.
     async fn gossip(&mut self, now: Instant) {
-        self.gossip_at = now + GOSSIP;
+        let eager = now < self.eager_until;
+        self.gossip_at = now + if eager { EAGER_GOSSIP } else { GOSSIP };
         self.directory.note(self.me.clone(), now);
         let mut told: Vec<(Node, u64)> = vec![(self.me.clone(), 0)];
         if now >= self.repeated_at + REPEAT {
