--- a/crates/limpetctl/tests/settings.rs
+++ b/crates/limpetctl/tests/settings.rs
@@ -35,6 +35,8 @@
     "call https://vouchers.example/ --insecure --body @/nonexistent/body",
     "call https://vouchers.example/ --insecure --header accept",
     "completions basic",
+    "explain 100.64.0.7:40001-198.18.0.1:443",
+    "explain 100.64.0.7:40001-198.18.0.1:443 Cargo.toml --around 2h",
     "--control 192.0.2.1:7100 --tls-ca Cargo.toml status",
     "--control 192.0.2.1:7100 --tls-key Cargo.toml status --tls-ca Cargo.toml",
     "--control 192.0.2.1:7100 --tls-ca /nonexistent/ca --tls-certificate a --tls-key b status",
