--- a/crates/relay/src/connection/message.rs
+++ b/crates/relay/src/connection/message.rs
@@ -1,12 +1,12 @@
 //! Messages between balancers and agents.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Instant};
 
 use bytes::Bytes;
-use flow::{Claim, Key, Load, Origin};
+use flow::{Candidate, Claim, Key, Load, Origin};
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash64;
-use types::{DataCentre, ServiceName, Slots};
+use types::{DataCentre, ServiceName, Slots, UpstreamId};
 
 /// Names the service that a datagram is for. An agent of another service, at an
 /// address that was used before, does not take it.
@@ -92,3 +92,19 @@
     /// The work of its upstream.
     pub load: Load,
 }
+
+impl Report {
+    /// The sender, as one that may take new flows.
+    #[must_use]
+    pub fn candidate(self, now: Instant) -> Candidate {
+        Candidate {
+            id: UpstreamId(self.run),
+            data_centre: self.data_centre,
+            slots: self.slots,
+            accepting: self.accepting,
+            load: self.load,
+            reported: now,
+            placed: 0,
+        }
+    }
+}
--- a/crates/relay/src/process/agent.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -1,5 +1,7 @@
 //! The data path of an agent.
 
+mod neighbours;
+
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, SocketAddrV4},
@@ -7,42 +9,24 @@
 };
 
 use bytes::Bytes;
-use directory::{Changes, Part};
-use flow::{
-    Candidate, FromUpstream, Holder, HolderSettings, Key, Origin, Pool, Segment, Upstream, Verdict,
-};
+use flow::{FromUpstream, Holder, HolderSettings, Key, Origin, Pool, Segment, Upstream, Verdict};
 use prometheus::Registry;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, ServiceName, UpstreamId};
+use types::{DataCentre, ServiceName};
 
-use super::{
-    Update,
-    audience::Audience,
-    balancers::{Balancers, Handover},
-    metrics::Metrics,
-};
-use crate::{Codec, Error, Message, Report, Result, Tag};
+use super::{Update, audience::Audience, balancers::Balancers, metrics::Metrics};
+use crate::{Codec, Error, Message, Result, Tag};
 
 /// Pause between two looks at what is to be reported and forgotten.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Pause between two rounds of forgetting what is over.
-const EXPIRE: Duration = Duration::from_secs(1);
-
 /// Agents that are asked in turn to take a new flow.
 const MAX_DECLINED: usize = 3;
 
-/// Flows of which a balancer is told at most: a few datagrams. It searches for
-/// the others when they are used.
-const MAX_TOLD: usize = 200;
-
-/// Flows in one message, so that it fits a packet.
-const KEYS: usize = 40;
-
 /// Largest datagram in bytes.
 const DATAGRAM: usize = 64 * 1024;
 
@@ -258,7 +242,7 @@
             }
             Message::Ask { tag, head } => self.asked(tag, &head, from, now).await,
             Message::Report(report) if report.service == self.cfg.service => {
-                self.pool.insert(from, candidate(report, now));
+                self.pool.insert(from, report.candidate(now));
             }
             Message::Report(_)
             | Message::NotHeld { .. }
@@ -364,15 +348,7 @@
                 event = "passed_on", flow:% = key, copy = seg.ack, to:% = peer, full = u64::from(full);
                 "new flow passed on to another agent"
             );
-            self.metrics.flows.with_label_values(&["passed_on"]).inc();
-            let message = Message::Datagram {
-                tag: self.tag,
-                origin: Origin::Passed,
-                via: arrival.via,
-                declined,
-                payload: arrival.payload,
-            };
-            return self.tell(peer, &message).await;
+            return self.hand_on(peer, arrival, declined).await;
         }
         if full {
             // Nobody has a free slot: the upstream's own queue is as good as another's.
@@ -382,6 +358,19 @@
         self.reset(seg, "no_agent").await;
     }
 
+    /// Sends an opening datagram to a peer, which may take it.
+    async fn hand_on(&self, peer: SocketAddrV4, arrival: Arrival, declined: Vec<SocketAddrV4>) {
+        self.metrics.flows.with_label_values(&["passed_on"]).inc();
+        let message = Message::Datagram {
+            tag: self.tag,
+            origin: Origin::Passed,
+            via: arrival.via,
+            declined,
+            payload: arrival.payload,
+        };
+        self.tell(peer, &message).await;
+    }
+
     async fn reset(&mut self, seg: &Segment, cause: &str) {
         self.metrics.flows.with_label_values(&["reset"]).inc();
         log::info!(event = "reset", flow:% = seg.key_from_caller(), cause = cause; "flow broken off");
@@ -455,15 +444,7 @@
         let Some(peer) = peer else {
             return self.reset(seg, "bounced").await;
         };
-        self.metrics.flows.with_label_values(&["passed_on"]).inc();
-        let message = Message::Datagram {
-            tag: self.tag,
-            origin: Origin::Passed,
-            via: arrival.via,
-            declined,
-            payload: arrival.payload,
-        };
-        self.tell(peer, &message).await;
+        self.hand_on(peer, arrival, declined).await;
     }
 
     /// Tells the balancer that asked that a flow is held here.
@@ -483,106 +464,4 @@
             Err(e) => log::error!(event = "unencodable_message", error:% = e; "cannot encode"),
         }
     }
-
-    /// Tells balancers and other agents the load, if it is due.
-    async fn report(&mut self, now: Instant) {
-        let load = self.holder.load(now);
-        let accepting = self.accepts(now);
-        let listeners = self.audience.due(load, accepting, now);
-        if listeners.is_empty() {
-            return;
-        }
-        self.metrics.busy.set(i64::from(load.busy));
-        let report = Message::Report(Report {
-            run: self.cfg.run,
-            data_centre: self.cfg.data_centre.clone(),
-            service: self.cfg.service.clone(),
-            slots: self.holder.slots(now),
-            accepting,
-            load,
-        });
-        for listener in listeners {
-            self.tell(listener, &report).await;
-        }
-    }
-
-    async fn nodes_changed(&mut self, changes: Changes) {
-        for handover in self.balancers.handovers(&changes) {
-            self.hand_over(&handover).await;
-        }
-        for node in changes.removed {
-            self.audience.remove(node.address);
-            self.pool.remove(node.address);
-        }
-        for node in changes.changed {
-            let listens = match &node.part {
-                Part::Balancer => true,
-                Part::Agent(service) => *service == self.cfg.service,
-                Part::Control { .. } | Part::Observer => false,
-            };
-            if !listens || node.address == self.cfg.peer {
-                continue;
-            }
-            let near = node.data_centre == self.cfg.data_centre;
-            self.audience.insert(node.address, near);
-            let leaving = node.leaving;
-            if let Some(known) = self.pool.get_mut(node.address) {
-                known.accepting &= !leaving || known.id != UpstreamId(node.run);
-            }
-        }
-    }
-
-    /// Tells balancers which flows are held here, so that they need not search.
-    async fn hand_over(&self, handover: &Handover) {
-        let keys = self
-            .holder
-            .flows_via(|via| handover.from.contains(&via), MAX_TOLD);
-        if keys.is_empty() {
-            return;
-        }
-        self.metrics
-            .flows
-            .with_label_values(&["handed_over"])
-            .inc_by(keys.len() as u64);
-        for balancer in &handover.to {
-            log::info!(
-                event = "handed_over", to:% = balancer, flows = keys.len();
-                "telling a balancer which flows are held here"
-            );
-            for piece in keys.chunks(KEYS) {
-                let message = Message::Holds {
-                    service: self.cfg.service.clone(),
-                    keys: piece.to_vec(),
-                };
-                self.tell(*balancer, &message).await;
-            }
-        }
-    }
-
-    fn expire(&mut self, now: Instant) {
-        if now < self.expire_at {
-            return;
-        }
-        self.expire_at = now + EXPIRE;
-        self.holder.expire(now);
-        let linger = self.cfg.holder.linger;
-        self.openings.retain(|_, opening| now < opening.at + linger);
-        let holder = &self.holder;
-        self.tried_by.retain(|key, _| holder.is_tried(key));
-        self.pool.retain(|_, agent| Pool::is_fresh(agent, now));
-        let flows = self.holder.load(now).flows;
-        self.metrics.known.set(i64::from(flows));
-    }
-}
-
-fn candidate(report: Report, now: Instant) -> Candidate {
-    Candidate {
-        id: UpstreamId(report.run),
-        data_centre: report.data_centre,
-        slots: report.slots,
-        accepting: report.accepting,
-        load: report.load,
-        reported: now,
-        placed: 0,
-    }
 }
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -290,7 +290,7 @@
             }
         };
         match message {
-            Message::Report(report) => self.report(from, report, now),
+            Message::Report(report) => self.report(from, &report, now),
             Message::NotHeld { payload } => {
                 let Some(seg) = self.codec.parse(&payload) else {
                     return;
@@ -333,16 +333,8 @@
         }
     }
 
-    fn report(&mut self, from: SocketAddrV4, report: Report, now: Instant) {
-        let candidate = Candidate {
-            id: UpstreamId(report.run),
-            data_centre: report.data_centre,
-            slots: report.slots,
-            accepting: report.accepting,
-            load: report.load,
-            reported: now,
-            placed: 0,
-        };
+    fn report(&mut self, from: SocketAddrV4, report: &Report, now: Instant) {
+        let candidate = report.clone().candidate(now);
         let pool = self.steering.pool(&report.service);
         let known = pool.get(from).map(|known| (known.id, known.accepting));
         if known != Some((candidate.id, candidate.accepting)) {
--- a/crates/trace/src/process/reader.rs
+++ b/crates/trace/src/process/reader.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Run, clock};
-use crate::{Around, Entry, Error, Line, Result, Timeline};
+use crate::{Around, Entry, Error, Line, Result, Timeline, request::DECISIVE};
 
 /// The lines of all processes.
 #[derive(Debug, Default)]
@@ -129,36 +129,23 @@
 /// Fields that name a process on another host.
 const NAMING: [&str; 3] = ["address", "agent", "to"];
 
-/// Kinds of lines that are written once for each flow, request or datagram.
-const PER_FLOW: [&str; 14] = [
-    "placed",
-    "opened",
-    "passed_on",
-    "taken",
-    "bounced",
-    "reset",
-    "dropped",
-    "tried",
-    "refused",
-    "searching",
-    "claim",
-    "not_held",
-    "learned",
-    "link_full",
-];
+/// Kinds of lines of the search for a flow, and of its datagrams.
+const SEARCHING: [&str; 5] = ["searching", "claim", "not_held", "learned", "link_full"];
+
+/// Whether lines of a kind are written for each flow, request or datagram.
+fn is_per_flow(kind: &str) -> bool {
+    DECISIVE.contains(&kind) || SEARCHING.contains(&kind)
+}
 
 /// Whether a line says what a process believes, not what it did with one flow.
 /// What it believes of hosts that are not involved is left out.
 fn is_belief(line: &Line, hosts: &BTreeSet<&str>) -> bool {
     let mut named = NAMING.into_iter().filter_map(|field| line.host(field));
-    !PER_FLOW.contains(&line.event.as_str()) && named.all(|host| hosts.contains(host))
+    !is_per_flow(&line.event) && named.all(|host| hosts.contains(host))
 }
 
 fn kinds_left_out(line: &Line) -> Vec<String> {
     let counts = line.fields.get("counts").and_then(|c| c.as_object());
     let kinds = counts.into_iter().flat_map(|counts| counts.keys());
-    kinds
-        .filter(|kind| PER_FLOW.contains(&kind.as_str()))
-        .cloned()
-        .collect()
+    kinds.filter(|kind| is_per_flow(kind)).cloned().collect()
 }
--- a/crates/trace/src/request/mod.rs
+++ b/crates/trace/src/request/mod.rs
@@ -4,4 +4,5 @@
 mod timeline;
 
 pub use line::Line;
+pub(crate) use timeline::DECISIVE;
 pub use timeline::{Around, Entry, Timeline};
--- a/crates/trace/src/request/timeline.rs
+++ b/crates/trace/src/request/timeline.rs
@@ -63,7 +63,7 @@
 }
 
 /// Kinds of lines that say what becomes of a flow or request.
-const DECISIVE: [&str; 9] = [
+pub(crate) const DECISIVE: [&str; 9] = [
     "placed",
     "opened",
     "passed_on",
