replica, relay: a node that looks for a control host gets no list of nodes

At the start every node says hello to six control hosts ten times a second, and each sent it the whole list of nodes, 27 KB, again and again, since the lists of several hosts do not follow on each other. Beside it each change was told to each node by itself.

Change: a node that has chosen no control host says so, and is only told of other control hosts; the list comes after the next hello to the one that it chose. Changes within 5 ms are told together.

--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -40,8 +40,9 @@
     pub node: Node,
     /// Where the reply goes.
     pub reply_to: SocketAddrV4,
-    /// How far it has followed the directory of this control host.
-    pub mark: Mark,
+    /// How far it has followed the directory of this control host; `None` while
+    /// it asks several for one to use, and wants no news yet.
+    pub mark: Option<Mark>,
 }
 
 /// What a control host is told.
@@ -65,6 +66,8 @@
     pub current: bool,
     /// Changes of the directory, if any.
     pub news: Option<News>,
+    /// Other control hosts, for a node that wants no news yet.
+    pub hosts: Vec<SocketAddrV4>,
     /// The last change of the directory.
     pub mark: Mark,
     /// Whether the directory lists all processes: the control host hears all
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -1,6 +1,7 @@
 //! The task that keeps a node up to date by way of the control hosts.
 
 use std::{
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::{Duration, Instant},
 };
@@ -27,6 +28,9 @@
 /// A control host that did not answer for this long is given up for another.
 const SILENT: Duration = Duration::from_millis(1200);
 
+/// Control hosts that are remembered while none is in use.
+const INTRODUCED: usize = 32;
+
 /// Control hosts that are tried at a time.
 const TRIED: usize = 6;
 
@@ -86,6 +90,8 @@
     view: View,
     /// The control host in use.
     host: Option<SocketAddrV4>,
+    /// Control hosts that others told of while none is in use.
+    introduced: BTreeSet<SocketAddrV4>,
     /// Where the search for a control host goes on.
     next_host: usize,
     heard: Instant,
@@ -125,6 +131,7 @@
             socket,
             view: View::default(),
             host: None,
+            introduced: BTreeSet::new(),
             heard: now,
             seeking_since: now,
             current_at: now,
@@ -182,7 +189,7 @@
         let hello = Spoken::Hello(Hello {
             node: self.cfg.node.clone(),
             reply_to: self.cfg.reply_to,
-            mark: self.view.mark(),
+            mark: self.host.map(|_| self.view.mark()),
         });
         match wire::encode(&hello) {
             Ok(datagram) => {
@@ -202,7 +209,9 @@
         let seeds = self.cfg.seeds.borrow().clone();
         let seeds = seeds.into_iter().map(|ip| SocketAddrV4::new(ip, port));
         let known = self.view.nodes().filter(|node| node.is_control());
-        let mut hosts: Vec<SocketAddrV4> = known.map(|node| node.address).chain(seeds).collect();
+        let known = known.map(|node| node.address);
+        let introduced = self.introduced.iter().copied();
+        let mut hosts: Vec<SocketAddrV4> = known.chain(introduced).chain(seeds).collect();
         hosts.sort_unstable();
         hosts.dedup();
         let len = hosts.len();
@@ -225,18 +234,18 @@
             let holds_routes = reply.current || reply.routes > SetNumber(0);
             if !holds_routes && now < self.seeking_since + PATIENCE {
                 // It may know where others are.
-                if let Some(news) = reply.news {
-                    let changes = self.view.apply(news, now);
-                    if changes.changed.iter().any(Node::is_formed) {
+                for host in reply.hosts {
+                    if self.introduced.len() < INTRODUCED && self.introduced.insert(host) {
                         self.hello_at = now;
                     }
-                    self.tell(changes).await;
                 }
                 return;
             }
             log::info!(event = "control_found", host:% = from; "control host answers");
             self.host = Some(from);
-            self.hello_at = now + HELLO;
+            self.introduced.clear();
+            // It has sent no news yet.
+            self.hello_at = now;
         }
         if self.host != Some(from) {
             return;
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -41,6 +41,13 @@
 /// if it did not change. A third of a lease.
 const REPEAT: Duration = Duration::from_secs(1);
 
+/// Changes of the directory within this time are told together: when all nodes
+/// start, each would otherwise be told of each.
+const TOGETHER: Duration = Duration::from_millis(5);
+
+/// Control hosts that a node is told of while it looks for one.
+const INTRODUCED: usize = 9;
+
 /// Records in one message to another control host, so that it fits a datagram.
 const PIECE: usize = 12;
 
@@ -82,6 +89,8 @@
     stop: watch::Receiver<bool>,
     metrics: Metrics,
     gossip_at: Instant,
+    /// When subscribers are told of changes, if there are any.
+    tell_at: Option<Instant>,
     /// Messages to the other control hosts are frequent until then.
     eager_until: Instant,
     /// When the unchanged records were last repeated.
@@ -163,6 +172,7 @@
             stop: channels.stop,
             metrics,
             gossip_at: now,
+            tell_at: None,
             eager_until: now + EAGER,
             repeated_at: now,
             remembered,
@@ -175,6 +185,7 @@
         self.take_member();
         loop {
             let gossip_at = self.gossip_at;
+            let tell_at = self.tell_at;
             tokio::select! {
                 received = self.socket.recv_from(&mut buf) => {
                     if let Ok((len, from)) = received {
@@ -194,6 +205,9 @@
                     self.gossip(Instant::now()).await;
                 }
                 () = sleep_until(gossip_at.into()) => self.gossip(Instant::now()).await,
+                () = sleep_until(tell_at.unwrap_or(gossip_at).into()), if tell_at.is_some() => {
+                    self.tell_subscribers(false).await;
+                }
             }
         }
     }
@@ -231,7 +245,7 @@
                     }
                 }
                 if new {
-                    self.tell_subscribers(false).await;
+                    self.tell_soon(now);
                 }
             }
             Ok(Spoken::Form(members)) => self.form(&members),
@@ -244,13 +258,18 @@
     async fn hello(&mut self, hello: Hello, now: Instant) {
         let address = hello.node.address;
         let new = self.directory.note(hello.node.clone(), now);
-        let subscriber = Subscriber {
-            reply_to: hello.reply_to,
-            mark: hello.mark,
-            at: now,
-        };
-        self.subscribers.insert(address, subscriber);
-        self.reply(address, true).await;
+        if let Some(mark) = hello.mark {
+            let subscriber = Subscriber {
+                reply_to: hello.reply_to,
+                mark,
+                at: now,
+            };
+            self.subscribers.insert(address, subscriber);
+            self.reply(address, true).await;
+        } else {
+            let reply = self.introduction();
+            self.send(hello.reply_to, &reply).await;
+        }
         if new {
             log::info!(
                 event = "node", address:% = address, run = hello.node.run,
@@ -258,10 +277,30 @@
                 "a node is new or has changed"
             );
             self.spread(vec![(hello.node, 0)]).await;
-            self.tell_subscribers(false).await;
+            self.tell_soon(now);
         }
     }
 
+    /// Answers a node that asks several control hosts for one to use. To send
+    /// it all nodes would cost the square of their number at a start.
+    fn introduction(&self) -> Reply {
+        let nodes = self.directory.nodes().map(|(node, _)| node);
+        let hosts = nodes.filter(|node| node.is_control() && !node.leaving);
+        Reply {
+            routes: self.history.borrow().number(),
+            current: self.me.is_current(),
+            news: None,
+            hosts: hosts.map(|node| node.address).take(INTRODUCED).collect(),
+            mark: self.directory.mark(),
+            whole: false,
+        }
+    }
+
+    /// Has the subscribers told of changes, together with those that follow.
+    fn tell_soon(&mut self, now: Instant) {
+        self.tell_at.get_or_insert(now + TOGETHER);
+    }
+
     /// Sends a subscriber what it lacks. Each gets it once; what is lost is
     /// sent again after its next hello.
     async fn reply(&mut self, to: SocketAddrV4, always: bool) {
@@ -291,6 +330,7 @@
                 routes,
                 current,
                 news: first,
+                hosts: Vec::new(),
                 mark,
                 whole,
             },
@@ -301,6 +341,7 @@
                 routes,
                 current,
                 news: Some(piece),
+                hosts: Vec::new(),
                 mark,
                 whole,
             };
@@ -310,6 +351,7 @@
 
     async fn tell_subscribers(&mut self, routes: bool) {
         let now = Instant::now();
+        self.tell_at = None;
         self.subscribers
             .retain(|_, subscriber| now < subscriber.at + SUBSCRIBED);
         let addresses: Vec<SocketAddrV4> = self.subscribers.keys().copied().collect();
@@ -347,7 +389,7 @@
             log::info!(event = "node_gone", address:% = node.address; "a node was not heard for a lease");
         }
         if !gone.is_empty() {
-            self.tell_subscribers(false).await;
+            self.tell_soon(now);
         }
         self.review_coverage(now);
         self.report(now);
