--- /dev/null
+++ b/crates/bench/src/bin/relay.rs
@@ -0,0 +1,259 @@
+//! Compares the balancer of datagram flows without ids with a bare UDP relay
+//! that makes the same socket calls.
+//!
+//! Each runs on a thread of its own and is saturated by two sending threads.
+//! The rounds are interleaved; a ratio is taken within a round.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use actix_rt::System;
+use bytes::Bytes;
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+use flow::{Load, Segment, SteeringSettings};
+use prometheus::Registry;
+use relay::{Balancer, BalancerSettings, Codec, Message, Report, Update};
+use tokio::sync::{mpsc, watch};
+use types::{Part, RoutingSet, Rule, ServiceName, SetNumber, Slots};
+
+const ROUNDS: usize = 11;
+
+/// Time before and time of each measurement.
+const WARM_UP: Duration = Duration::from_millis(100);
+const WINDOW: Duration = Duration::from_millis(400);
+
+/// Bytes of each datagram; a small one shows the cost of a decision most.
+const DATAGRAM: usize = 200;
+
+/// Open flows through the balancer.
+const FLOWS: [u32; 2] = [1_000, 100_000];
+
+/// Target: least ratio to the bare relay.
+const TARGET: f64 = 0.8;
+
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// A protocol with the caller's number, and whether it opens a flow, in front.
+#[derive(Debug, Clone, Copy)]
+struct Numbered;
+
+impl Codec for Numbered {
+    fn parse(&self, datagram: &[u8]) -> Option<Segment> {
+        let number = u32::from_be_bytes(datagram.get(..4)?.try_into().ok()?);
+        let ip = Ipv4Addr::from_bits(u32::from(Ipv4Addr::new(100, 64, 0, 0)) + (number >> 12));
+        let port = u16::try_from(1024 + (number & 0xfff)).ok()?;
+        Some(Segment {
+            source: SocketAddrV4::new(ip, port),
+            destination: SERVICE,
+            opens: *datagram.get(4)? == 1,
+            len: u16::try_from(datagram.len()).ok()?,
+            ..Segment::default()
+        })
+    }
+
+    fn head<'a>(&self, datagram: &'a [u8]) -> &'a [u8] {
+        &datagram[..5]
+    }
+
+    fn clear_bounce(&self, _: &mut [u8]) {}
+
+    fn reset(&self, _: &Segment) -> Bytes {
+        Bytes::new()
+    }
+}
+
+fn datagram(flow: u32, opens: bool) -> [u8; DATAGRAM] {
+    let mut datagram = [0; DATAGRAM];
+    datagram[..4].copy_from_slice(&flow.to_be_bytes());
+    datagram[4] = u8::from(opens);
+    datagram
+}
+
+fn socket() -> UdpSocket {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket on the loopback")
+}
+
+fn free_address() -> SocketAddrV4 {
+    match socket().local_addr() {
+        Ok(SocketAddr::V4(address)) => address,
+        other => panic!("no IPv4 address: {other:?}"),
+    }
+}
+
+/// What stands between the senders and the sink.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Subject {
+    Bare,
+    Balancer,
+}
+
+/// Passes on each datagram as it is.
+async fn bare(ingress: SocketAddrV4, sink: SocketAddrV4) {
+    let from = net::bind_udp(ingress.into()).expect("ingress");
+    let to = net::bind_udp(free_address().into()).expect("egress");
+    let mut buf = vec![0; 64 * 1024];
+    loop {
+        if let Ok((len, _)) = from.recv_from(&mut buf).await {
+            // A datagram may be lost anyway.
+            let _ = to.send_to(&buf[..len], sink).await;
+        }
+    }
+}
+
+async fn balancer(ingress: SocketAddrV4, peer: SocketAddrV4) {
+    let (updates, received) = mpsc::channel(4);
+    let (ready, _readiness) = watch::channel(false);
+    let settings = BalancerSettings {
+        ingress,
+        peer,
+        peer_listen: peer,
+        caller_port: 9,
+        data_centre: "dc".parse().expect("a name"),
+        link: None,
+        steering: SteeringSettings::default(),
+    };
+    let task = Balancer::new(settings, Numbered, received, ready, &Registry::new());
+    let rule = Rule {
+        parts: [(service(), Part(1))].into(),
+    };
+    let set = RoutingSet {
+        number: SetNumber(1),
+        rules: [(SERVICE.into(), rule)].into(),
+        ..RoutingSet::default()
+    };
+    let sent = updates.send(Update::Routes(set.delta_from(None))).await;
+    sent.expect("the balancer listens");
+    task.expect("a balancer").run().await;
+}
+
+fn service() -> ServiceName {
+    "vouchers".parse().expect("a name")
+}
+
+/// Datagrams a second that reach the sink.
+fn rate(subject: Subject, flows: u32) -> f64 {
+    let sink = socket();
+    let Ok(SocketAddr::V4(sink_address)) = sink.local_addr() else {
+        panic!("no IPv4 address");
+    };
+    let (ingress, peer) = (free_address(), free_address());
+    // The thread lives until the process ends; its sockets then cost nothing.
+    thread::spawn(move || {
+        System::new().block_on(async {
+            match subject {
+                Subject::Bare => bare(ingress, sink_address).await,
+                Subject::Balancer => balancer(ingress, peer).await,
+            }
+        });
+    });
+    thread::sleep(WARM_UP);
+    if subject == Subject::Balancer {
+        open_flows(&sink, ingress, peer, flows);
+    }
+    let (ends, count) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
+    let counting = {
+        let (ends, count) = (ends.clone(), count.clone());
+        thread::spawn(move || {
+            let mut buf = [0; 2048];
+            let limit = Some(Duration::from_millis(20));
+            sink.set_read_timeout(limit).expect("a time limit");
+            while !ends.load(Ordering::Relaxed) {
+                if sink.recv(&mut buf).is_ok() {
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        })
+    };
+    let senders: Vec<_> = (0..2)
+        .map(|n| send(n, flows, ingress, ends.clone()))
+        .collect();
+    thread::sleep(WARM_UP);
+    let before = count.load(Ordering::Relaxed);
+    thread::sleep(WINDOW);
+    let received = count.load(Ordering::Relaxed) - before;
+    ends.store(true, Ordering::Relaxed);
+    for thread in senders.into_iter().chain([counting]) {
+        thread.join().expect("the thread ends");
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let received = received as f64;
+    received / WINDOW.as_secs_f64()
+}
+
+/// Reports an agent to the balancer and opens the flows there.
+fn open_flows(sink: &UdpSocket, ingress: SocketAddrV4, peer: SocketAddrV4, flows: u32) {
+    let report = Message::Report(Report {
+        run: 1,
+        data_centre: "dc".parse().expect("a name"),
+        service: service(),
+        slots: Slots(8),
+        accepting: true,
+        load: Load::default(),
+    });
+    let report = wire::encode(&report).expect("a message");
+    let opener = socket();
+    for flow in 0..flows {
+        if flow % 512 == 0 {
+            sink.send_to(&report, peer).expect("sent");
+            // The balancer must take each of these.
+            thread::sleep(Duration::from_millis(10));
+        }
+        opener
+            .send_to(&datagram(flow, true), ingress)
+            .expect("sent");
+    }
+    thread::sleep(WARM_UP);
+}
+
+fn send(
+    n: u32,
+    flows: u32,
+    ingress: SocketAddrV4,
+    ends: Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        let socket = socket();
+        let mut flow = n;
+        while !ends.load(Ordering::Relaxed) {
+            flow = (flow + 2) % flows;
+            // A datagram may be lost anyway.
+            let _ = socket.send_to(&datagram(flow, false), ingress);
+        }
+    })
+}
+
+fn main() {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN).set_header([
+        "flows",
+        "bare, datagrams/s",
+        "balancer, datagrams/s",
+        "ratio, median (least to most)",
+    ]);
+    for flows in FLOWS {
+        let mut rounds: Vec<(f64, f64)> = (0..ROUNDS)
+            .map(|_| (rate(Subject::Bare, flows), rate(Subject::Balancer, flows)))
+            .collect();
+        let ratio = |(bare, balancer): &(f64, f64)| balancer / bare;
+        rounds.sort_by(|a, b| ratio(a).total_cmp(&ratio(b)));
+        let (bare, balancer) = rounds[ROUNDS / 2];
+        let [least, median, most] = [0, ROUNDS / 2, ROUNDS - 1].map(|n| ratio(&rounds[n]));
+        table.add_row([
+            flows.to_string(),
+            format!("{bare:.0}"),
+            format!("{balancer:.0}"),
+            format!("{median:.2} ({least:.2} to {most:.2})"),
+        ]);
+    }
+    println!("{table}\ntarget: {TARGET}");
+}
