--- a/crates/bench/src/bin/relay.rs
+++ b/crates/bench/src/bin/relay.rs
@@ -123,13 +123,13 @@
     let rule = Rule {
         parts: [(service(), Part(1))].into(),
     };
-    let set = RoutingSet {
+    let routes = RoutingSet {
         number: SetNumber(1),
         rules: [(SERVICE.into(), rule)].into(),
         ..RoutingSet::default()
     };
-    let sent = updates.send(Update::Routes(set.delta_from(None))).await;
-    sent.expect("the balancer listens");
+    let update = Update::Routes(routes.delta_from(None));
+    updates.send(update).await.expect("the balancer listens");
     task.expect("a balancer").run().await;
 }
 
