--- a/crates/limpetctl/src/process/mod.rs
+++ b/crates/limpetctl/src/process/mod.rs
@@ -7,8 +7,8 @@
 
 pub use exit::Exit;
 pub use output::{Format, Output, Report, message, table};
-pub use parse::Body;
+pub use parse::{Body, RuleArg};
 pub use settings::{
-    CallArgs, ChangeFlags, Command, ControlCommand, ExplainArgs, Global, KeyCommand,
+    CallArgs, ChangeFlags, Command, ControlCommand, ExplainArgs, Global, KeyCommand, RoutesCommand,
     ServiceCommand, Settings, TargetCommand, UpstreamCommand, usage,
 };
--- a/crates/limpetctl/src/process/parse.rs
+++ b/crates/limpetctl/src/process/parse.rs
@@ -1,9 +1,16 @@
 //! Readers of flag values, each with the range that it accepts.
 
-use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration};
+use std::{
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    ops::RangeInclusive,
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
 
 use http::{HeaderName, HeaderValue};
-use types::Revision;
+use types::{Revision, ServiceName};
 use url::Url;
 
 /// Shortest and longest time that `--deadline` accepts.
@@ -26,10 +33,40 @@
     Revision,
     #[error("expected https://HOST[:PORT]/PATH")]
     Url,
+    #[error("expected IP:PORT=SERVICE or IP:PORT=SERVICE:PART, such as 198.18.0.1:443=vouchers:3")]
+    Rule,
     #[error("expected NAME:VALUE as in an HTTP header, such as accept:text/plain")]
     Header,
 }
 
+/// One part of the rule of an address.
+#[derive(Debug, Clone)]
+pub struct RuleArg {
+    pub address: SocketAddr,
+    pub service: ServiceName,
+    pub part: u32,
+}
+
+impl FromStr for RuleArg {
+    type Err = Invalid;
+
+    fn from_str(s: &str) -> Result<Self, Invalid> {
+        let (at, service) = s.split_once('=').ok_or(Invalid::Rule)?;
+        let (service, part) = service.split_once(':').unwrap_or((service, "1"));
+        Ok(RuleArg {
+            address: address(at)?,
+            service: service.parse().map_err(|_| Invalid::Rule)?,
+            part: part.parse().map_err(|_| Invalid::Rule)?,
+        })
+    }
+}
+
+impl Display for RuleArg {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}={}:{}", self.address, self.service, self.part)
+    }
+}
+
 /// Body of a request.
 #[derive(Debug, Clone)]
 pub enum Body {
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -7,6 +7,7 @@
 use http::{HeaderName, HeaderValue, Method};
 use types::{
     ChangeId, ClassName, HostName, MemberId, OperatorName, PathPrefix, Revision, ServiceName,
+    SetNumber,
 };
 use url::Url;
 
@@ -140,6 +141,9 @@
     /// Targets of classes of work: set, delete
     #[command(subcommand)]
     Target(TargetCommand),
+    /// Routing sets: set, show
+    #[command(subcommand)]
+    Routes(RoutesCommand),
     /// Upstreams: drain, undrain
     #[command(subcommand)]
     Upstream(UpstreamCommand),
@@ -264,6 +268,36 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum RoutesCommand {
+    /// Replaces the routing set by a whole one of a higher number
+    ///
+    /// A set whose number is not above that of the set in force is accepted and
+    /// changes nothing, so a set may be given again after a lost answer.
+    ///
+    /// Example: limpetctl routes set 7 --rule 198.18.0.1:443=vouchers:3 --rule
+    /// 198.18.0.1:443=intake
+    Set {
+        /// Number of the set, for example 7
+        number: SetNumber,
+        /// Part of an address's new flows that a service takes, 1 if it is not
+        /// given; may be repeated, for example --rule 198.18.0.1:443=vouchers:3
+        #[arg(
+            long = "rule",
+            env = "LIMPET_RULE",
+            value_name = "IP:PORT=SERVICE[:PART]",
+            value_delimiter = ','
+        )]
+        rules: Vec<parse::RuleArg>,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
+    /// Shows the routing set in force
+    ///
+    /// Example: limpetctl routes show
+    Show,
+}
+
 #[derive(Debug, Subcommand)]
 pub enum UpstreamCommand {
     /// Marks the upstream of a host as leaving
@@ -416,6 +450,7 @@
             self.command,
             Command::Service(ServiceCommand::Create { .. } | ServiceCommand::Delete { .. })
                 | Command::Target(_)
+                | Command::Routes(RoutesCommand::Set { .. })
                 | Command::Upstream(_)
                 | Command::Key(KeyCommand::Rotate { .. })
                 | Command::Control(
--- a/crates/limpetctl/src/request/mod.rs
+++ b/crates/limpetctl/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod query;
 mod resend;
+mod routes;
 mod service;
 mod status;
 mod target;
@@ -102,6 +103,7 @@
     match &settings.command {
         Command::Service(command) => service::run(&cx, command).await,
         Command::Target(command) => target::run(&cx, command).await,
+        Command::Routes(command) => routes::run(&cx, command).await,
         Command::Upstream(command) => upstream::run(&cx, command).await,
         Command::Key(command) => key::run(&cx, command).await,
         Command::Control(command) => control::run(&cx, command).await,
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -38,6 +38,25 @@
     assert_snapshot!(s.text);
 }
 
+/// Guards against routing sets that the tool cannot give, split or show.
+#[test]
+fn routing_sets() {
+    let mut s = Session::new(&[Host::default().start()]);
+    s.run("routes show");
+    s.run("service create vouchers --address 198.51.100.1:443");
+    s.run("service create intake --address 198.51.100.2:443");
+    s.run("routes set 7 --rule 198.18.0.1:443=vouchers:3 --rule 198.18.0.1:443=intake");
+    s.run("routes show");
+    s.run("routes show --output json");
+    s.run("routes set 7 --rule 198.18.0.1:443=vouchers:3 --rule 198.18.0.1:443=intake");
+    s.run("routes set 6 --rule 198.18.0.9:443=vouchers");
+    s.run("routes set 8 --rule 198.18.0.1:443=vouchers:0");
+    s.run("routes set 9");
+    s.run("routes show");
+    s.run("audit --limit 3");
+    assert_snapshot!(s.text);
+}
+
 /// Guards against JSON whose fields change under the scripts that read it.
 #[test]
 fn json_for_scripts() {
