Queue new flows at the agent while no slot is free

Cause: after a loss of power all callers open flows at once.

Change: flow::OpeningQueue holds new flows while an upstream has two requests for each slot. A free slot goes to the flow whose answer can still meet its latency objective, the most urgent first; the others get what is left, the latest first. A flow that no slot can serve before its caller gives up is refused at once. Routing rules carry the targets that operators state (objective, timeout, priority); a balancer sends them with an opening datagram.

--- a/crates/bench/src/bin/relay.rs
+++ b/crates/bench/src/bin/relay.rs
@@ -123,6 +123,7 @@
     let task = Balancer::new(settings, NumberedCodec, received, ready, &Registry::new());
     let rule = RoutingRule {
         weights: [(service_name(), RouteWeight(1))].into(),
+        ..RoutingRule::default()
     };
     let routes = RoutingSet {
         number: RoutingSetNumber(1),
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -70,6 +70,7 @@
 pub fn replace_routes(number: u64, service: &str, part: u32) -> Change {
     let rule = RoutingRule {
         weights: [(service.parse().unwrap(), RouteWeight(part))].into(),
+        ..RoutingRule::default()
     };
     Change::ReplaceRoutes(Box::new(RoutingSet {
         number: RoutingSetNumber(number),
--- a/crates/flow/src/connection/segment.rs
+++ b/crates/flow/src/connection/segment.rs
@@ -1,6 +1,9 @@
 //! Header fields of a datagram, decoded by a codec.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use super::FlowTuple;
 
@@ -30,6 +33,9 @@
     /// An upstream returns the datagram because it does not hold the flow or
     /// cannot accept it. `source` and `destination` are those of the original.
     pub bounced: bool,
+    /// In an opening datagram, how long before it the caller sent the first one
+    /// of the flow; zero in the first one.
+    pub waited: Duration,
 }
 
 impl Default for Segment {
@@ -46,6 +52,7 @@
             ends: false,
             resets: false,
             bounced: false,
+            waited: Duration::ZERO,
         }
     }
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`Steering`] holds a balancer's hints about flows. A wrong hint costs a
 //!   retransmission, never a delivery to another upstream.
 //! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
+//! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
+//!   are full, and decides which of them go first and which are refused.
 //!
 //! The crate has no sockets, clock, randomness or encoding: the user passes the
 //! current time and a [`Segment`] that a codec has decoded.
@@ -46,6 +48,7 @@
 pub use connection::{FlowTuple, Segment};
 pub use process::{
     AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowQuery, FlowTable,
-    FlowTableSettings, Load, Origin, RateLimiter, ReleasedDatagram, SearchResults, Steering,
-    SteeringDecision, SteeringSettings, UpstreamAction, UpstreamStatus,
+    FlowTableSettings, Load, OpeningQueue, OpeningQueueSettings, Origin, RateLimiter,
+    ReleasedDatagram, SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings,
+    UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -9,11 +9,18 @@
 use serde::{Deserialize, Serialize};
 use types::Slots;
 
+use super::ServicePace;
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
 };
 
+/// Requests that an upstream is given at once, as a multiple of its slots: one in
+/// each slot, and one on its way or queued, so that no slot waits for a round trip.
+/// More would wait in the upstream's own queue, which serves them in the order of
+/// arrival and rejects those beyond its length.
+const ADMITTED_PER_SLOT: u32 = 2;
+
 /// Timeouts and limits of a [`FlowTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlowTableSettings {
@@ -117,6 +124,8 @@
     /// Pass it on to another agent: the upstream is full or accepts no new
     /// flows.
     PassOn,
+    /// Keep it until the upstream can be given another flow.
+    Wait,
     /// The flow is not in the table: report that to the balancer.
     NotHeld,
     /// The upstream has lost the flow: send a reset to the caller.
@@ -178,6 +187,8 @@
     unanswered_since: Option<Instant>,
     /// When an unresponsive upstream last got an opening datagram.
     last_probe_at: Option<Instant>,
+    /// Pace of the upstream while it is saturated.
+    pace: ServicePace,
 }
 
 impl FlowTable {
@@ -191,6 +202,7 @@
             flows: BTreeMap::new(),
             unanswered_since: None,
             last_probe_at: None,
+            pace: ServicePace::default(),
         }
     }
 
@@ -281,6 +293,9 @@
         if origin == Origin::Placed && self.is_full(now) {
             return CallerAction::PassOn;
         }
+        if !is_probe && self.free_admissions(now) == 0 {
+            return CallerAction::Wait;
+        }
         if is_probe {
             self.last_probe_at = Some(now);
         }
@@ -304,7 +319,7 @@
     }
 
     /// Adds the flow of an opening datagram that was to be passed on because
-    /// the upstream was full, when no other agent accepts it.
+    /// the upstream was full, or that waited.
     pub fn accept_opening(&mut self, seg: &Segment, now: Instant) {
         self.unanswered_since.get_or_insert(now);
         let flow = Flow {
@@ -411,6 +426,7 @@
             flow.stage = Stage::Open;
         }
         flow.record_upstream_data(seg);
+        let answers = seg.len > 0 && flow.awaiting_answer;
         if seg.len > 0 {
             flow.awaiting_answer = false;
         }
@@ -420,6 +436,10 @@
             flow.awaiting_answer = false;
         }
         flow.close_if_both_ended();
+        if answers {
+            let saturated = self.is_full(now);
+            self.pace.record_answer(saturated, now);
+        }
         UpstreamAction::ToCaller { learned }
     }
 
@@ -475,6 +495,21 @@
         self.load(now).busy_requests >= self.slots(now).0
     }
 
+    /// Number of flows that the upstream can be given now.
+    #[must_use]
+    pub fn free_admissions(&self, now: Instant) -> usize {
+        let slots = self.upstream.map_or(Slots(0), |upstream| upstream.slots);
+        let admitted = slots.0.saturating_mul(ADMITTED_PER_SLOT);
+        let free = admitted.saturating_sub(self.load(now).busy_requests);
+        usize::try_from(free).unwrap_or(usize::MAX)
+    }
+
+    /// Average time until the upstream frees a slot while it is saturated.
+    #[must_use]
+    pub fn pace(&self) -> Duration {
+        self.pace.interval()
+    }
+
     /// Current load of the upstream.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -2,14 +2,18 @@
 
 mod agent_pool;
 mod flow_table;
+mod opening_queue;
 mod rate_limiter;
+mod service_pace;
 mod steering;
 
 pub use agent_pool::{AgentPool, AgentStatus};
 pub use flow_table::{
     CallerAction, Claim, FlowTable, FlowTableSettings, Load, Origin, UpstreamAction, UpstreamStatus,
 };
+pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
+pub use service_pace::ServicePace;
 pub use steering::{
     DropReason, FlowQuery, ReleasedDatagram, SearchResults, Steering, SteeringDecision,
     SteeringSettings,
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 pub use outcome::{DropReason, FlowQuery, ReleasedDatagram, SearchResults, SteeringDecision};
 use search::{Search, TryRecord};
-use types::{DataCentre, RoutingSet, ServiceName};
+use types::{DataCentre, RequestTargets, RoutingSet, ServiceName};
 
 use super::{AgentPool, Origin, RateLimiter};
 use crate::{FlowTuple, Segment};
@@ -126,6 +126,14 @@
         self.routes.as_ref()
     }
 
+    /// Targets of the requests to an address, by the current routing set.
+    #[must_use]
+    pub fn targets(&self, service: SocketAddrV4) -> RequestTargets {
+        let rule = self.routes.as_ref();
+        let rule = rule.and_then(|routes| routes.rules.get(&SocketAddr::V4(service)));
+        rule.map_or_else(RequestTargets::default, |rule| rule.targets)
+    }
+
     /// Mutable routing set; created empty if none is known.
     pub fn routes_mut(&mut self) -> &mut RoutingSet {
         self.routes.get_or_insert_default()
--- a/crates/flow/tests/common/mod.rs
+++ b/crates/flow/tests/common/mod.rs
@@ -48,6 +48,7 @@
 pub fn set_routes(steering: &mut Steering, number: u64) {
     let rule = RoutingRule {
         weights: [(SERVICE.parse().unwrap(), RouteWeight(1))].into(),
+        ..RoutingRule::default()
     };
     let set = RoutingSet {
         number: RoutingSetNumber(number),
--- a/crates/relay/src/connection/message.rs
+++ b/crates/relay/src/connection/message.rs
@@ -6,7 +6,7 @@
 use flow::{AgentStatus, Claim, FlowTuple, Load, Origin};
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash64;
-use types::{DataCentre, ServiceName, Slots, UpstreamId};
+use types::{DataCentre, RequestTargets, ServiceName, Slots, UpstreamId};
 
 /// Hash of the name of the service that a datagram is for. An address may be
 /// reused by an agent of another service, which rejects the datagram by its tag.
@@ -77,6 +77,23 @@
         /// The flows.
         keys: Vec<FlowTuple>,
     },
+    /// Forwards an opening datagram of a caller, with what its route needs.
+    Opening {
+        /// The destination service.
+        tag: ServiceTag,
+        /// Why the datagram was sent to this agent.
+        origin: Origin,
+        /// The balancer that received it from the caller.
+        via: SocketAddrV4,
+        /// Agents that declined it.
+        declined_by: Vec<SocketAddrV4>,
+        /// Targets of the requests on the flow.
+        targets: RequestTargets,
+        /// How long it has waited at agents, in milliseconds.
+        waited_ms: u64,
+        /// The caller's datagram.
+        payload: Bytes,
+    },
 }
 
 /// State of an agent and load of its upstream.
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The data path of an agent.
 
 mod neighbours;
+mod openings;
 
 use std::{
     collections::BTreeMap,
@@ -10,16 +11,17 @@
 
 use bytes::Bytes;
 use flow::{
-    AgentPool, CallerAction, FlowTable, FlowTableSettings, FlowTuple, Origin, Segment,
-    UpstreamAction, UpstreamStatus,
+    AgentPool, CallerAction, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
+    OpeningQueueSettings, Origin, Segment, UpstreamAction, UpstreamStatus,
 };
+use openings::OpeningRoute;
 use prometheus::Registry;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, ServiceName};
+use types::{DataCentre, RequestTargets, ServiceName};
 
 use super::{
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
@@ -30,9 +32,6 @@
 /// Interval between checks for due reports and expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Agents that a new flow is offered to, one after the other.
-const MAX_PLACEMENT_ATTEMPTS: usize = 3;
-
 /// Size of the receive buffers, as large as any UDP datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -59,6 +58,8 @@
     pub data_centre: DataCentre,
     /// Timeouts and limits of the flow table.
     pub flow_table: FlowTableSettings,
+    /// Timeouts and limits of the queue of new flows.
+    pub opening_queue: OpeningQueueSettings,
 }
 
 /// A new state of an agent's upstream.
@@ -92,23 +93,21 @@
     tried_flow_balancers: BTreeMap<FlowTuple, SocketAddrV4>,
     /// Routes of delivered opening datagrams, for those that the upstream returns.
     opening_routes: BTreeMap<FlowTuple, OpeningRoute>,
+    /// New flows that wait for a slot of the upstream.
+    opening_queue: OpeningQueue<CallerDatagram>,
     next_expiry_at: Instant,
     metrics: RelayMetrics,
 }
 
-/// How an opening datagram reached this agent.
-#[derive(Debug)]
-struct OpeningRoute {
-    via: SocketAddrV4,
-    declined_by: Vec<SocketAddrV4>,
-    delivered_at: Instant,
-}
-
 /// A datagram of a caller with its route to this agent.
 struct CallerDatagram {
     origin: Origin,
     via: SocketAddrV4,
     declined_by: Vec<SocketAddrV4>,
+    /// Targets of the requests on a new flow.
+    targets: RequestTargets,
+    /// When the first agent received it.
+    arrived_at: Instant,
     payload: Bytes,
 }
 
@@ -135,6 +134,7 @@
             tag: ServiceTag::of(&cfg.service),
             codec,
             flow_table: FlowTable::new(cfg.flow_table, now),
+            opening_queue: OpeningQueue::new(cfg.opening_queue),
             pool: AgentPool::default(),
             report_schedule: ReportSchedule::new(now),
             balancers: BalancerTable::default(),
@@ -183,6 +183,7 @@
                 () = sleep_until(tick_at.into()) => {
                     let now = Instant::now();
                     tick_at = now + TICK_INTERVAL;
+                    self.serve_waiting_openings(now).await;
                     self.send_due_reports(now).await;
                     self.expire_state(now);
                 }
@@ -235,28 +236,43 @@
                 declined_by,
                 payload,
             } => {
+                let targets = RequestTargets::default();
                 let arrival = CallerDatagram {
                     origin,
                     via,
                     declined_by,
+                    targets,
+                    arrived_at: now,
                     payload,
                 };
-                if tag == self.tag {
-                    self.handle_caller_datagram(arrival, now).await;
-                } else {
-                    // The address belonged to an agent of another service before.
-                    self.metrics
-                        .dropped_datagrams
-                        .with_label_values(&["other_service"])
-                        .inc();
-                    self.send_not_held(arrival.via, arrival.payload).await;
-                }
+                self.handle_forwarded_datagram(tag, arrival, now).await;
+            }
+            Message::Opening {
+                tag,
+                origin,
+                via,
+                declined_by,
+                targets,
+                waited_ms,
+                payload,
+            } => {
+                let waited = Duration::from_millis(waited_ms);
+                let arrival = CallerDatagram {
+                    origin,
+                    via,
+                    declined_by,
+                    targets,
+                    arrived_at: now.checked_sub(waited).unwrap_or(now),
+                    payload,
+                };
+                self.handle_forwarded_datagram(tag, arrival, now).await;
             }
             Message::ClaimQuery { tag, header } => {
                 self.handle_claim_query(tag, &header, from, now).await;
             }
             Message::Report(report) if report.service == self.cfg.service => {
                 self.pool.insert(from, report.candidate(now));
+                self.serve_waiting_openings(now).await;
             }
             Message::Report(_)
             | Message::NotHeld { .. }
@@ -271,6 +287,23 @@
         }
     }
 
+    async fn handle_forwarded_datagram(
+        &mut self,
+        tag: ServiceTag,
+        arrival: CallerDatagram,
+        now: Instant,
+    ) {
+        if tag == self.tag {
+            return self.handle_caller_datagram(arrival, now).await;
+        }
+        // The address belonged to an agent of another service before.
+        self.metrics
+            .dropped_datagrams
+            .with_label_values(&["other_service"])
+            .inc();
+        self.send_not_held(arrival.via, arrival.payload).await;
+    }
+
     async fn handle_claim_query(
         &mut self,
         tag: ServiceTag,
@@ -301,6 +334,10 @@
             return;
         };
         let key = seg.key_from_caller();
+        if seg.is_opening() {
+            // This copy takes the place of one that waits.
+            self.opening_queue.remove(&key);
+        }
         let refuses_opening = self.leaving && seg.is_opening();
         let verdict = if refuses_opening {
             CallerAction::PassOn
@@ -311,6 +348,7 @@
         match verdict {
             CallerAction::Deliver => self.deliver(&seg, arrival, now).await,
             CallerAction::PassOn => self.forward_opening(&seg, arrival, now).await,
+            CallerAction::Wait => self.queue_opening(&seg, arrival, now).await,
             CallerAction::NotHeld => {
                 log::info!(event = "not_held", flow:% = key, origin:? = arrival.origin; "agent does not hold the flow; returning the datagram to the balancer");
                 self.send_not_held(arrival.via, arrival.payload).await;
@@ -325,6 +363,7 @@
             let load = self.flow_table.load(now);
             log::info!(
                 event = "opened", flow:% = key, copy = seg.ack, origin:? = arrival.origin,
+                queued_ms = millis(now.saturating_duration_since(arrival.arrived_at)),
                 busy = load.busy_requests, flows = load.open_flows; "delivering the opening datagram of a new flow to the upstream"
             );
             self.metrics
@@ -332,13 +371,12 @@
                 .with_label_values(&["opened"])
                 .inc();
             if arrival.origin == Origin::Passed {
-                let service = self.cfg.service.clone();
-                self.send_message(arrival.via, &Message::FlowTaken { key, service })
-                    .await;
+                self.send_flow_taken(key, arrival.via).await;
             }
             let opening = OpeningRoute {
                 via: arrival.via,
                 declined_by: arrival.declined_by,
+                targets: arrival.targets,
                 delivered_at: now,
             };
             self.opening_routes.insert(key, opening);
@@ -358,58 +396,6 @@
             .await;
     }
 
-    /// Forwards an opening datagram to another agent. If none is available, delivers
-    /// it to the upstream or resets the flow.
-    async fn forward_opening(&mut self, seg: &Segment, arrival: CallerDatagram, now: Instant) {
-        let key = seg.key_from_caller();
-        let mut declined_by = arrival.declined_by.clone();
-        declined_by.push(self.cfg.peer_address);
-        let accepts_flows = self.accepts_flows(now);
-        let may_forward = declined_by.len() <= MAX_PLACEMENT_ATTEMPTS
-            && (!accepts_flows || self.pool.has_free_slot(&declined_by, now));
-        let peer = if may_forward {
-            self.pool
-                .place(&self.cfg.data_centre, key.stable_hash(), &declined_by, now)
-        } else {
-            None
-        };
-        if let Some(peer) = peer {
-            log::info!(
-                event = "passed_on", flow:% = key, copy = seg.ack, to:% = peer, full = u64::from(accepts_flows);
-                "forwarding the opening datagram of a new flow to another agent"
-            );
-            return self.send_to_agent(peer, arrival, declined_by).await;
-        }
-        if accepts_flows {
-            // No agent has a free slot. The queue of this upstream is as good as the
-            // queue of another one.
-            self.flow_table.accept_opening(seg, now);
-            return self.deliver(seg, arrival, now).await;
-        }
-        self.reset_flow(seg, "no_agent").await;
-    }
-
-    /// Sends an opening datagram to another agent, which may decline it.
-    async fn send_to_agent(
-        &self,
-        peer: SocketAddrV4,
-        arrival: CallerDatagram,
-        declined_by: Vec<SocketAddrV4>,
-    ) {
-        self.metrics
-            .flow_events
-            .with_label_values(&["passed_on"])
-            .inc();
-        let message = Message::Datagram {
-            tag: self.tag,
-            origin: Origin::Passed,
-            via: arrival.via,
-            declined_by,
-            payload: arrival.payload,
-        };
-        self.send_message(peer, &message).await;
-    }
-
     async fn reset_flow(&mut self, seg: &Segment, cause: &str) {
         self.metrics.flow_events.with_label_values(&["reset"]).inc();
         log::info!(event = "reset", flow:% = seg.key_from_caller(), cause = cause; "resetting the flow");
@@ -448,23 +434,14 @@
                 let to = SocketAddrV4::new(*seg.destination.ip(), self.cfg.caller_port);
                 // The network may lose the datagram too, so a failed send is ignored.
                 let _ = self.caller_socket.send_to(datagram, to).await;
+                self.serve_waiting_openings(now).await;
             }
             UpstreamAction::PassOn => {
                 let key = seg.key_from_caller();
                 self.codec.clear_bounce(datagram);
-                let opening = self.opening_routes.remove(&key);
-                let (via, declined_by) = opening
-                    .map_or((self.cfg.peer_address, Vec::new()), |opening| {
-                        (opening.via, opening.declined_by)
-                    });
-                let arrival = CallerDatagram {
-                    origin: Origin::Placed,
-                    via,
-                    declined_by,
-                    payload: Bytes::copy_from_slice(datagram),
-                };
                 log::info!(event = "bounced", flow:% = key; "upstream returned the opening datagram of a new flow");
-                self.forward_bounced_opening(&seg, arrival, now).await;
+                let payload = Bytes::copy_from_slice(datagram);
+                self.forward_bounced_opening(&seg, payload, now).await;
             }
             UpstreamAction::NotHeld => {
                 let key = seg.key_from_caller();
@@ -480,29 +457,6 @@
         }
     }
 
-    /// Forwards an opening datagram that the upstream returned to another agent, or
-    /// resets its flow. It is not delivered again: the upstream would return it
-    /// again.
-    async fn forward_bounced_opening(
-        &mut self,
-        seg: &Segment,
-        arrival: CallerDatagram,
-        now: Instant,
-    ) {
-        let mut declined_by = arrival.declined_by.clone();
-        declined_by.push(self.cfg.peer_address);
-        let (near, hash) = (&self.cfg.data_centre, seg.key_from_caller().stable_hash());
-        let peer = if declined_by.len() <= MAX_PLACEMENT_ATTEMPTS {
-            self.pool.place(near, hash, &declined_by, now)
-        } else {
-            None
-        };
-        let Some(peer) = peer else {
-            return self.reset_flow(seg, "bounced").await;
-        };
-        self.send_to_agent(peer, arrival, declined_by).await;
-    }
-
     /// Reports to the balancer that sent a datagram on trial that the flow is held
     /// here.
     async fn handle_learned_flow(&mut self, key: FlowTuple) {
@@ -512,12 +466,16 @@
             .inc();
         log::info!(event = "learned", flow:% = key; "upstream holds a flow that was not in the flow table");
         if let Some(via) = self.tried_flow_balancers.remove(&key) {
-            let service = self.cfg.service.clone();
-            self.send_message(via, &Message::FlowTaken { key, service })
-                .await;
+            self.send_flow_taken(key, via).await;
         }
     }
 
+    async fn send_flow_taken(&self, key: FlowTuple, via: SocketAddrV4) {
+        let service = self.cfg.service.clone();
+        self.send_message(via, &Message::FlowTaken { key, service })
+            .await;
+    }
+
     async fn send_message(&self, to: SocketAddrV4, message: &Message) {
         match wire::encode(message) {
             // The network may lose the datagram too, so a failed send is ignored.
@@ -528,3 +486,7 @@
         }
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -22,7 +22,10 @@
 impl<C: Codec> Agent<C> {
     /// Sends a report of the state and load to the recipients for which it is due.
     pub(super) async fn send_due_reports(&mut self, now: Instant) {
-        let load = self.flow_table.load(now);
+        let mut load = self.flow_table.load(now);
+        // A flow that waits here takes a slot as soon as one is free.
+        let waiting = u32::try_from(self.opening_queue.len()).unwrap_or(u32::MAX);
+        load.busy_requests = load.busy_requests.saturating_add(waiting);
         let accepting = self.accepts_flows(now);
         let recipients = self.report_schedule.take_due(load, accepting, now);
         if recipients.is_empty() {
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -185,7 +185,12 @@
                         service:% = service, set = self.set_number(); "placing a new flow at an agent"
                     );
                 }
-                self.send_to_agent(agent, origin, &service, payload).await;
+                if seg.is_opening() {
+                    self.send_opening(agent, origin, &service, key.service, payload)
+                        .await;
+                } else {
+                    self.send_to_agent(agent, origin, &service, payload).await;
+                }
             }
             SteeringDecision::Query(agents) => {
                 self.metrics
@@ -272,6 +277,31 @@
         self.send_message(agent, &message).await;
     }
 
+    /// Sends an opening datagram to an agent, with the targets of its route.
+    async fn send_opening(
+        &mut self,
+        agent: SocketAddrV4,
+        origin: Origin,
+        service: &ServiceName,
+        address: SocketAddrV4,
+        payload: Bytes,
+    ) {
+        self.metrics
+            .sent_datagrams
+            .with_label_values(&["agent"])
+            .inc();
+        let message = Message::Opening {
+            tag: ServiceTag::of(service),
+            origin,
+            via: self.cfg.peer_address,
+            declined_by: Vec::new(),
+            targets: self.steering.targets(address),
+            waited_ms: 0,
+            payload,
+        };
+        self.send_message(agent, &message).await;
+    }
+
     async fn send_message(&mut self, agent: SocketAddrV4, message: &Message) {
         match wire::encode(message) {
             Ok(datagram) => {
@@ -358,7 +388,7 @@
                     .record_reported_flows(keys, from, &service, now);
                 self.send_released(released).await;
             }
-            Message::Datagram { .. } | Message::ClaimQuery { .. } => {
+            Message::Datagram { .. } | Message::Opening { .. } | Message::ClaimQuery { .. } => {
                 self.metrics
                     .dropped_datagrams
                     .with_label_values(&["not_for_balancers"])
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -78,6 +78,7 @@
 fn set(number: u64) -> RoutingSet {
     let rule = RoutingRule {
         weights: [("vouchers".parse().unwrap(), RouteWeight(1))].into(),
+        ..RoutingRule::default()
     };
     RoutingSet {
         number: RoutingSetNumber(number),
--- a/crates/replica/tests/history.rs
+++ b/crates/replica/tests/history.rs
@@ -8,6 +8,7 @@
 fn set(number: u64, ports: &[u16]) -> RoutingSet {
     let rule = RoutingRule {
         weights: [("vouchers".parse().unwrap(), RouteWeight(1))].into(),
+        ..RoutingRule::default()
     };
     let address = |port: &u16| SocketAddr::from(([198, 18, 0, 1], *port));
     RoutingSet {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -36,7 +36,7 @@
 };
 pub use version::{
     BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, KeyGeneration, KeySet, PathPrefix,
-    Revision, RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber, Service,
-    ServiceId, ServiceState, Share, Target, Term, UpstreamAnnouncement, UpstreamMember,
-    UpstreamState, Version,
+    Priority, RequestTargets, Revision, RouteWeight, RoutingDelta, RoutingRule, RoutingSet,
+    RoutingSetNumber, Service, ServiceId, ServiceState, Share, Target, Term, UpstreamAnnouncement,
+    UpstreamMember, UpstreamState, Version,
 };
--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -12,5 +12,7 @@
     UpstreamMember, UpstreamState,
 };
 pub use number::{Revision, Term, Version};
-pub use routes::{RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber};
+pub use routes::{
+    Priority, RequestTargets, RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber,
+};
 pub use service::{PathPrefix, Service, ServiceId, Share, Target};
--- a/crates/types/src/version/routes.rs
+++ b/crates/types/src/version/routes.rs
@@ -20,12 +20,75 @@
     RouteWeight(u32)
 }
 
+decimal! {
+    /// Priority of a request; 0 is the most urgent.
+    Priority(u8)
+}
+
+/// What the callers of a route can use, as the operators state it. It decides
+/// which flow waits and which is refused while the upstreams are full.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestTargets {
+    /// Latency objective. A later answer is worth less to its caller.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub objective: Duration,
+    /// Time after which the caller no longer waits for an answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub timeout: Duration,
+    /// Order among requests that wait.
+    pub priority: Priority,
+}
+
+impl Default for RequestTargets {
+    /// Targets of a route for which the operators state none: any answer within
+    /// a minute is as good as another, and other routes go first.
+    fn default() -> Self {
+        RequestTargets {
+            objective: Duration::from_mins(1),
+            timeout: Duration::from_mins(1),
+            priority: Priority(u8::MAX),
+        }
+    }
+}
+
 /// The services that receive the new flows to one address.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "EncodedRule", into = "EncodedRule")]
 pub struct RoutingRule {
     /// Weight of each service. In an accepted set, at least one is above 0.
     pub weights: BTreeMap<ServiceName, RouteWeight>,
+    /// Targets of the requests on these flows.
+    pub targets: RequestTargets,
+}
+
+/// Encodings of a [`RoutingRule`]. A rule without targets is encoded as its
+/// weights alone, the form of logs and snapshots from before rules had targets.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum EncodedRule {
+    Weights(BTreeMap<ServiceName, RouteWeight>),
+    WithTargets(BTreeMap<ServiceName, RouteWeight>, RequestTargets),
+}
+
+impl From<EncodedRule> for RoutingRule {
+    fn from(encoded: EncodedRule) -> Self {
+        let (weights, targets) = match encoded {
+            EncodedRule::Weights(weights) => (weights, RequestTargets::default()),
+            EncodedRule::WithTargets(weights, targets) => (weights, targets),
+        };
+        RoutingRule { weights, targets }
+    }
+}
+
+impl From<RoutingRule> for EncodedRule {
+    fn from(rule: RoutingRule) -> Self {
+        if rule.targets == RequestTargets::default() {
+            EncodedRule::Weights(rule.weights)
+        } else {
+            EncodedRule::WithTargets(rule.weights, rule.targets)
+        }
+    }
 }
 
 impl RoutingRule {
@@ -35,7 +98,10 @@
     /// ```
     /// use types::{RouteWeight, RoutingRule};
     ///
-    /// let rule = RoutingRule { weights: [("vouchers".parse()?, RouteWeight(1))].into() };
+    /// let rule = RoutingRule {
+    ///     weights: [("vouchers".parse()?, RouteWeight(1))].into(),
+    ///     ..RoutingRule::default()
+    /// };
     /// assert_eq!(rule.select_service(17).map(ToString::to_string), Some("vouchers".to_owned()));
     /// # Ok::<(), types::Error>(())
     /// ```
