Know by rosters when no agent is missing from the directory

Cause: after a loss of power callers send on flows that no agent holds any more, and wait for their timeouts ("deadline" is the commonest end of the requests that fail). A balancer may reset such a flow only once its list of agents is complete, and that was a bound of time: 1.6 s of hearing all control hosts and the leader, 2.2 s after their start. Then the caller's next retransmission, up to 1.6 s later, had to arrive.

Change: - Each control host keeps the addresses of the agents that it has listed in a file of its data folder. After a restart it fetches the lists of the other members; the directory is complete once every listed agent is heard or its lease is over. The bound of time stays for agents that never return. - A control host publishes the status of its group at its start, not at the first election timeout (0.13 to 0.6 s later), and sends all its records to a control host that has started (the next relay came 1 s later). - A balancer keeps the flows that all known agents deny and searches for them once more when the list is complete. - Waiting flows that miss their objective are no load: fresh ones go first.

Changed test: a_flow_is_reset_only_if_no_agent_can_hold_it checks now in which round a flow is reset, as a search that began with an incomplete directory is followed by a second one.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -5,7 +5,9 @@
 //! another ([`Directory::heard_since`]). The reply to a hello carries the changes
 //! since the version that the process has ([`Directory::deltas_since`]); the
 //! process applies them to its [`View`]. All of this is soft state: it needs no
-//! consensus, and is complete again one hello interval after a restart.
+//! consensus, and is complete again one hello interval after a restart. A control
+//! host keeps only its [`Roster`] on disk: from it and those of the other members,
+//! [`Coverage`] knows whether an agent is still missing.
 //!
 //! ```
 //! use directory::{Directory, Node, View};
@@ -24,7 +26,10 @@
 pub mod process;
 pub mod version;
 
-pub use process::{Coverage, Directory, NODE_LEASE, Node, NodeRole, View, ViewChanges};
+pub use process::{
+    Coverage, Directory, GroupView, NODE_LEASE, Node, NodeRole, Roster, View, ViewChanges,
+};
 pub use version::{
-    ControlMessage, DirectoryDelta, DirectoryVersion, Hello, HelloReply, ROUTES_PATH,
+    ControlMessage, DirectoryDelta, DirectoryVersion, Hello, HelloReply, ROSTER_PATH, ROUTES_PATH,
+    RosterReply,
 };
--- a/crates/directory/src/process/directory.rs
+++ b/crates/directory/src/process/directory.rs
@@ -201,6 +201,19 @@
             })
     }
 
+    /// Incarnation of the node at this address, if one is listed.
+    #[must_use]
+    pub fn incarnation(&self, address: SocketAddrV4) -> Option<u64> {
+        let record = self.records.get(&address);
+        record.map(|record| record.node.incarnation)
+    }
+
+    /// Whether a node at this address is listed.
+    #[must_use]
+    pub fn lists(&self, address: SocketAddrV4) -> bool {
+        self.records.contains_key(&address)
+    }
+
     /// All nodes, with the time when each was last heard.
     pub fn nodes(&self) -> impl Iterator<Item = (&Node, Instant)> {
         self.records
--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -6,7 +6,7 @@
 
 use types::{MemberId, RoutingSetNumber};
 
-use crate::Node;
+use crate::{Node, Roster};
 
 /// Version of a control host's directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -33,6 +33,18 @@
 /// HTTP path at which a control host serves deltas of the routing set.
 pub const ROUTES_PATH: &str = "/v1/routes";
 
+/// HTTP path at which a control host serves its roster to other control hosts.
+pub const ROSTER_PATH: &str = "/v1/roster";
+
+/// The agents that a control host has listed, for another control host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterReply {
+    /// The members of the group, as the sender knows them.
+    pub members: Vec<Ipv4Addr>,
+    /// The agents that the sender has listed and that are not known to be gone.
+    pub roster: Roster,
+}
+
 /// Periodic message of a node to a control host: its state and the version of
 /// its directory.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -58,13 +58,18 @@
     /// Order in which waiting flows get a slot that is free at `now`; the least
     /// goes first.
     fn rank(&self, now: Instant, answer_time: Duration) -> (bool, u8, Reverse<Instant>) {
-        let misses_objective = now + answer_time > self.first_sent_at + self.targets.objective;
         (
-            misses_objective,
+            self.misses_objective(now, answer_time),
             self.targets.priority.0,
             Reverse(self.first_sent_at),
         )
     }
+
+    /// Whether an answer comes too late for the objective even if the flow gets a slot
+    /// at `now`.
+    fn misses_objective(&self, now: Instant, answer_time: Duration) -> bool {
+        now + answer_time > self.first_sent_at + self.targets.objective
+    }
 }
 
 /// The flows that wait for a slot of an agent's upstream, with an item of type `T`
@@ -97,6 +102,15 @@
         self.waiting.is_empty()
     }
 
+    /// Number of waiting flows that can still meet their objective. A new flow waits
+    /// for these only, the others for it.
+    #[must_use]
+    pub fn waiting_in_time(&self, pace: Duration, now: Instant) -> usize {
+        let answer_time = pace + self.settings.round_trips;
+        let in_time = |flow: &&WaitingOpening<T>| !flow.misses_objective(now, answer_time);
+        self.waiting.iter().filter(in_time).count()
+    }
+
     /// Adds the flow of an opening datagram that arrived at `arrived_at`, in place of
     /// an earlier datagram of the same flow.
     pub fn push(&mut self, seg: &Segment, arrived_at: Instant, targets: RequestTargets, item: T) {
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 pub use outcome::{DropReason, FlowQuery, ReleasedDatagram, SearchResults, SteeringDecision};
-use search::{Search, TryRecord};
+use search::{Search, TryRecord, UnresolvedFlow};
 use types::{DataCentre, RequestTargets, RoutingSet, ServiceName};
 
 use super::{AgentPool, Origin, RateLimiter};
@@ -55,6 +55,9 @@
     /// Pause between an unsuccessful search and the next one for the same flow.
     /// A caller retransmits after 200 ms, then with growing intervals.
     pub search_backoff: Duration,
+    /// Maximum number of flows without a holder that are kept until the directory
+    /// is complete, each with one datagram of at most 1.3 KB.
+    pub max_unresolved: usize,
 }
 
 impl Default for SteeringSettings {
@@ -71,6 +74,7 @@
             max_tries: 2,
             tries_window: Duration::from_millis(2500),
             search_backoff: Duration::from_millis(300),
+            max_unresolved: 512,
         }
     }
 }
@@ -96,6 +100,10 @@
     searches: BTreeMap<FlowTuple, Search>,
     /// Agents that got a datagram of a flow without having claimed it.
     tries: BTreeMap<FlowTuple, TryRecord>,
+    /// A datagram of each flow that no known agent holds, while the directory may
+    /// lack the one that does. They are searched for again once it is complete: a
+    /// caller retransmits rarely by then, and otherwise waits for its timeout.
+    unresolved: BTreeMap<FlowTuple, UnresolvedFlow>,
     /// Limits the queries of the search rounds after the first.
     query_limiter: RateLimiter,
     /// Until this instant, the directory lists all processes; `None` if it
@@ -116,6 +124,7 @@
             hints: BTreeMap::new(),
             searches: BTreeMap::new(),
             tries: BTreeMap::new(),
+            unresolved: BTreeMap::new(),
             directory_complete_until: None,
         }
     }
@@ -314,6 +323,7 @@
             },
         );
         self.tries.remove(&key);
+        self.unresolved.remove(&key);
         let queued = self.searches.remove(&key).map(|search| search.queued);
         queued
             .into_iter()
@@ -353,6 +363,8 @@
             .retain(|_, hint| now < hint.last_used_at + settings.hint_idle_timeout);
         self.tries
             .retain(|_, tries| now < tries.window_start + 4 * settings.tries_window);
+        self.unresolved
+            .retain(|_, flow| now < flow.last_seen_at + settings.hint_idle_timeout);
     }
 
     /// Number of flows with a hint.
--- a/crates/flow/src/process/steering/search.rs
+++ b/crates/flow/src/process/steering/search.rs
@@ -55,6 +55,14 @@
     /// After an unsuccessful search, the next one may start at this instant.
     backoff_until: Instant,
 }
+
+/// A flow that no known agent holds.
+#[derive(Debug)]
+pub(super) struct UnresolvedFlow {
+    payload: Bytes,
+    pub(super) last_seen_at: Instant,
+}
+
 impl Steering {
     /// Starts a search for the holder of a flow, or queues the datagram if one
     /// is running.
@@ -204,12 +212,74 @@
             let released = self.try_next_agent(key, &search, now);
             if released.is_none() {
                 self.tries_for(key, now).backoff_until = now + settings.search_backoff;
+                self.keep_unresolved(search, now);
             }
             ended.released.extend(released);
         }
+        ended.queries.extend(self.resume_searches(now));
         ended
     }
 
+    /// Keeps a flow whose search has found no agent that holds it or may hold it.
+    fn keep_unresolved(&mut self, search: Search, now: Instant) {
+        let is_denied = search.pending_agents.is_empty() && search.uncertain_agents.is_empty();
+        let has_room = self.unresolved.len() < self.settings.max_unresolved;
+        if !is_denied || !(has_room || self.unresolved.contains_key(&search.key)) {
+            return;
+        }
+        if let Some(payload) = search.queued.into_iter().next() {
+            let last_seen_at = now;
+            let flow = UnresolvedFlow {
+                payload,
+                last_seen_at,
+            };
+            self.unresolved.insert(search.key, flow);
+        }
+    }
+
+    /// Searches again for the unresolved flows once the directory is complete, and
+    /// returns the queries. Each search asks all agents at once, as far as the limit
+    /// of queries allows; the others follow at the next call.
+    pub fn resume_searches(&mut self, now: Instant) -> Vec<FlowQuery> {
+        let mut queries = Vec::new();
+        if !self.is_directory_complete(now) {
+            return queries;
+        }
+        while self.searches.len() < self.settings.max_searches {
+            let Some((&key, _)) = self.unresolved.first_key_value() else {
+                break;
+            };
+            let all_agents = self.pools.values().map(|pool| pool.addresses().count());
+            if !self.query_limiter.try_acquire(all_agents.sum(), now) {
+                break;
+            }
+            let agents = self.agents_for(&key);
+            let flow = self.unresolved.remove(&key);
+            let (Some(flow), false) = (flow, agents.is_empty() || self.hints.contains_key(&key))
+            else {
+                continue;
+            };
+            queries.push(FlowQuery {
+                payload: flow.payload.clone(),
+                agents: agents.clone(),
+            });
+            let search = Search {
+                key,
+                deadline: now + self.settings.search_timeout,
+                remaining_agents: Vec::new(),
+                queried: agents.len(),
+                may_widen: true,
+                pending_agents: agents.into_iter().collect(),
+                uncertain_agents: BTreeMap::new(),
+                queued: vec![flow.payload],
+                directory_was_complete: true,
+                queries_other_services: false,
+            };
+            self.searches.entry(key).or_insert(search);
+        }
+        queries
+    }
+
     /// Agents of the next round; empty when the search has queried all of them.
     fn next_agents(
         &mut self,
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{SERVICE, address, data, opening, payload, ready, remove_routes};
+use common::{SERVICE, address, agent, data, opening, payload, ready, remove_routes};
 use flow::{Claim, DropReason, Origin, Steering, SteeringDecision};
 
 fn forwarded(steer: &SteeringDecision) -> (std::net::SocketAddrV4, Origin) {
@@ -200,8 +200,9 @@
     other: Option<Claim>,
 }
 
-/// Returns whether the flow was reset, and how many datagrams were forwarded.
-fn search_result(answers: &Answers) -> (bool, usize) {
+/// Returns after how many rounds of answers the flow was reset, if it was, and how
+/// many datagrams were forwarded.
+fn search_result(answers: &Answers) -> (Option<u32>, usize) {
     let (mut steering, mut now) = ready(2);
     let other = "others".parse().unwrap();
     steering.pool(&other).insert(address(9), common::agent(now));
@@ -211,9 +212,9 @@
     let seg = data(1, 101, 1);
     let key = seg.key_from_caller();
     steer(&mut steering, &seg, now);
-    let (mut lost, mut released) = (0, 0);
+    let (mut lost_after, mut released) = (None, 0);
     let claims = [(1, answers.first), (2, Some(Claim::No)), (9, answers.other)];
-    for _ in 0..3 {
+    for round in 1..=3 {
         for (n, claim) in claims {
             if let Some(claim) = claim {
                 released += steering.handle_claim(key, address(n), claim, now).len();
@@ -228,10 +229,12 @@
             }),
         );
         let ended = steering.end_searches(now);
-        lost += ended.lost_flows.len();
+        if !ended.lost_flows.is_empty() {
+            lost_after.get_or_insert(round);
+        }
         released += ended.released.len();
     }
-    (lost > 0, released)
+    (lost_after, released)
 }
 
 /// Guards against the reset of a live flow, and against a caller that waits for
@@ -248,7 +251,7 @@
                 first: no,
                 other: no,
             },
-            (true, 0),
+            (Some(2), 0),
         ),
         (
             "one agent does not answer",
@@ -257,7 +260,7 @@
                 first: None,
                 other: no,
             },
-            (false, 0),
+            (None, 0),
         ),
         (
             "one agent has restarted",
@@ -266,7 +269,7 @@
                 first: Some(Claim::Perhaps),
                 other: no,
             },
-            (false, 1),
+            (None, 1),
         ),
         (
             "one agent holds the flow",
@@ -275,7 +278,7 @@
                 first: Some(Claim::Holds),
                 other: no,
             },
-            (false, 1),
+            (None, 1),
         ),
         (
             "an agent of another service does not answer",
@@ -284,7 +287,7 @@
                 first: no,
                 other: None,
             },
-            (false, 0),
+            (None, 0),
         ),
         (
             "an agent of another service has restarted",
@@ -293,7 +296,7 @@
                 first: no,
                 other: Some(Claim::Perhaps),
             },
-            (false, 0),
+            (None, 0),
         ),
         (
             "an agent of another service holds the flow",
@@ -302,7 +305,7 @@
                 first: no,
                 other: Some(Claim::Holds),
             },
-            (false, 1),
+            (None, 1),
         ),
         (
             "the directory was incomplete at the start",
@@ -311,7 +314,8 @@
                 first: no,
                 other: no,
             },
-            (false, 0),
+            // A second search, which began once the directory was complete, decides.
+            (Some(3), 0),
         ),
         (
             "the directory is incomplete at the end",
@@ -320,7 +324,7 @@
                 first: no,
                 other: no,
             },
-            (false, 0),
+            (None, 0),
         ),
     ];
     for (what, answers, expected) in cases {
@@ -368,3 +372,57 @@
     let decision = steer(&mut steering, &seg, late);
     assert_eq!(forwarded(&decision), (address(2), Origin::Held));
 }
+
+/// Guards against callers that wait for their timeout after a loss of power: a flow
+/// that all agents deny while the directory is incomplete is searched for again once
+/// it is complete, without another datagram of the caller, which retransmits rarely by
+/// then.
+#[test]
+fn an_unresolved_flow_is_reset_once_the_directory_is_complete() {
+    let (mut steering, now) = ready(2);
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    let payload = Bytes::from_static(b"data");
+    let deny_all = |steering: &mut Steering, now| {
+        for n in 1..=2 {
+            steering.handle_claim(key, address(n), Claim::No, now);
+        }
+    };
+    assert!(matches!(
+        steering.steer(&seg, &payload, now),
+        SteeringDecision::Query(_)
+    ));
+    deny_all(&mut steering, now);
+    let ended = steering.end_searches(now);
+    assert!(ended.lost_flows.is_empty(), "an agent may be missing");
+    assert!(steering.resume_searches(now).is_empty());
+
+    // An agent that was missing is listed. It is asked as well.
+    let later = now + Duration::from_millis(400);
+    let pool = steering.pool(&SERVICE.parse().unwrap());
+    pool.insert(address(3), agent(later));
+    steering.set_directory_complete_until(later + Duration::from_secs(1));
+    let queries = steering.resume_searches(later);
+    assert_eq!(queries.len(), 1);
+    assert_eq!(queries[0].agents.len(), 3);
+    deny_all(&mut steering, later);
+    assert!(steering.end_searches(later).lost_flows.is_empty());
+    steering.handle_claim(key, address(3), Claim::No, later);
+    assert_eq!(steering.end_searches(later).lost_flows, [payload]);
+    assert!(steering.resume_searches(later).is_empty(), "it is resolved");
+}
+
+/// Guards against the reset of an unresolved flow that an agent turns out to hold.
+#[test]
+fn an_unresolved_flow_that_is_found_goes_on() {
+    let (mut steering, now) = ready(1);
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    steering.steer(&seg, &Bytes::from_static(b"data"), now);
+    steering.handle_claim(key, address(1), Claim::No, now);
+    steering.end_searches(now);
+    let service = SERVICE.parse().unwrap();
+    steering.record_reported_flows(vec![key], address(1), &service, now);
+    steering.set_directory_complete_until(now + Duration::from_secs(1));
+    assert!(steering.resume_searches(now).is_empty());
+}
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -23,8 +23,10 @@
     /// Sends a report of the state and load to the recipients for which it is due.
     pub(super) async fn send_due_reports(&mut self, now: Instant) {
         let mut load = self.flow_table.load(now);
-        // A flow that waits here takes a slot as soon as one is free.
-        let waiting = u32::try_from(self.opening_queue.len()).unwrap_or(u32::MAX);
+        // Flows that wait here and go before new ones count as load.
+        let pace = self.flow_table.pace();
+        let waiting = self.opening_queue.waiting_in_time(pace, now);
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         load.busy_requests = load.busy_requests.saturating_add(waiting);
         let accepting = self.accepts_flows(now);
         let recipients = self.report_schedule.take_due(load, accepting, now);
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, Load, Origin, ReleasedDatagram, Segment, Steering,
+    AgentStatus, Claim, DropReason, FlowQuery, Load, Origin, ReleasedDatagram, Segment, Steering,
     SteeringDecision, SteeringSettings,
 };
 use prometheus::Registry;
@@ -142,7 +142,7 @@
                     }
                 }
                 update = self.updates.recv() => match update {
-                    Some(update) => self.apply_update(update),
+                    Some(update) => self.apply_update(update).await,
                     None => return,
                 },
                 () = sleep_until(egress_deadline.unwrap_or(deadline).into()), if egress_deadline.is_some() => {
@@ -416,11 +416,13 @@
         self.update_readiness();
     }
 
-    fn apply_update(&mut self, update: ControlUpdate) {
+    async fn apply_update(&mut self, update: ControlUpdate) {
         match update {
             ControlUpdate::Nodes(changes) => self.apply_node_changes(changes, Instant::now()),
             ControlUpdate::NodeListComplete(until) => {
                 self.steering.set_directory_complete_until(until);
+                let queries = self.steering.resume_searches(Instant::now());
+                self.send_search_queries(queries).await;
             }
             ControlUpdate::Routes(delta) => {
                 let (number, changed) = (delta.number, delta.changed.len());
@@ -482,16 +484,19 @@
         });
     }
 
-    async fn handle_deadlines(&mut self, now: Instant) {
-        let ended = self.steering.end_searches(now);
-        for question in ended.queries {
+    async fn send_search_queries(&mut self, queries: Vec<FlowQuery>) {
+        for query in queries {
             self.metrics
                 .flow_events
                 .with_label_values(&["searched_wider"])
                 .inc();
-            self.send_claim_queries(&question.payload, question.agents)
-                .await;
+            self.send_claim_queries(&query.payload, query.agents).await;
         }
+    }
+
+    async fn handle_deadlines(&mut self, now: Instant) {
+        let ended = self.steering.end_searches(now);
+        self.send_search_queries(ended.queries).await;
         for payload in ended.lost_flows {
             self.reset_flow(&payload, "held_by_no_agent").await;
         }
--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -17,6 +17,9 @@
     /// The thread that writes to the disk has ended.
     #[error("the thread that writes to the data folder has ended")]
     DiskThreadEnded,
+    /// A thread cannot be started.
+    #[error("cannot start a thread: {0}")]
+    Thread(io::Error),
     /// A snapshot of the state cannot be encoded or decoded.
     #[error("cannot read or write a snapshot: {0}")]
     Snapshot(#[from] config::Error),
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -126,6 +126,8 @@
 
     /// Runs until the senders of commands are gone or the disk thread fails.
     pub async fn run(mut self) -> Result<()> {
+        // The group on disk is known before the first election timeout.
+        self.publish_status();
         loop {
             let deadline = self.next_deadline();
             tokio::select! {
--- a/crates/replica/src/process/http.rs
+++ b/crates/replica/src/process/http.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
+use directory::RosterReply;
 use http::{Method, StatusCode};
 use net::{BufferedRequest, BufferedResponse, Handler};
 use serde::Serialize;
@@ -11,7 +12,7 @@
 use wire::CONTENT_TYPE;
 use wire::request::{ChangeReply, QueryReply};
 
-use super::group::GroupCommand;
+use super::{group::GroupCommand, nodes::SharedRoster};
 use crate::version::RouteHistory;
 
 /// Accepts a message of a member.
@@ -22,6 +23,8 @@
 pub(crate) const READ_PATH: &str = "/v1/routing-set";
 /// Returns the delta from a node's routing set to the current one.
 pub(crate) const DELTA_PATH: &str = directory::ROUTES_PATH;
+/// Returns the roster of this host.
+pub(crate) const ROSTER_PATH: &str = directory::ROSTER_PATH;
 
 /// Serves requests of other processes.
 #[derive(Clone)]
@@ -29,6 +32,8 @@
     pub group: mpsc::Sender<GroupCommand>,
     /// Updated by the node task, which runs on the same thread.
     pub history: Rc<RefCell<RouteHistory>>,
+    /// Updated by the node task too.
+    pub roster: Rc<RefCell<SharedRoster>>,
 }
 
 impl Handler for HttpInterface {
@@ -38,6 +43,7 @@
             (&Method::POST, CHANGE_PATH) => self.propose_change(&req.body).await,
             (&Method::POST, READ_PATH) => self.read_routes().await,
             (&Method::POST, DELTA_PATH) => self.routing_delta(&req.body),
+            (&Method::POST, ROSTER_PATH) => self.roster(),
             _ => BufferedResponse::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -83,6 +89,18 @@
             None => BufferedResponse::empty(StatusCode::NO_CONTENT),
         }
     }
+
+    /// The roster, once this host knows all agents that it has listed.
+    fn roster(&self) -> BufferedResponse {
+        let shared = self.roster.borrow();
+        if !shared.vouched || shared.members.is_empty() {
+            return BufferedResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        encode_response(&RosterReply {
+            members: shared.members.clone(),
+            roster: shared.roster.clone(),
+        })
+    }
 }
 
 fn encode_response<T: Serialize>(value: &T) -> BufferedResponse {
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod metrics;
 mod nodes;
 mod replica;
+mod roster_file;
 mod run;
 mod settings;
 mod transport;
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -1,10 +1,11 @@
 //! The task that owns the node discovery socket and the directory.
 
 mod form;
+mod roster;
 
 use std::{
     cell::RefCell,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     rc::Rc,
     sync::Arc,
@@ -13,8 +14,11 @@
 
 use consensus::Group;
 use directory::{
-    ControlMessage, Coverage, Directory, DirectoryVersion, Hello, HelloReply, Node, NodeRole,
+    ControlMessage, Coverage, Directory, DirectoryVersion, Hello, HelloReply, NODE_LEASE, Node,
+    NodeRole, Roster,
 };
+use roster::FetchedRoster;
+pub(crate) use roster::SharedRoster;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -78,6 +82,18 @@
     socket: UdpSocket,
     directory: Directory,
     coverage: Coverage,
+    /// Whether the directory was complete at the last check.
+    was_complete: bool,
+    roster: Rc<RefCell<SharedRoster>>,
+    /// Writes the roster to disk; `None` on a host without one.
+    roster_writer: Option<std::sync::mpsc::Sender<Roster>>,
+    /// Until when agents from before the start may be on the roster without having
+    /// been heard.
+    restored_roster_until: Option<Instant>,
+    /// Members whose roster is being fetched.
+    roster_fetches: BTreeSet<Ipv4Addr>,
+    fetched_rosters_tx: mpsc::Sender<FetchedRoster>,
+    fetched_rosters: mpsc::Receiver<FetchedRoster>,
     subscribers: BTreeMap<SocketAddrV4, Subscriber>,
     history: Rc<RefCell<RouteHistory>>,
     /// The local member; `None` on a host without a disk.
@@ -125,6 +141,8 @@
 pub(crate) struct Channels {
     pub socket: UdpSocket,
     pub history: Rc<RefCell<RouteHistory>>,
+    pub roster: Rc<RefCell<SharedRoster>>,
+    pub roster_writer: Option<std::sync::mpsc::Sender<Roster>>,
     pub member: Option<LocalMember>,
     pub control_hosts: watch::Sender<Vec<Ipv4Addr>>,
     pub stop: watch::Receiver<bool>,
@@ -160,12 +178,25 @@
         // Only one host forms the first group; several could form different groups.
         let forms = cfg.bootstrap && cfg.seeds.borrow().iter().min() == Some(&cfg.ip);
         let form_at = forms.then(|| now + BOOTSTRAP_DELAY);
+        let coverage = {
+            let shared = channels.roster.borrow();
+            let own_roster = shared.vouched.then_some(&shared.roster);
+            Coverage::new(cfg.ip, own_roster, now)
+        };
+        let (fetched_rosters_tx, fetched_rosters) = mpsc::channel(MAX_LISTED_CONTROL_HOSTS);
         NodeTask {
             cfg,
             local_node,
             socket: channels.socket,
             directory: Directory::new(incarnation),
-            coverage: Coverage::new(now),
+            coverage,
+            was_complete: false,
+            roster: channels.roster,
+            roster_writer: channels.roster_writer,
+            restored_roster_until: Some(now + NODE_LEASE),
+            roster_fetches: BTreeSet::new(),
+            fetched_rosters_tx,
+            fetched_rosters,
             subscribers: BTreeMap::new(),
             history: channels.history,
             member: channels.member,
@@ -202,6 +233,11 @@
                     self.apply_member_updates();
                     self.notify_subscribers(true).await;
                 }
+                Some(fetched) = self.fetched_rosters.recv() => {
+                    let now = Instant::now();
+                    self.handle_fetched_roster(fetched, now);
+                    self.update_coverage(now).await;
+                }
                 _ = self.stop.changed(), if !self.local_node.leaving => {
                     self.local_node.leaving = true;
                     self.local_node.seq += 1;
@@ -240,17 +276,30 @@
                     self.coverage.record_contact(*from.ip(), now);
                 }
                 let mut changed = false;
+                let mut started_hosts = Vec::new();
                 for (node, age) in heard {
                     let age = Duration::from_millis(age);
                     // A host's own record is authoritative: copies of it that
                     // other hosts relay are ignored.
-                    if node.address != self.local_node.address {
-                        changed |= self.directory.record_relayed(node, age, now);
+                    if node.address == self.local_node.address {
+                        continue;
                     }
+                    let former = self.directory.incarnation(node.address);
+                    if node.gossips() && former != Some(node.incarnation) {
+                        started_hosts.push(node.address);
+                    }
+                    changed |= self.directory.record_relayed(node.clone(), age, now);
+                    self.record_agent(&node);
+                }
+                for host in started_hosts {
+                    self.send_all_records(host, now).await;
                 }
                 if changed {
                     self.schedule_notification(now);
                 }
+                if !self.was_complete {
+                    self.update_coverage(now).await;
+                }
             }
             Ok(ControlMessage::FormGroup(members)) => self.bootstrap_group(&members),
             Err(e) => {
@@ -262,6 +311,7 @@
     async fn handle_hello(&mut self, hello: Hello, now: Instant) {
         let address = hello.node.address;
         let changed = self.directory.record_hello(hello.node.clone(), now);
+        self.record_agent(&hello.node);
         if let Some(version) = hello.version {
             let subscriber = Subscriber {
                 reply_to: hello.reply_to,
@@ -283,6 +333,9 @@
             self.relay_records(vec![(hello.node, 0)]).await;
             self.schedule_notification(now);
         }
+        if !self.was_complete {
+            self.update_coverage(now).await;
+        }
     }
 
     /// The reply to a node that is choosing a control host. It lists no nodes:
@@ -403,30 +456,13 @@
             log::info!(event = "node_gone", address:% = node.address; "removed a node whose lease expired");
         }
         if !gone.is_empty() {
+            self.remove_agents(&gone);
             self.schedule_notification(now);
         }
-        self.update_coverage(now);
+        self.update_coverage(now).await;
         self.report_control_hosts(now);
     }
 
-    /// Updates whether this host's directory covers all processes. An observer's
-    /// never does, since it has no list of the members of the group.
-    fn update_coverage(&mut self, now: Instant) {
-        let Some(member) = &self.member else {
-            return;
-        };
-        let others = member.membership_status.borrow().other_members.clone();
-        let others: Vec<Ipv4Addr> = others
-            .into_iter()
-            .filter_map(|address| match address {
-                SocketAddr::V4(address) => Some(*address.ip()),
-                SocketAddr::V6(_) => None,
-            })
-            .collect();
-        self.coverage
-            .update(&others, self.local_node.is_current(), now);
-    }
-
     fn report_control_hosts(&mut self, now: Instant) {
         let port = self.cfg.member_port;
         let mut heard = BTreeMap::new();
@@ -460,6 +496,21 @@
         }
     }
 
+    /// Sends all records to a control host that has started. It has missed those that
+    /// were relayed before, and each is relayed again only by the host that heard it
+    /// last, after a [`RELAY_INTERVAL`].
+    async fn send_all_records(&self, host: SocketAddrV4, now: Instant) {
+        let records = self.directory.nodes().map(|(node, heard_at)| {
+            let age = now.saturating_duration_since(heard_at);
+            (node.clone(), millis(age))
+        });
+        let records: Vec<(Node, u64)> = records.collect();
+        for chunk in records.chunks(MAX_RECORDS_PER_DATAGRAM) {
+            self.send(host, &ControlMessage::Relayed(chunk.to_vec()))
+                .await;
+        }
+    }
+
     /// Sends records to the other control hosts: the known ones, the seeds, and the
     /// members restored from disk, which may be alive but not yet discovered.
     async fn relay_records(&self, records: Vec<(Node, u64)>) {
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, time::Instant};
 
 use consensus::{Consensus, MemberIdentity};
+use directory::Roster;
 use net::ServerLimits;
 use prometheus::Registry;
 use rand::Rng;
@@ -13,8 +14,13 @@
 };
 
 use super::{
-    ReplicaHandle, Settings, group, group::MembershipStatus, http::HttpInterface, metrics::Metrics,
-    nodes, nodes::NodeTask, transport,
+    ReplicaHandle, Settings, group,
+    group::MembershipStatus,
+    http::HttpInterface,
+    metrics::Metrics,
+    nodes,
+    nodes::{NodeTask, SharedRoster},
+    roster_file, transport,
 };
 use crate::{Error, Result, version::RouteHistory};
 
@@ -34,7 +40,15 @@
     stop: watch::Receiver<bool>,
 ) -> Result<(ReplicaHandle, impl Future<Output = Result<()>> + use<>)> {
     let metrics = Metrics::new(registry)?;
-    let (store, found) = store::open(DataDir::new(&cfg.data_dir)?)?;
+    let data_dir = DataDir::new(&cfg.data_dir)?;
+    let (store, found) = store::open(data_dir.clone())?;
+    let restored_roster = roster_file::read(&data_dir);
+    let roster = Rc::new(RefCell::new(SharedRoster {
+        vouched: restored_roster.is_some(),
+        members: Vec::new(),
+        roster: restored_roster.unwrap_or_default(),
+    }));
+    let roster_writer = roster_file::spawn_writer(data_dir)?;
     let disk = store::spawn(store)?;
     let member = found.member;
     let blank = found.restored.snapshot.is_none();
@@ -79,6 +93,8 @@
     let channels = nodes::Channels {
         socket: node_socket,
         history: history.clone(),
+        roster: roster.clone(),
+        roster_writer: Some(roster_writer),
         member: Some(nodes::LocalMember {
             id: member,
             routes: routes_rx,
@@ -98,6 +114,7 @@
     let interface = HttpInterface {
         group: commands_tx.clone(),
         history,
+        roster,
     };
     actix_rt::spawn(transport::run(
         member_socket,
@@ -132,6 +149,12 @@
     let channels = nodes::Channels {
         socket,
         history: Rc::default(),
+        roster: Rc::new(RefCell::new(SharedRoster {
+            vouched: false,
+            members: Vec::new(),
+            roster: Roster::default(),
+        })),
+        roster_writer: None,
         member: None,
         control_hosts: members_tx,
         stop,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `member` | the id of the member, generated when the folder is empty |
 //! | `log-N` | segment `N` of the log: records in the order of the writes |
 //! | `snapshot-I` | the state after the entry at index `I`, one record |
+//! | other names | written by others with [`replace_file`]; ignored by [`open`] |
 //!
 //! A record is the length of its body (u32, little endian), a CRC-32 and the
 //! body in `MessagePack`. The CRC also covers the place of the record (segment
@@ -48,4 +49,6 @@
 pub mod version;
 
 pub use error::{Category, Error, Result};
-pub use process::{DataDir, Disk, RecoveredMember, Store, StoreHandle, WriteReport, open, spawn};
+pub use process::{
+    DataDir, Disk, RecoveredMember, Store, StoreHandle, WriteReport, open, replace_file, spawn,
+};
--- a/crates/store/src/process/dir.rs
+++ b/crates/store/src/process/dir.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// A folder of files, with the operations that the store needs. Tests replace
 /// [`DataDir`] with an implementation that fails.
@@ -75,11 +76,12 @@
     fn sync_dir(&self) -> io::Result<()>;
 }
 
-/// A folder of the file system, locked against other processes until dropped.
-#[derive(Debug)]
+/// A folder of the file system, locked against other processes until its last clone
+/// is dropped.
+#[derive(Debug, Clone)]
 pub struct DataDir {
     path: PathBuf,
-    _lock: File,
+    _lock: Arc<File>,
 }
 
 impl DataDir {
@@ -98,7 +100,7 @@
         match lock.try_lock() {
             Ok(()) => Ok(DataDir {
                 path: path.to_owned(),
-                _lock: lock,
+                _lock: Arc::new(lock),
             }),
             Err(TryLockError::WouldBlock) => Err(ErrorKind::Locked.into()),
             Err(TryLockError::Error(e)) => Err(Error::io("lock", LOCK_FILE)(e)),
--- a/crates/store/src/process/mod.rs
+++ b/crates/store/src/process/mod.rs
@@ -8,5 +8,5 @@
 
 pub use dir::{DataDir, Disk};
 pub use open::{RecoveredMember, open};
-pub use store::Store;
+pub use store::{Store, replace_file};
 pub use thread::{StoreHandle, WriteReport, spawn};
--- a/crates/store/src/process/store.rs
+++ b/crates/store/src/process/store.rs
@@ -252,6 +252,17 @@
     }
 }
 
+/// Replaces a file beside those of the log, for state that needs no order with the
+/// log. It is durable, and after a crash its content is whole: the former or the new
+/// one.
+///
+/// # Errors
+///
+/// Fails if the disk is full or read-only. The former content is kept.
+pub fn replace_file<D: Disk>(disk: &D, name: &str, bytes: &[u8]) -> Result<()> {
+    write_file_atomically(disk, name, bytes).map(drop)
+}
+
 /// Writes a whole file under a temporary name, syncs it and renames it. Returns
 /// the file, open for appending.
 pub(super) fn write_file_atomically<D: Disk>(
