--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -30,6 +30,16 @@
     pub placed_since_report: u32,
 }
 
+impl AgentStatus {
+    /// Requests in its last report and flows placed since. A report may hold any
+    /// number.
+    fn requests(&self) -> u32 {
+        self.load
+            .busy_requests
+            .saturating_add(self.placed_since_report)
+    }
+}
+
 /// Age at which a report is out of date. Agents report at least twice in this
 /// time. An agent whose report is older is chosen only when no other is left.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1100);
@@ -137,7 +147,7 @@
                 (is_local, preference(hash, *address))
             })?;
         if let Some(candidate) = self.agents.get_mut(&address) {
-            candidate.placed_since_report += 1;
+            candidate.placed_since_report = candidate.placed_since_report.saturating_add(1);
         }
         Some(address)
     }
@@ -158,7 +168,7 @@
     #[must_use]
     pub fn has_free_slot(&self, except: &[SocketAddrV4], now: Instant) -> bool {
         self.agents.iter().any(|(address, c)| {
-            let has_slot = c.load.busy_requests + c.placed_since_report < c.slots.0;
+            let has_slot = c.requests() < c.slots.0;
             has_slot && c.accepting && Self::has_recent_report(c, now) && !except.contains(address)
         })
     }
@@ -166,7 +176,7 @@
 
 fn cost(candidate: &AgentStatus, local: &DataCentre) -> f64 {
     let slots = f64::from(candidate.slots.0.max(1));
-    let requests = f64::from(candidate.load.busy_requests + candidate.placed_since_report);
+    let requests = f64::from(candidate.requests());
     let open_flows = f64::from(candidate.load.open_flows) * OPEN_FLOW_COST;
     let distance_cost = if candidate.data_centre == *local {
         0.0
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -48,6 +48,9 @@
     targets: RequestTargets,
     /// When the caller sent the first opening datagram of the flow.
     first_sent_at: Instant,
+    /// Until when an answer meets the objective; `None` if the objective is so long
+    /// that any answer does.
+    objective_until: Option<Instant>,
     /// When the caller gives the flow up.
     given_up_at: Instant,
     /// The latest opening datagram.
@@ -68,7 +71,8 @@
     /// Whether an answer comes too late for the objective even if the flow gets a slot
     /// at `now`.
     fn misses_objective(&self, now: Instant, answer_time: Duration) -> bool {
-        now + answer_time > self.first_sent_at + self.targets.objective
+        self.objective_until
+            .is_some_and(|until| now + answer_time > until)
     }
 }
 
@@ -122,6 +126,7 @@
             key,
             targets,
             first_sent_at,
+            objective_until: first_sent_at.checked_add(targets.objective),
             given_up_at: first_sent_at + usable,
             item,
         });
--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -134,3 +134,18 @@
     let second = pool.place(&near, 9, &[], now);
     assert_ne!(first, second);
 }
+
+/// Guards against a balancer that ends because an agent of another build reports a
+/// load at the end of its range.
+#[test]
+fn a_report_with_the_largest_numbers_is_harmless() {
+    let (mut pool, now) = pool(&[(1, "near", u32::MAX), (2, "near", 0)]);
+    for n in 1..=2 {
+        let candidate = pool.get_mut(address(n)).unwrap();
+        candidate.slots = Slots(u32::MAX);
+        candidate.placed_since_report = u32::MAX;
+    }
+    let data_centre = "near".parse().unwrap();
+    assert!(!pool.has_free_slot(&[], now));
+    assert!(pool.place(&data_centre, 7, &[], now).is_some());
+}
--- a/crates/flow/tests/return_load.rs
+++ b/crates/flow/tests/return_load.rs
@@ -248,3 +248,18 @@
     }
     assert_eq!(queue.take_hopeless(Duration::from_millis(1), now), [3]);
 }
+
+/// Guards against an agent that ends because operators state a timeout that no instant
+/// can hold.
+#[test]
+fn targets_of_any_length_are_accepted() {
+    let endless = RequestTargets {
+        objective: Duration::from_millis(u64::MAX),
+        timeout: Duration::from_millis(u64::MAX),
+        priority: Priority(u8::MAX),
+    };
+    let (mut queue, now) = queue_of(&[(Duration::ZERO, endless)]);
+    assert_eq!(queue.waiting_in_time(SERVICE_TIME, now), 1);
+    assert!(queue.take_hopeless(SERVICE_TIME, now).is_empty());
+    assert_eq!(drain(&mut queue, now), [1]);
+}
--- a/crates/relay/src/connection/message.rs
+++ b/crates/relay/src/connection/message.rs
@@ -113,6 +113,10 @@
     pub load: Load,
 }
 
+/// Maximum number of slots that a report can claim. An agent of another build may
+/// have passed on any number, which would draw all flows of its service.
+const MAX_SLOTS: Slots = Slots(10_000);
+
 impl AgentReport {
     /// The sender as a candidate for new flows, reported at `now`.
     #[must_use]
@@ -120,7 +124,7 @@
         AgentStatus {
             id: UpstreamId(self.incarnation),
             data_centre: self.data_centre,
-            slots: self.slots,
+            slots: self.slots.min(MAX_SLOTS),
             accepting: self.accepting,
             load: self.load,
             reported_at: now,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -24,6 +24,6 @@
 pub mod version;
 
 pub use error::{Error, Result};
-pub use process::{ReplicaHandle, Settings, start, start_observer};
+pub use process::{ReplicaHandle, Settings, start, start_observer, start_on};
 pub use request::{ChangeOutcome, ReadOutcome};
 pub use version::{ControlHostContact, MembershipPolicy, MembershipSettings, RouteHistory};
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -11,5 +11,5 @@
 mod transport;
 
 pub use replica::ReplicaHandle;
-pub use run::{start, start_observer};
+pub use run::{start, start_observer, start_on};
 pub use settings::Settings;
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -7,7 +7,7 @@
 use net::ServerLimits;
 use prometheus::Registry;
 use rand::Rng;
-use store::DataDir;
+use store::{DataDir, Disk};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -28,8 +28,8 @@
 /// messages.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
 
-/// Starts a control host. Returns the handle, and a future to poll until the
-/// process stops: it completes by itself only when the disk thread ends.
+/// Starts a control host with its state in the data folder of the settings. See
+/// [`start_on`].
 ///
 /// # Errors
 ///
@@ -39,16 +39,31 @@
     registry: &Registry,
     stop: watch::Receiver<bool>,
 ) -> Result<(ReplicaHandle, impl Future<Output = Result<()>> + use<>)> {
+    let disk = DataDir::new(&cfg.data_dir)?;
+    start_on(disk, cfg, registry, stop).await
+}
+
+/// Starts a control host with its state on `disk`. Returns the handle, and a future to
+/// poll until the process stops: it completes by itself only when the disk thread ends.
+///
+/// # Errors
+///
+/// The disk or a socket cannot be used.
+pub async fn start_on<D: Disk + Clone>(
+    disk: D,
+    cfg: Settings,
+    registry: &Registry,
+    stop: watch::Receiver<bool>,
+) -> Result<(ReplicaHandle, impl Future<Output = Result<()>> + use<D>)> {
     let metrics = Metrics::new(registry)?;
-    let data_dir = DataDir::new(&cfg.data_dir)?;
-    let (store, found) = store::open(data_dir.clone())?;
-    let restored_roster = roster_file::read(&data_dir);
+    let (store, found) = store::open(disk.clone())?;
+    let restored_roster = roster_file::read(&disk);
     let roster = Rc::new(RefCell::new(SharedRoster {
         vouched: restored_roster.is_some(),
         members: Vec::new(),
         roster: restored_roster.unwrap_or_default(),
     }));
-    let roster_writer = roster_file::spawn_writer(data_dir)?;
+    let roster_writer = roster_file::spawn_writer(disk)?;
     let disk = store::spawn(store)?;
     let member = found.member;
     let blank = found.restored.snapshot.is_none();
--- /dev/null
+++ b/crates/replica/tests/full_disks.rs
@@ -0,0 +1,237 @@
+//! Disks of control hosts that are full for some seconds each.
+
+use std::{
+    fs::File,
+    io,
+    net::Ipv4Addr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use actix_rt::{System, spawn, time::sleep};
+use bytes::Bytes;
+use prometheus::Registry;
+use replica::{ChangeOutcome, ReadOutcome, ReplicaHandle, Settings, start_on};
+use store::{DataDir, Disk};
+use tempfile::TempDir;
+use tokio::sync::watch;
+use types::{RouteWeight, RoutingRule, RoutingSet, RoutingSetNumber};
+
+const HOSTS: u8 = 3;
+
+/// Time in which a change is accepted while no disk is full: several elections.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long each disk is full, longer than an election timeout.
+const FULL_TIME: Duration = Duration::from_secs(2);
+
+/// A data folder whose disk takes no more bytes while `full` is set.
+#[derive(Clone)]
+struct FillableDisk {
+    folder: DataDir,
+    full: Arc<AtomicBool>,
+    /// Also refuses to create, truncate, rename and sync.
+    refuses_all: bool,
+}
+
+impl FillableDisk {
+    fn check_room(&self) -> io::Result<()> {
+        if self.full.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn check_change(&self) -> io::Result<()> {
+        if self.refuses_all {
+            self.check_room()
+        } else {
+            Ok(())
+        }
+    }
+}
+
+impl Disk for FillableDisk {
+    type File = File;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.folder.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.folder.read(name)
+    }
+
+    fn open(&self, name: &str) -> io::Result<File> {
+        self.check_change()?;
+        self.folder.open(name)
+    }
+
+    fn append(&self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if let Err(e) = self.check_room() {
+            // A part of the bytes fits.
+            self.folder.append(file, &bytes[..bytes.len() / 2])?;
+            return Err(e);
+        }
+        self.folder.append(file, bytes)
+    }
+
+    fn truncate(&self, file: &mut File, len: u64) -> io::Result<()> {
+        self.check_change()?;
+        self.folder.truncate(file, len)
+    }
+
+    fn sync(&self, file: &mut File) -> io::Result<()> {
+        self.check_change()?;
+        self.folder.sync(file)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.check_change()?;
+        self.folder.rename(from, to)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.folder.remove(name)
+    }
+
+    fn sync_dir(&self) -> io::Result<()> {
+        self.check_change()?;
+        self.folder.sync_dir()
+    }
+}
+
+struct Host {
+    replica: ReplicaHandle,
+    full: Arc<AtomicBool>,
+    dir: TempDir,
+    _stop: watch::Sender<bool>,
+}
+
+async fn start_hosts(test: u8, refuses_all: bool) -> Vec<Host> {
+    let net = u8::try_from(std::process::id() % 120).unwrap() + 100;
+    let ip = |n: u8| Ipv4Addr::new(127, net, test, n);
+    let (_, seeds) = watch::channel((1..=HOSTS).map(ip).collect());
+    let mut hosts = Vec::new();
+    for n in 1..=HOSTS {
+        let dir = tempfile::tempdir().unwrap();
+        let full = Arc::new(AtomicBool::new(false));
+        let disk = FillableDisk {
+            folder: DataDir::new(dir.path()).unwrap(),
+            full: full.clone(),
+            refuses_all,
+        };
+        let data_centre = "dc".parse().unwrap();
+        let settings = Settings {
+            bootstrap: true,
+            ..Settings::new(ip(n), data_centre, dir.path().to_owned(), seeds.clone())
+        };
+        let (stop, stopped) = watch::channel(false);
+        let started = start_on(disk, settings, &Registry::new(), stopped).await;
+        let (replica, run) = started.expect("the host starts");
+        spawn(async move { run.await.expect("the host runs") });
+        hosts.push(Host {
+            replica,
+            full,
+            dir,
+            _stop: stop,
+        });
+    }
+    hosts
+}
+
+fn set(number: u64) -> RoutingSet {
+    let rule = RoutingRule {
+        weights: [("vouchers".parse().unwrap(), RouteWeight(1))].into(),
+        ..RoutingRule::default()
+    };
+    RoutingSet {
+        number: RoutingSetNumber(number),
+        rules: [(([198, 18, 0, 1], 443).into(), rule)].into(),
+        document: Bytes::from(format!("set {number}")),
+        ..RoutingSet::default()
+    }
+}
+
+/// Sends a change to a host, with a deadline in `timeout`.
+async fn change(host: &Host, number: u64, timeout: Duration) -> ChangeOutcome {
+    let author = "mira".parse().unwrap();
+    let deadline = Instant::now() + timeout;
+    host.replica
+        .replace_routes(author, set(number), deadline)
+        .await
+}
+
+async fn fill_in_turn(test: u8, refuses_all: bool) {
+    let hosts = start_hosts(test, refuses_all).await;
+    let mut number = 1;
+    let first = change(&hosts[0], number, Duration::from_secs(15)).await;
+    assert_eq!(first, ChangeOutcome::Accepted);
+    // Each host is filled, the first one twice.
+    for turn in 0..=usize::from(HOSTS) {
+        let full = &hosts[turn % usize::from(HOSTS)].full;
+        full.store(true, Ordering::SeqCst);
+        let until = Instant::now() + FULL_TIME;
+        while Instant::now() < until {
+            number += 1;
+            let at = usize::try_from(number).unwrap() % usize::from(HOSTS);
+            // It may be accepted by the two hosts with room, or stay unanswered.
+            let outcome = change(&hosts[at], number, Duration::from_millis(300)).await;
+            assert!(!matches!(outcome, ChangeOutcome::Refused(_)), "{outcome:?}");
+        }
+        full.store(false, Ordering::SeqCst);
+    }
+    for _ in 0..3 {
+        for (n, host) in hosts.iter().enumerate() {
+            number += 1;
+            let outcome = change(host, number, ACCEPT_TIMEOUT).await;
+            assert_eq!(outcome, ChangeOutcome::Accepted, "host {n}, set {number}");
+        }
+    }
+    for host in &hosts {
+        let read = host.replica.read_routes(Instant::now() + ACCEPT_TIMEOUT);
+        let ReadOutcome::Confirmed(Some(set)) = read.await else {
+            panic!("no majority confirms a read");
+        };
+        assert_eq!(set.number, RoutingSetNumber(number));
+    }
+    // Each host has the changes on its own disk: any two of them are enough.
+    for n in 0..usize::from(HOSTS) {
+        hosts[n].full.store(true, Ordering::SeqCst);
+        number += 1;
+        let other = &hosts[(n + 1) % usize::from(HOSTS)];
+        let outcome = change(other, number, ACCEPT_TIMEOUT).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted, "without the disk of {n}");
+        hosts[n].full.store(false, Ordering::SeqCst);
+        sleep(Duration::from_secs(1)).await;
+    }
+    for host in &hosts {
+        assert_readable(&host.dir);
+    }
+}
+
+/// Opens a copy of a data folder, as a restart would.
+fn assert_readable(dir: &TempDir) {
+    let copy = tempfile::tempdir().unwrap();
+    for entry in std::fs::read_dir(dir.path()).unwrap() {
+        let entry = entry.unwrap();
+        std::fs::copy(entry.path(), copy.path().join(entry.file_name())).unwrap();
+    }
+    store::open(DataDir::new(copy.path()).unwrap()).expect("the folder is readable");
+}
+
+/// Guards against changes that stay unanswered to the end of the day after the disks
+/// of the control hosts were full one after another, never two at once.
+#[test]
+fn changes_are_accepted_after_each_disk_was_full() {
+    System::new().block_on(fill_in_turn(33, false));
+}
+
+/// The same where a full disk refuses each change of the folder, not only more bytes.
+#[test]
+fn changes_are_accepted_after_each_disk_refused_all_changes() {
+    System::new().block_on(fill_in_turn(34, true));
+}
