Own the addresses and conditions that two tests relied on

Cause: declined_then_lost took an address that it had freed, which a host of a test beside it could bind (exit status 4, winner 1). The address stays bound now and refuses connections, as nobody listens. lost_hosts_are_replaced_one_after_the_other waited to see four voters, which last for one review of the leader (100 ms) and may be over before a starved test task polls. It waits now for the members themselves: the new host in, the lost one out, three voters, at both hosts that stay, which is stricter.

--- a/crates/limpetctl/tests/common/mod.rs
+++ b/crates/limpetctl/tests/common/mod.rs
@@ -14,8 +14,14 @@
 
 /// An address that refuses connections.
 pub fn refusing_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let any = "127.0.0.1:0".parse::<SocketAddr>().unwrap();
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // It is bound but does not listen. It stays open as long as the test process: once
+    // closed, a host of a test that runs beside it could get the address.
+    std::mem::forget(socket);
+    address
 }
 
 /// A host that does not answer connection attempts, as behind a network
--- a/crates/replica/src/process/replica.rs
+++ b/crates/replica/src/process/replica.rs
@@ -8,12 +8,15 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::{sync::mpsc, sync::oneshot, time::timeout_at};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::timeout_at,
+};
 use types::{Answer, Change, ChangeId, ChangeRequest, OperatorName, Revision, RoutingSet};
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{
-    group::GroupCommand,
+    group::{GroupCommand, MembershipStatus},
     http::{CHANGE_PATH, READ_PATH},
     metrics::Metrics,
 };
@@ -34,6 +37,7 @@
 #[derive(Debug, Clone)]
 pub struct ReplicaHandle {
     pub(crate) group: mpsc::Sender<GroupCommand>,
+    pub(crate) membership_status: watch::Receiver<MembershipStatus>,
     pub(crate) metrics: Metrics,
 }
 
@@ -86,6 +90,13 @@
         outcome
     }
 
+    /// Addresses of the other members in this member's view of the group, learners
+    /// included.
+    #[must_use]
+    pub fn other_members(&self) -> Vec<SocketAddr> {
+        self.membership_status.borrow().other_members.clone()
+    }
+
     /// Number of voters in this member's view of the group.
     #[must_use]
     pub fn voter_count(&self) -> i64 {
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -113,7 +113,7 @@
         member: Some(nodes::LocalMember {
             id: member,
             routes: routes_rx,
-            membership_status: membership_status_rx,
+            membership_status: membership_status_rx.clone(),
             group: commands_tx.clone(),
         }),
         control_hosts: watch::channel(Vec::new()).0,
@@ -140,6 +140,7 @@
     actix_rt::spawn(net::serve(listener, interface, ServerLimits::default()));
     let replica = ReplicaHandle {
         group: commands_tx,
+        membership_status: membership_status_rx,
         metrics,
     };
     Ok((replica, group_task.run()))
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -1,7 +1,7 @@
 //! A group of control hosts on the loopback interface.
 
 use std::{
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddr},
     path::Path,
     time::{Duration, Instant},
 };
@@ -145,18 +145,19 @@
         hosts.pop().unwrap().task.abort();
         let fresh = tempfile::tempdir().unwrap();
         hosts.push(group.host(9, fresh.path(), false).await);
-        // The new host becomes the fourth voter, then the lost one is removed.
-        // Waiting only for three voters would succeed early, because a learner
-        // already reports three.
-        for expected in [4, 3] {
-            let until = Instant::now() + WAIT_TIMEOUT;
-            while hosts[2].replica.voter_count() != expected {
-                assert!(
-                    Instant::now() < until,
-                    "the group does not get to {expected} voters"
-                );
-                sleep(Duration::from_millis(5)).await;
-            }
+        // The new host becomes the fourth voter, then the lost one is removed. The
+        // number of voters in between may be over before this task sees it.
+        let address = |n| SocketAddr::from((group.ip(n), 7001));
+        let until = Instant::now() + WAIT_TIMEOUT;
+        let is_replaced = |host: &Host| {
+            let others = host.replica.other_members();
+            host.replica.voter_count() == 3
+                && others.contains(&address(9))
+                && !others.contains(&address(3))
+        };
+        while !(is_replaced(&hosts[0]) && is_replaced(&hosts[1])) {
+            assert!(Instant::now() < until, "the lost host is not replaced");
+            sleep(Duration::from_millis(5)).await;
         }
         // Only the second host and the one added later are left.
         hosts.remove(0).task.abort();
