Request a lost list of nodes again at once

Cause: after a loss of power all nodes use the control host that is back first, and their lists of nodes overfill its link. Ruled out: agents that stop accepting flows (no report said so), and the announcements (all at once).

Change: while a node's list is not that of its control host's last reply, it says hello every 80 to 160 ms, at random.

--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -22,6 +22,15 @@
 /// sending changes to a node without being asked.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest interval between hellos while replies of the control host are missing: a
+/// round trip within a region and the time to send a list.
+const RESYNC_INTERVAL: Duration = Duration::from_millis(80);
+
+/// At most this much is added to [`RESYNC_INTERVAL`], at random: when all nodes start
+/// at once, their lists fill the link of the control host, and the nodes whose list was
+/// lost must not ask for it all at the same time.
+const MAX_RESYNC_JITTER: Duration = Duration::from_millis(80);
+
 /// Interval between hellos while no control host is in use.
 const SEARCH_HELLO_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -95,6 +104,8 @@
     /// Rotation of the list of control hosts for the next search hello.
     search_offset: usize,
     last_reply_at: Instant,
+    /// Whether the list of nodes is that of the control host's last reply.
+    is_synced: bool,
     /// When the search began, if no control host is in use.
     search_started_at: Instant,
     /// When the control host in use last confirmed contact to its leader.
@@ -133,6 +144,7 @@
             control_host: None,
             introduced_hosts: BTreeSet::new(),
             last_reply_at: now,
+            is_synced: false,
             search_started_at: now,
             leader_contact_at: now,
             next_hello_at: now,
@@ -183,10 +195,10 @@
             self.search_started_at = now;
         }
         self.next_hello_at = now
-            + if self.control_host.is_some() {
-                HELLO_INTERVAL
-            } else {
-                SEARCH_HELLO_INTERVAL
+            + match self.control_host {
+                Some(_) if self.is_synced => HELLO_INTERVAL,
+                Some(_) => resync_interval(),
+                None => SEARCH_HELLO_INTERVAL,
             };
         let hosts = self
             .control_host
@@ -252,6 +264,7 @@
             }
             log::info!(event = "control_found", host:% = from; "using the control host that replied");
             self.control_host = Some(from);
+            self.is_synced = false;
             self.introduced_hosts.clear();
             // Request the list of nodes: the reply to a search has none.
             self.next_hello_at = now;
@@ -267,8 +280,13 @@
         if reply.current {
             self.leader_contact_at = now;
         }
+        self.is_synced = self.view.version() == reply.version;
+        if !self.is_synced {
+            // More deltas follow, or one was lost and the next hello requests it again.
+            self.next_hello_at = self.next_hello_at.min(now + resync_interval());
+        }
         // The view is complete only if no delta was lost.
-        if reply.complete && self.view.version() == reply.version {
+        if reply.complete && self.is_synced {
             // The receiver is only dropped when the process ends.
             let _ = self
                 .updates
@@ -317,6 +335,7 @@
                 "switching to another control host"
             );
             self.control_host = Some(node.address);
+            self.is_synced = false;
             self.last_reply_at = now;
             self.leader_contact_at = now;
             self.next_hello_at = now;
@@ -362,6 +381,10 @@
     }
 }
 
+fn resync_interval() -> Duration {
+    RESYNC_INTERVAL + MAX_RESYNC_JITTER.mul_f64(rand::random())
+}
+
 async fn fetch_routing_delta(host: SocketAddrV4, have: RoutingSetNumber) -> Option<RoutingDelta> {
     let body = Bytes::from(wire::encode(&have).ok()?);
     let deadline = Instant::now() + FETCH_TIMEOUT;
