control: end the process when its HTTP server ends, and name what is proved

Cause: the task of the HTTP server of a control host dropped its result. Change: the server's end is an error that ends the process. Result: no test brings the server's end about; the tests of the crate pass.

--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -17,6 +17,9 @@
     /// The storage thread has exited.
     #[error("the storage thread of the data folder has exited")]
     StoreThreadEnded,
+    /// The HTTP server has ended although it was not stopped.
+    #[error("the HTTP server has ended: {0}")]
+    ServerEnded(io::Error),
     /// The configuration in a snapshot cannot be encoded or decoded.
     #[error("invalid configuration snapshot: {0}")]
     InvalidSnapshot(#[from] config::Error),
--- a/crates/control/src/process/run.rs
+++ b/crates/control/src/process/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    io,
     net::{SocketAddr, TcpListener},
     time::{Duration, Instant},
 };
@@ -13,7 +14,10 @@
 use prometheus::Registry;
 use rand::Rng;
 use store::{DataDir, Disk};
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinError,
+};
 use types::MemberId;
 use wire::request::{Hello, HelloReply};
 
@@ -72,9 +76,7 @@
     let authorizer = Authorizer::new(ServerKind::Control, cfg.credentials.as_ref(), registry)?;
     let server = http::serve(&cfg, listener, tx.clone(), authorizer)?;
     let server_handle = server.handle();
-    let server = actix_rt::spawn(async move {
-        let _ = server.await;
-    });
+    let mut server = actix_rt::spawn(server);
     let http = HttpClient::new(cfg.credentials.as_ref());
     let blank = found.restored.snapshot.is_none();
     let snapshot = found.restored.snapshot.clone();
@@ -94,7 +96,11 @@
         metrics,
         rx,
     )?;
-    let result = task.run(stop).await;
+    let result = tokio::select! {
+        result = task.run(stop) => result,
+        // Without its listener the host is lost to all others but goes on voting.
+        ended = &mut server => Err(Error::ServerEnded(server_error(ended))),
+    };
     if let Some(bootstrap) = bootstrap {
         bootstrap.abort();
     }
@@ -104,6 +110,14 @@
     result
 }
 
+fn server_error(ended: std::result::Result<io::Result<()>, JoinError>) -> io::Error {
+    match ended {
+        Ok(Err(e)) => e,
+        Ok(Ok(())) => io::Error::other("it has stopped accepting connections"),
+        Err(e) => io::Error::other(e),
+    }
+}
+
 /// Bootstraps the initial group once all of its hosts are blank.
 ///
 /// Only the host with the lowest address runs this. If every host did, two hosts
--- a/crates/replica/src/process/nodes/roster.rs
+++ b/crates/replica/src/process/nodes/roster.rs
@@ -14,7 +14,7 @@
 /// Timeout for fetching the roster of another member.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum size of an encoded roster: 89,000 agents at 12 bytes each.
+/// Maximum size of an encoded roster: room for 160,000 agents at 13 bytes each.
 const MAX_ROSTER_BYTES: usize = 2 << 20;
 
 /// The roster of this host, shared with its HTTP interface.
