An agent whose upstream does not run holds no flow

An agent whose upstream had left before a loss of power started again with it, and answered "perhaps" to every query for a flow for as long as it ran (1,172 answers, 35.5 to 38.7 s), since it knew nothing of its upstream. No flow was reset meanwhile, and the callers of flows of before waited for their timeouts: 418 requests failed. Ruled out: the list of agents (complete at 35.3 s).

Change: an agent that is told that its upstream is gone, or whose probe of the upstream is refused after its start, holds no flows. An upstream that listens after a refused probe has just started.

Test: an_agent_whose_upstream_does_not_run_holds_no_flow.

--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// An upstream that listens and did not a moment ago, so it has just started.
+    #[must_use]
+    pub fn just_started() -> Self {
+        UpstreamStatus {
+            started_before_agent: false,
+            ..UpstreamStatus::listening()
+        }
+    }
+
     /// An upstream that accepts flows, is past its slow start and started
     /// together with its agent.
     #[must_use]
@@ -181,6 +190,8 @@
     /// Until this instant, the table accepts flows that the upstream may hold
     /// from before the agent's start.
     recovery_until: Instant,
+    /// The upstream is known not to run, so it holds no flows.
+    is_gone: bool,
     flows: BTreeMap<FlowTuple, Flow>,
     /// When the first opening datagram was delivered that the upstream has not
     /// answered, since its last datagram.
@@ -199,6 +210,7 @@
             settings,
             upstream: None,
             recovery_until: now + settings.recovery_period,
+            is_gone: false,
             flows: BTreeMap::new(),
             unanswered_since: None,
             last_probe_at: None,
@@ -206,8 +218,8 @@
         }
     }
 
-    /// Sets the state of the upstream. Flows of an earlier incarnation become
-    /// lost.
+    /// Sets the state of the upstream; `None` if it does not run. Flows of an earlier
+    /// incarnation become lost.
     pub fn set_upstream(&mut self, upstream: Option<UpstreamStatus>, now: Instant) {
         let former = self.upstream.and_then(|upstream| upstream.incarnation);
         let current = upstream.and_then(|upstream| upstream.incarnation);
@@ -221,6 +233,7 @@
         if upstream.is_some_and(|upstream| !upstream.started_before_agent) {
             self.recovery_until = now;
         }
+        self.is_gone = upstream.is_none();
         self.upstream = upstream;
     }
 
@@ -347,7 +360,7 @@
     /// agent is in this state after its start, but it matters only if the
     /// upstream started earlier.
     fn is_recovering(&self, now: Instant) -> bool {
-        now < self.recovery_until
+        now < self.recovery_until && !self.is_gone
     }
 
     /// Whether the flow is unconfirmed: a datagram of it was delivered and the
--- a/crates/flow/tests/flow_table.rs
+++ b/crates/flow/tests/flow_table.rs
@@ -308,3 +308,28 @@
     assert_eq!(via(common::address(9)), keys(&[3]));
     assert_eq!(table.flows_via(|_| true, 1), keys(&[4]));
 }
+
+/// Guards against callers that wait for their timeout after a loss of power because one
+/// agent, whose upstream had left before, says of each flow that it may hold it (1,172
+/// such answers in an incident of vosknet-krkonose).
+#[test]
+fn an_agent_whose_upstream_does_not_run_holds_no_flow() {
+    let now = std::time::Instant::now();
+    let mut table = FlowTable::new(FlowTableSettings::default(), now);
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    assert_eq!(
+        table.claim(&key, &seg, now),
+        Claim::Perhaps,
+        "not known yet"
+    );
+    table.set_upstream(None, now);
+    assert_eq!(table.claim(&key, &seg, now), Claim::No);
+    table.set_upstream(Some(UpstreamStatus::just_started()), now);
+    assert_eq!(table.claim(&key, &seg, now), Claim::No);
+    // An upstream that has run all the while may hold it.
+    let mut table = FlowTable::new(FlowTableSettings::default(), now);
+    table.set_upstream(None, now);
+    table.set_upstream(Some(UpstreamStatus::listening()), now);
+    assert_eq!(table.claim(&key, &seg, now), Claim::Perhaps);
+}
