Carry a placement policy and limits of services to nodes

Evacuations and the rate that a cold upstream bears have no way to nodes yet. Replies to hellos carry a policy with both; a node keeps the one with the highest revision.

--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use types::{MemberId, RoutingSetNumber};
+use types::{MemberId, PlacementPolicy, RoutingSetNumber};
 
 use crate::{Node, Roster};
 
@@ -89,4 +89,7 @@
     /// Whether the directory lists all processes, because the control host
     /// hears all others.
     pub complete: bool,
+    /// Where new flows may be placed.
+    #[serde(default)]
+    pub policy: PlacementPolicy,
 }
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -172,7 +172,11 @@
                 }
                 update = self.updates.recv() => match update {
                     Some(ControlUpdate::Nodes(changes)) => self.apply_node_changes(changes).await,
-                    Some(ControlUpdate::Routes(_) | ControlUpdate::NodeListComplete(_)) => {}
+                    Some(
+                        ControlUpdate::Routes(_)
+                        | ControlUpdate::NodeListComplete(_)
+                        | ControlUpdate::Policy(_),
+                    ) => {}
                     None => return,
                 },
                 Some(update) = self.upstream_updates.recv() => self.apply_upstream_update(update).await,
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -424,6 +424,7 @@
                 let queries = self.steering.resume_searches(Instant::now());
                 self.send_search_queries(queries).await;
             }
+            ControlUpdate::Policy(_) => {}
             ControlUpdate::Routes(delta) => {
                 let (number, changed) = (delta.number, delta.changed.len());
                 let applied = self.steering.routes_mut().apply(delta);
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -14,7 +14,7 @@
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{RoutingDelta, RoutingSetNumber};
+use types::{PlacementPolicy, RoutingDelta, RoutingSetNumber};
 
 use crate::{Error, Result};
 
@@ -71,6 +71,8 @@
     Routes(RoutingDelta),
     /// The list of nodes counts as complete until this deadline.
     NodeListComplete(Instant),
+    /// A newer placement policy.
+    Policy(PlacementPolicy),
 }
 
 /// Settings of a [`ControlSync`] task.
@@ -112,6 +114,8 @@
     leader_contact_at: Instant,
     next_hello_at: Instant,
     routing_set_number: RoutingSetNumber,
+    /// The policy with the highest revision so far.
+    policy: PlacementPolicy,
     /// Result of the fetch in progress; `None` if it failed or there is no newer set.
     fetch_result_tx: mpsc::Sender<Option<RoutingDelta>>,
     fetch_result_rx: mpsc::Receiver<Option<RoutingDelta>>,
@@ -149,6 +153,7 @@
             leader_contact_at: now,
             next_hello_at: now,
             routing_set_number: RoutingSetNumber(0),
+            policy: PlacementPolicy::default(),
             fetch_result_tx,
             fetch_result_rx,
             fetch_in_progress: false,
@@ -273,6 +278,7 @@
             return;
         }
         self.last_reply_at = now;
+        self.apply_policy(reply.policy).await;
         if let Some(news) = reply.delta {
             let changes = self.view.apply(news, now);
             self.send_node_changes(changes).await;
@@ -302,6 +308,21 @@
         }
     }
 
+    /// Passes on a policy that is newer than the known one. A control host that lags
+    /// behind may send an older one.
+    async fn apply_policy(&mut self, policy: PlacementPolicy) {
+        if policy.revision <= self.policy.revision {
+            return;
+        }
+        log::info!(
+            event = "policy", revision:% = policy.revision, evacuated:? = policy.evacuated;
+            "received a newer placement policy"
+        );
+        self.policy = policy.clone();
+        // The receiver is only dropped when the process ends.
+        let _ = self.updates.send(ControlUpdate::Policy(policy)).await;
+    }
+
     /// Switches to a control host with contact to its leader, preferably in the own
     /// data centre. A short loss of contact is tolerated, because all control hosts
     /// lose it during an election.
--- a/crates/relay/tests/sync.rs
+++ b/crates/relay/tests/sync.rs
@@ -54,6 +54,7 @@
             control_hosts: Vec::new(),
             version: VERSION,
             complete: false,
+            policy: types::PlacementPolicy::default(),
         };
         let datagram = wire::encode(&reply).unwrap();
         let to = SocketAddr::V4(hello.reply_to);
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -24,7 +24,7 @@
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{MemberId, RoutingSet};
+use types::{MemberId, PlacementPolicy, RoutingSet};
 
 use super::{
     Settings,
@@ -353,6 +353,7 @@
                 .collect(),
             version: self.directory.version(),
             complete: false,
+            policy: PlacementPolicy::default(),
         }
     }
 
@@ -393,6 +394,7 @@
                 control_hosts: Vec::new(),
                 version,
                 complete,
+                policy: PlacementPolicy::default(),
             },
         )
         .await;
@@ -404,6 +406,7 @@
                 control_hosts: Vec::new(),
                 version,
                 complete,
+                policy: PlacementPolicy::default(),
             };
             self.send(to, &reply).await;
         }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,11 +32,11 @@
 pub use process::{ClassName, DataCentre, HostName, MemberId, OperatorName, Role, ServiceName};
 pub use request::{
     Answer, BytesPerSecond, Change, ChangeId, ChangeRequest, Conflict, Connections, GroupRefusal,
-    GroupRequest, Refusal, RequestId, ReservationId, Slots, UnixMillis,
+    GroupRequest, Refusal, RequestId, RequestRate, ReservationId, Slots, UnixMillis,
 };
 pub use version::{
     BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, KeyGeneration, KeySet, PathPrefix,
-    Priority, RequestTargets, Revision, RouteWeight, RoutingDelta, RoutingRule, RoutingSet,
-    RoutingSetNumber, Service, ServiceId, ServiceState, Share, Target, Term, UpstreamAnnouncement,
-    UpstreamMember, UpstreamState, Version,
+    PlacementPolicy, Priority, RequestTargets, Revision, RouteWeight, RoutingDelta, RoutingRule,
+    RoutingSet, RoutingSetNumber, Service, ServiceId, ServiceLimits, ServiceState, Share, Target,
+    Term, UpstreamAnnouncement, UpstreamMember, UpstreamState, Version,
 };
--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -3,6 +3,7 @@
 mod key;
 mod membership;
 mod number;
+mod policy;
 mod routes;
 mod service;
 
@@ -12,6 +13,7 @@
     UpstreamMember, UpstreamState,
 };
 pub use number::{Revision, Term, Version};
+pub use policy::{PlacementPolicy, ServiceLimits};
 pub use routes::{
     Priority, RequestTargets, RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber,
 };
--- a/crates/types/src/version/routes.rs
+++ b/crates/types/src/version/routes.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use super::ServiceLimits;
 use crate::ServiceName;
 
 decimal! {
@@ -138,6 +139,10 @@
     /// Source text of the set, returned to those who query it. It is not sent
     /// to nodes.
     pub document: Bytes,
+    /// Limits of the services for which the operators state any. An agent gets those
+    /// of its own service in its [`PlacementPolicy`](super::PlacementPolicy).
+    #[serde(default)]
+    pub services: BTreeMap<ServiceName, ServiceLimits>,
 }
 
 impl Default for RoutingSet {
@@ -147,6 +152,7 @@
             rules: BTreeMap::new(),
             idle_timeout: Duration::from_mins(1),
             document: Bytes::new(),
+            services: BTreeMap::new(),
         }
     }
 }
