store: open after any power loss, and complete an unfinished creation

Cause: removals of covered segments are not synced, so after a power loss an earlier segment may be back while a later one is gone. The open took that gap for damage. A process that was killed between the creation of its log and of its member id did not start again. The new tests showed two more faults: a start relied on names and on a last record that the killed process before it had not synced, so that the next power loss took what had been acknowledged; and a file log-1.tmp alone counted as a log.

The open ignores all segments before it and requires all after it. It syncs the folder before it reads the names, and the last segment before it returns. An empty first segment without a member id is completed. The folder's own name is synced in its parent. docs/design/store-recovery.md lists the states.

Tests: the disk in memory of tests/store.rs became tests/disk, which keeps, loses or tears each unsynced name and byte; the tests that used it are unchanged otherwise. Two new tests cut the power after each change of the folder. The sync of the folder's parent has no test.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 //! | `layout` | the version of this layout |
 //! | `member` | the id of the member, generated when the folder is empty |
 //! | `log-N` | segment `N` of the log: records in the order of the writes |
-//! | `snapshot-I` | the state after the entry at index `I`, one record |
+//! | `snapshot-I` | the state after the entry at index `I`, and the first segment that is needed with it, one record each |
 //! | other names | written by others with [`replace_file`]; ignored by [`open`] |
 //!
 //! A record is the length of its body (u32, little endian), a CRC-32 and the
@@ -21,6 +21,11 @@
 //! is synced before the next one is written, so a crash can truncate or corrupt
 //! only the last one.
 //!
+//! A name is durable only after a sync of the folder. Each file is synced under a
+//! temporary name, renamed, and the folder synced before anything depends on the file.
+//! Removals are not synced, so a power loss may undo any of them. `docs/design/store-recovery.md`
+//! lists which states [`open`] accepts.
+//!
 //! ```
 //! use consensus::{DiskWrite, WriteId};
 //! use types::Term;
--- a/crates/store/src/process/dir.rs
+++ b/crates/store/src/process/dir.rs
@@ -85,14 +85,14 @@
 }
 
 impl DataDir {
-    /// Creates the folder if it does not exist, and locks it.
+    /// Creates the folder if it does not exist, makes its name durable, and locks it.
     ///
     /// # Errors
     ///
     /// Fails if another process has locked the folder, or if it cannot be created.
     pub fn new(path: &Path) -> Result<Self> {
         const LOCK_FILE: &str = "lock";
-        fs::create_dir_all(path).map_err(Error::io("make", &path.to_string_lossy()))?;
+        create_durable_dir(path).map_err(Error::io("make", &path.to_string_lossy()))?;
         let mut options = OpenOptions::new();
         let lock = options.write(true).create(true).truncate(false);
         let lock = lock.open(path.join(LOCK_FILE));
@@ -108,6 +108,32 @@
     }
 }
 
+/// Creates a folder and its missing parents, and syncs the names of those that it
+/// creates. The name of `path` itself is synced in any case, because the process that
+/// created it may have been killed before the sync.
+fn create_durable_dir(path: &Path) -> io::Result<()> {
+    // The parent of a relative path of one component is the empty path.
+    let parent = path.parent().map(|parent| match parent.as_os_str() {
+        name if name.is_empty() => Path::new("."),
+        _ => parent,
+    });
+    let Some(parent) = parent else {
+        return Ok(());
+    };
+    let existed = path.is_dir();
+    if !existed {
+        if !parent.is_dir() {
+            create_durable_dir(parent)?;
+        }
+        fs::create_dir_all(path)?;
+    }
+    match File::open(parent).and_then(|parent| parent.sync_all()) {
+        // The folder was prepared by someone who may write to its parent.
+        Err(e) if existed && e.kind() == io::ErrorKind::PermissionDenied => Ok(()),
+        synced => synced,
+    }
+}
+
 impl Disk for DataDir {
     type File = File;
 
--- a/crates/store/src/process/store.rs
+++ b/crates/store/src/process/store.rs
@@ -2,7 +2,7 @@
 
 use super::Disk;
 use crate::error::{Error, ErrorKind, Result};
-use crate::version::{RecordItem, encode_record};
+use crate::version::{RecordItem, SnapshotCoverage, encode_record};
 use consensus::{DiskWrite, Snapshot};
 use types::{MemberId, Revision, Term};
 
@@ -38,45 +38,30 @@
     sync_count: u64,
 }
 
+/// A segment of the log.
 #[derive(Debug, Clone, Copy)]
-struct Segment {
-    number: u64,
+pub(super) struct Segment {
+    pub number: u64,
     /// Length up to which the segment is known to be synced.
-    len: usize,
+    pub len: usize,
     /// Highest index of its entries.
-    highest_index: Revision,
+    pub highest_index: Revision,
 }
 
 impl<D: Disk> Store<D> {
+    /// `active` is the last of `segments`, of which there is at least one.
     pub(super) fn new(
         disk: D,
         vote: TermAndVote,
         last_index: Revision,
         snapshot_index: Option<Revision>,
-        segments: Vec<(u64, (usize, Revision))>,
+        active: D::File,
+        segments: Vec<Segment>,
         stale_files: Vec<String>,
-    ) -> Result<Self> {
-        let mut segments: Vec<Segment> = segments
-            .into_iter()
-            .map(|(number, (len, highest_index))| Segment {
-                number,
-                len,
-                highest_index,
-            })
-            .collect();
-        if segments.is_empty() {
-            Self::create_segment(&disk, 1, &Vec::new())?;
-            segments.push(Segment {
-                number: 1,
-                len: 0,
-                highest_index: Revision(0),
-            });
-        }
-        let name = segment_name(segments[segments.len() - 1].number);
-        let file = disk.open(&name).map_err(Error::io("open", &name))?;
-        Ok(Store {
+    ) -> Self {
+        Store {
             disk,
-            file,
+            file: active,
             segments,
             vote,
             last_index,
@@ -84,7 +69,7 @@
             stale_files,
             end_unknown: false,
             sync_count: 0,
-        })
+        }
     }
 
     /// Number of syncs of a file or the folder since the store was opened.
@@ -221,29 +206,43 @@
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         let index = snapshot.position.index;
         let name = snapshot_name(index);
+        let covered_count = self.count_covered_segments(index);
+        let coverage = SnapshotCoverage {
+            first_segment: self.segments[covered_count].number,
+        };
         let too_large = || std::io::Error::from(std::io::ErrorKind::FileTooLarge);
-        let record = encode_record(index.0, 0, snapshot).ok_or_else(too_large);
+        let record = encode_record(index.0, 0, snapshot).and_then(|mut snapshot| {
+            snapshot.extend(encode_record(index.0, snapshot.len(), &coverage)?);
+            Some(snapshot)
+        });
+        let record = record.ok_or_else(too_large);
         let record = record.map_err(Error::io("encode", &name))?;
         self.sync_count += 2;
         write_file_atomically(&self.disk, &name, &record)?;
         let old = self.snapshot_index.filter(|base| *base != index);
         self.stale_files.extend(old.map(snapshot_name));
         self.snapshot_index = Some(index);
+        let covered = self.segments.drain(..covered_count);
+        self.stale_files
+            .extend(covered.map(|segment| segment_name(segment.number)));
         self.remove_stale_files();
         Ok(())
     }
 
+    /// Number of segments at the start of the log whose entries are all part of a
+    /// snapshot at `index`. The last segment is written to, and may be the only one
+    /// with the vote, so it is never covered.
+    fn count_covered_segments(&self, index: Revision) -> usize {
+        let covered = |segment: &&Segment| segment.highest_index <= index;
+        let count = self.segments.iter().take_while(covered).count();
+        count.min(self.segments.len() - 1)
+    }
+
     /// Removes the files that the snapshot replaces. A failure costs only space:
     /// removal is retried after the next snapshot, and [`open`](crate::open)
-    /// ignores the files.
+    /// ignores the files. The removals are not synced, so a power loss may undo any
+    /// of them.
     fn remove_stale_files(&mut self) {
-        let covered = |segment: &Segment| Some(segment.highest_index) <= self.snapshot_index;
-        let count = self.segments.iter().take_while(|s| covered(s)).count();
-        // The last segment is written to, and may be the only one with the vote.
-        let count = count.min(self.segments.len() - 1);
-        let first = self.segments.drain(..count);
-        self.stale_files
-            .extend(first.map(|s| segment_name(s.number)));
         let disk = &self.disk;
         self.stale_files.retain(|name| {
             let removed = disk.remove(name);
@@ -284,7 +283,7 @@
     Ok(file)
 }
 
-fn segment_name(number: u64) -> String {
+pub(super) fn segment_name(number: u64) -> String {
     format!("log-{number:016x}")
 }
 
--- a/crates/store/src/version/mod.rs
+++ b/crates/store/src/version/mod.rs
@@ -3,5 +3,5 @@
 mod record;
 mod replay;
 
-pub(crate) use record::{RecordItem, RecordReader, encode_record};
+pub(crate) use record::{RecordItem, RecordReader, SnapshotCoverage, encode_record};
 pub(crate) use replay::Replay;
--- a/crates/store/src/version/record.rs
+++ b/crates/store/src/version/record.rs
@@ -21,6 +21,15 @@
     Snapshot(Revision),
 }
 
+/// Second record of a snapshot file: which segments the snapshot replaces. Written
+/// with the snapshot, so that it is durable before the first segment is removed.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct SnapshotCoverage {
+    /// The first segment that is needed. All entries of those before it are part of
+    /// the snapshot.
+    pub first_segment: u64,
+}
+
 /// Encodes a record for `offset` in the file with number `file_number`.
 /// `None` if the body cannot be encoded or is longer than `u32::MAX` bytes.
 pub(crate) fn encode_record<T: Serialize>(
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -1,11 +1,12 @@
 //! The store keeps synced writes across disk faults, crashes and restarts.
 
+mod disk;
+mod power_loss;
+
 use arbtest::arbtest;
 use consensus::{DiskWrite, EntryPayload, Group, LogEntry, LogPosition, Snapshot, WriteId};
-use std::collections::BTreeMap;
-use std::io;
-use std::sync::{Arc, Mutex};
-use store::{Category, DataDir, Disk, RecoveredMember, Store, open};
+use disk::{FakeDisk, Fault};
+use store::{Category, DataDir, RecoveredMember, Store, open};
 use types::{MemberId, Revision, Term};
 
 /// Number of random cases; the case number is the seed.
@@ -14,153 +15,6 @@
 /// Bytes of random input of each case; the low half of an arbtest seed.
 const INPUT_BYTES: u64 = 128;
 
-/// Fault of the next operations of the in-memory disk.
-#[derive(Default, Clone, Copy, PartialEq)]
-enum Fault {
-    #[default]
-    None,
-    /// Appends half of the bytes, then fails.
-    Full,
-    ReadOnly,
-    /// Appends, then fails to sync.
-    Sync,
-}
-
-#[derive(Default)]
-struct DiskState {
-    /// Content and synced length of each file.
-    files: BTreeMap<String, (Vec<u8>, usize)>,
-    fault: Fault,
-}
-
-/// A folder in memory. Renaming and removing are durable at once.
-#[derive(Default, Clone)]
-struct MemoryDisk(Arc<Mutex<DiskState>>);
-
-impl MemoryDisk {
-    fn set_fault(&self, fault: Fault) {
-        self.0.lock().unwrap().fault = fault;
-    }
-
-    /// Simulates a crash in which `keep` unsynced bytes of each file are kept.
-    fn crash(&self, keep: usize) -> MemoryDisk {
-        let files = self.0.lock().unwrap().files.clone();
-        let truncate = |(data, synced): (Vec<u8>, usize)| {
-            let len = data.len().min(synced + keep);
-            (data[..len].to_vec(), len)
-        };
-        let files = files.into_iter().map(|(name, file)| (name, truncate(file)));
-        MemoryDisk(Arc::new(Mutex::new(DiskState {
-            files: files.collect(),
-            fault: Fault::None,
-        })))
-    }
-
-    /// Changes the content of the last segment.
-    fn edit(&self, change: impl FnOnce(&mut Vec<u8>)) {
-        let mut state = self.0.lock().unwrap();
-        let logs = state.files.range_mut("log-".to_owned()..);
-        let (data, synced) = logs
-            .filter(|(n, _)| n.starts_with("log-"))
-            .last()
-            .unwrap()
-            .1;
-        change(data);
-        *synced = data.len();
-    }
-
-    fn with_state<T>(&self, f: impl FnOnce(&mut DiskState) -> io::Result<T>) -> io::Result<T> {
-        let mut state = self.0.lock().unwrap();
-        if state.fault == Fault::ReadOnly {
-            return Err(io::ErrorKind::ReadOnlyFilesystem.into());
-        }
-        f(&mut state)
-    }
-}
-
-impl Disk for MemoryDisk {
-    type File = String;
-
-    fn list(&self) -> io::Result<Vec<String>> {
-        self.with_state(|state| Ok(state.files.keys().cloned().collect()))
-    }
-
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        self.with_state(|state| Ok(state.files[name].0.clone()))
-    }
-
-    fn open(&self, name: &str) -> io::Result<String> {
-        self.with_state(|state| {
-            state.files.entry(name.to_owned()).or_default();
-            Ok(name.trim_end_matches(".tmp").to_owned())
-        })
-    }
-
-    fn append(&self, file: &mut String, bytes: &[u8]) -> io::Result<()> {
-        self.with_state(|state| {
-            let full = state.fault == Fault::Full;
-            let len = if full { bytes.len() / 2 } else { bytes.len() };
-            state.open_file(file).0.extend_from_slice(&bytes[..len]);
-            if full {
-                Err(io::ErrorKind::StorageFull.into())
-            } else {
-                Ok(())
-            }
-        })
-    }
-
-    fn truncate(&self, file: &mut String, len: u64) -> io::Result<()> {
-        self.with_state(|state| {
-            state
-                .open_file(file)
-                .0
-                .truncate(usize::try_from(len).unwrap());
-            Ok(())
-        })
-    }
-
-    fn sync(&self, file: &mut String) -> io::Result<()> {
-        self.with_state(|state| {
-            if state.fault == Fault::Sync {
-                return Err(io::Error::other("sync failed"));
-            }
-            let (data, synced) = state.open_file(file);
-            *synced = data.len();
-            Ok(())
-        })
-    }
-
-    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        self.with_state(|state| {
-            let file = state.files.remove(from).unwrap();
-            state.files.insert(to.to_owned(), file);
-            Ok(())
-        })
-    }
-
-    fn remove(&self, name: &str) -> io::Result<()> {
-        let missing = || io::Error::from(io::ErrorKind::NotFound);
-        self.with_state(|state| state.files.remove(name).map(drop).ok_or_else(missing))
-    }
-
-    fn sync_dir(&self) -> io::Result<()> {
-        self.with_state(|_| Ok(()))
-    }
-}
-
-impl DiskState {
-    /// An open file remains valid when it is renamed from its temporary name.
-    fn open_file(&mut self, name: &str) -> &mut (Vec<u8>, usize) {
-        let temporary = format!("{name}.tmp");
-        let name = if self.files.contains_key(&temporary) {
-            &temporary
-        } else {
-            name
-        };
-        self.files.get_mut(name).unwrap()
-    }
-}
-
 fn entry(index: u64, term: u64) -> LogEntry {
     LogEntry {
         index: Revision(index),
@@ -198,7 +52,7 @@
     }
 }
 
-fn reopen(disk: &MemoryDisk) -> (Store<MemoryDisk>, RecoveredMember) {
+fn reopen(disk: &FakeDisk) -> (Store<FakeDisk>, RecoveredMember) {
     open(disk.crash(0)).unwrap()
 }
 
@@ -209,7 +63,7 @@
 /// Guards against a restart that loses or reorders synced writes.
 #[test]
 fn synced_writes_survive_a_crash() {
-    let disk = MemoryDisk::default();
+    let disk = FakeDisk::default();
     let (mut store, first) = open(disk.clone()).unwrap();
     store.apply(&[append(1, 5, 1)]).unwrap();
     let before = store.sync_count();
@@ -230,7 +84,7 @@
 fn writes_continue_after_a_failed_one() {
     for fault in [Fault::Full, Fault::ReadOnly, Fault::Sync] {
         for keep in [0, 3, 1000] {
-            let disk = MemoryDisk::default();
+            let disk = FakeDisk::default();
             let (mut store, _) = open(disk.clone()).unwrap();
             store.apply(&[append(1, 3, 1)]).unwrap();
             disk.set_fault(fault);
@@ -260,11 +114,11 @@
         |data| data.extend([9, 0, 0]),
     ];
     for (i, tear) in cases.into_iter().enumerate() {
-        let disk = MemoryDisk::default();
+        let disk = FakeDisk::default();
         let (mut store, _) = open(disk.clone()).unwrap();
         store.apply(&[append(1, 2, 1)]).unwrap();
         store.apply(&[append(3, 1, 1)]).unwrap();
-        disk.edit(tear);
+        disk.edit("log-", tear);
         let torn = disk.crash(0);
         let (mut store, found) = open(torn.clone()).unwrap();
         let kept = if i < 2 { 2 } else { 3 };
@@ -284,11 +138,11 @@
         |data| data[..8].fill(0xff),
     ];
     for damage in cases {
-        let disk = MemoryDisk::default();
+        let disk = FakeDisk::default();
         let (mut store, _) = open(disk.clone()).unwrap();
         store.apply(&[append(1, 2, 1)]).unwrap();
         store.apply(&[append(3, 1, 1)]).unwrap();
-        disk.edit(damage);
+        disk.edit("log-", damage);
         let e = open(disk.crash(0)).map(drop).unwrap_err();
         assert_eq!(e.category(), Category::Damaged);
         let text = e.to_string();
@@ -304,16 +158,12 @@
 #[test]
 fn missing_files_are_an_error() {
     for missing in ["log-", "member", "snapshot-"] {
-        let disk = MemoryDisk::default();
+        let disk = FakeDisk::default();
         let (mut store, _) = open(disk.clone()).unwrap();
         store.apply(&[append(1, 4, 1)]).unwrap();
         store.apply(&[snapshot(4, 1)]).unwrap();
         store.apply(&[append(5, 1, 1)]).unwrap();
-        disk.0
-            .lock()
-            .unwrap()
-            .files
-            .retain(|name, _| !name.starts_with(missing));
+        disk.remove_where(|name| name.starts_with(missing));
         let found = open(disk.crash(0)).map(drop).unwrap_err();
         assert_eq!(found.category(), Category::Damaged, "without {missing}");
     }
@@ -323,7 +173,7 @@
 /// when the segment that contains it is removed.
 #[test]
 fn snapshots_replace_old_segments() {
-    let disk = MemoryDisk::default();
+    let disk = FakeDisk::default();
     let (mut store, _) = open(disk.clone()).unwrap();
     let mut large = append(1, 2, 3);
     large.entries[0].payload = EntryPayload::Command(vec![1; 5 << 20].into());
@@ -333,14 +183,13 @@
     plain.term_and_vote = None;
     store.apply(&[plain]).unwrap();
     store.apply(&[snapshot(2, 3)]).unwrap();
-    let names: Vec<String> = disk.0.lock().unwrap().files.keys().cloned().collect();
     let expected = [
         "layout",
         "log-0000000000000002",
         "member",
         "snapshot-0000000000000002",
     ];
-    assert_eq!(names, expected);
+    assert_eq!(disk.names(), expected);
     let found = reopen(&disk).1;
     assert_eq!(indexes(&found), [3]);
     assert_eq!(found.restored.vote, Some(MemberId(8)));
@@ -351,7 +200,7 @@
 /// snapshot that conflicts with them.
 #[test]
 fn an_installed_snapshot_replaces_the_old_log() {
-    let disk = MemoryDisk::default();
+    let disk = FakeDisk::default();
     let (mut store, _) = open(disk.clone()).unwrap();
     store.apply(&[append(1, 12, 1)]).unwrap();
     let install = DiskWrite {
@@ -373,7 +222,7 @@
 fn reported_writes_survive_random_faults() {
     for case in 0..RANDOM_CASES {
         arbtest(|u| {
-            let mut disk = MemoryDisk::default();
+            let mut disk = FakeDisk::default();
             let (mut store, _) = open(disk.clone()).unwrap();
             let (mut last, mut term) = (0, 1);
             while !u.is_empty() {
