limpetd: show that a stopped host accepts again, and print the signal of an ended process

Change: a test stops a leader for more than the timeouts of its HTTP server, overflows its accept queue, and requires that it accepts when it wakes, so that this cannot be the cause. A failed test prints the exit status of each ended process with its signal.

--- a/crates/limpetd/tests/control.rs
+++ b/crates/limpetd/tests/control.rs
@@ -390,6 +390,56 @@
     assert!(drain_revision(&site, "app-9-4".parse().unwrap()).await == Some(last));
 }
 
+/// Guards against a host that wakes and no longer accepts connections: while it is
+/// stopped, its accept queue overflows, and requests and connections in it end or time
+/// out.
+#[actix_rt::test]
+async fn a_host_that_wakes_accepts_again_after_its_accept_queue_overflowed() {
+    /// More than the accept queue holds (128, the backlog of a standard listener).
+    const CONNECTIONS: usize = 400;
+    /// Longer than the HTTP server waits for a request, 5 s.
+    const STOP_TIME: Duration = Duration::from_secs(6);
+    let site = Site::start(control_only(29, 3)).await;
+    change_until_accepted(&site, drain("app-1", true)).await;
+    let stopped = leader(&site).await;
+    let host = control_address(site.plan, stopped);
+    let stopped = &site.control[usize::from(stopped)];
+    stopped.signal(Signal::SIGSTOP);
+    let connects = (0..CONNECTIONS).map(|_| {
+        let connect = tokio::net::TcpStream::connect(host);
+        actix_rt::spawn(tokio::time::timeout(STOP_TIME / 2, connect))
+    });
+    let mut connections = Vec::new();
+    for connect in connects.collect::<Vec<_>>() {
+        if let Ok(connection) = connect.await.unwrap() {
+            connections.push(connection.unwrap());
+        }
+    }
+    let accepted = connections.len();
+    assert!(
+        (1..CONNECTIONS).contains(&accepted),
+        "{accepted} connections fit in the accept queue"
+    );
+    // Half of them are gone when the host wakes, the others send an incomplete request.
+    connections.truncate(accepted / 2);
+    for connection in &connections {
+        connection
+            .try_write(b"POST /v1/query HTTP/1.1\r\n")
+            .unwrap();
+    }
+    sleep(STOP_TIME / 2).await;
+    stopped.signal(Signal::SIGCONT);
+    let http = HttpClient::default();
+    for _ in 0..20 {
+        let sync = sync_request("lb-2", None);
+        let reply: client::Result<SyncReply> = http
+            .post(host, "/v1/sync", &sync, deadline_in_millis(5000))
+            .await;
+        reply.unwrap();
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Kills half of an even group and checks that the other half accepts no change
 /// and answers no query, while the data plane still serves requests.
 async fn check_even_group(range: u8, control: u8) {
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -12,7 +12,7 @@
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr},
     path::Path,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
 };
 
@@ -70,10 +70,14 @@
         let _ = self.child.wait();
     }
 
+    /// `None` while the process runs, else its exit status or the signal that ended it.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("process status")
+    }
+
     /// `None` while the process runs, else whether it exited with status 0.
     pub fn exit_success(&mut self) -> Option<bool> {
-        let status = self.child.try_wait().expect("process status");
-        status.map(|status| status.success())
+        self.exit_status().map(|status| status.success())
     }
 }
 
@@ -146,8 +150,8 @@
             ("agent", &mut self.agents),
         ] {
             for (n, process) in processes.iter_mut().enumerate() {
-                if let Some(success) = process.exit_success() {
-                    eprintln!("{role} {n} had exited before the test failed; success: {success}");
+                if let Some(status) = process.exit_status() {
+                    eprintln!("{role} {n} had exited before the test failed: {status}");
                 }
             }
         }
