Bound the datagrams of an unconfirmed flow; test lost messages and arbiters

An agent without a complete list delivered a whole window of datagrams that a balancer sent because of an old hint, before its upstream returned the first one. It now delivers two datagrams with data until the upstream confirms the flow, and drops the others, which the caller retransmits.

Further tests: lost messages about lists, keepers on other hosts and of both roles, arbiters that do not answer.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -38,6 +38,8 @@
     pub caller_seq: Option<u32>,
     /// A request waits for the first byte of its answer.
     pub awaiting_answer: bool,
+    /// Datagrams with data that were delivered while the flow was unconfirmed.
+    pub unconfirmed_data: u8,
     pub caller_ended: bool,
     pub upstream_ended: bool,
     pub opened_at: Instant,
@@ -55,6 +57,7 @@
             unrecorded_bytes: 0,
             caller_seq: None,
             awaiting_answer: false,
+            unconfirmed_data: 0,
             caller_ended: false,
             upstream_ended: false,
             opened_at: now,
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -23,6 +23,10 @@
 /// arrival and rejects those beyond its length.
 const ADMITTED_PER_SLOT: u32 = 2;
 
+/// Datagrams with data that are delivered before the upstream confirms a flow. An
+/// upstream acknowledges every second one, and three at a wrong upstream break a flow.
+const MAX_UNCONFIRMED_DATA: u8 = 2;
+
 /// Timeouts and limits of a [`FlowTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlowTableSettings {
@@ -141,6 +145,8 @@
     NotHeld,
     /// The upstream has lost the flow: send a reset to the caller.
     Reset,
+    /// Drop it: the upstream has yet to confirm the flow.
+    Drop,
 }
 
 /// Action for a datagram of the upstream.
@@ -278,7 +284,11 @@
             return CallerAction::NotHeld;
         }
         match flow.stage {
+            Stage::Unconfirmed if seg.len > 0 && flow.unconfirmed_data >= MAX_UNCONFIRMED_DATA => {
+                CallerAction::Drop
+            }
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
+                flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
                 flow.record_caller_data(seg);
                 flow.close_if_both_ended();
                 CallerAction::Deliver
@@ -355,7 +365,10 @@
         if !trusted || !self.is_recovering(now) || seg.resets {
             return CallerAction::NotHeld;
         }
-        let mut flow = Flow::new(Stage::Unconfirmed, now);
+        let mut flow = Flow {
+            unconfirmed_data: u8::from(seg.len > 0),
+            ..Flow::new(Stage::Unconfirmed, now)
+        };
         flow.record_caller_data(seg);
         self.flows.insert(seg.key_from_caller(), flow);
         CallerAction::Deliver
--- a/crates/flow/tests/flow_table.rs
+++ b/crates/flow/tests/flow_table.rs
@@ -224,6 +224,25 @@
     );
 }
 
+/// Guards against a window of datagrams that reaches a wrong upstream because of an old
+/// hint, before the upstream has returned the first one.
+#[test]
+fn two_datagrams_of_an_unconfirmed_flow_are_delivered() {
+    let (mut table, now) = table_of_restarted_agent();
+    let mut deliver = |n: u32| {
+        let seg = data(1, 101 + 10 * n, INITIAL_SEQ + 1);
+        table.caller_datagram(&seg, Origin::Held, now)
+    };
+    let verdicts = [deliver(0), deliver(1), deliver(2)];
+    let deliver_twice = [CallerAction::Deliver; 2];
+    assert_eq!(verdicts[..2], deliver_twice);
+    assert_eq!(verdicts[2], CallerAction::Drop);
+    table.upstream_datagram(&answer(1, INITIAL_SEQ + 1), now);
+    let seg = data(1, 121, INITIAL_SEQ + 1);
+    let verdict = table.caller_datagram(&seg, Origin::Held, now);
+    assert_eq!(verdict, CallerAction::Deliver);
+}
+
 /// Guards against a caller that waits for an upstream which has restarted while
 /// its agent was running.
 #[test]
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -116,6 +116,35 @@
     assert_eq!(tried, 2);
 }
 
+/// Guards against a flow that is tried without a grant, or never searched for again,
+/// because its arbiters have failed.
+#[test]
+fn without_arbiters_nothing_is_tried() {
+    let (mut steering, mut now) = ready(5);
+    let seg = data(1, 101, 1);
+    let key = seg.key_from_caller();
+    let mut asked = Vec::new();
+    for _ in 0..2 {
+        let decision = steer(&mut steering, &seg, now);
+        assert!(matches!(decision, SteeringDecision::Query(_)));
+        for n in 1..=5 {
+            steering.handle_claim(key, address(n), Claim::Perhaps, now);
+        }
+        while let Some(deadline) = steering.next_deadline() {
+            now = now.max(deadline);
+            let results = steering.end_searches(now);
+            assert_eq!(results.released, []);
+            asked.extend(results.trial_requests.iter().map(|request| request.arbiter));
+        }
+        let late = steering.handle_trial_answer(key, asked[0], true, now);
+        assert_eq!(late.released, [], "a grant that comes too late is not used");
+        now += Duration::from_millis(300);
+    }
+    assert_eq!((asked[0], asked[1]), (asked[2], asked[3]));
+    assert_ne!(asked[0], asked[1]);
+    assert_eq!(asked.len(), 4);
+}
+
 /// Guards against searches that query agents of other services first.
 #[test]
 fn only_agents_of_the_services_of_the_address_are_queried() {
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -135,6 +135,9 @@
     wrong: BTreeMap<u8, u32>,
     /// When the last datagram of each flow reached its upstream.
     reached_at: BTreeMap<u8, Instant>,
+    /// One in this many messages about lists is lost.
+    loss_period: Option<usize>,
+    list_messages: usize,
     /// The routers change the balancer of all flows at this interval.
     rerouting: Option<Duration>,
 }
@@ -166,6 +169,8 @@
             messages: Vec::new(),
             wrong: BTreeMap::new(),
             reached_at: BTreeMap::new(),
+            loss_period: None,
+            list_messages: 0,
             rerouting: None,
         };
         for n in 0..FLOWS {
@@ -355,7 +360,16 @@
         for (from, to, message) in mem::take(&mut self.messages) {
             let n = self.nodes.iter().position(|node| node.address == to);
             let n = n.unwrap();
-            if !self.nodes[n].is_up {
+            let is_about_list = matches!(
+                message,
+                Wire::Keep(_) | Wire::Kept(..) | Wire::ListQuery(..) | Wire::ListPart(_)
+            );
+            self.list_messages += usize::from(is_about_list);
+            let is_lost = is_about_list
+                && self
+                    .loss_period
+                    .is_some_and(|period| self.list_messages.is_multiple_of(period));
+            if is_lost || !self.nodes[n].is_up {
                 continue;
             }
             let sent = match self.nodes[n].state {
@@ -566,23 +580,32 @@
 /// Guards against the same when all processes stop at once.
 #[test]
 fn restarts_of_all_processes_at_once_misdeliver_nothing() {
-    restart_all(&[0, 1, 2, 3, 4], Duration::ZERO);
+    restart_all(&[0, 1, 2, 3, 4], Duration::ZERO, None);
+}
+
+/// Guards against a list that is not recovered because messages about it are lost.
+#[test]
+fn lost_messages_are_sent_again() {
+    for period in 2..=6 {
+        restart_all(&[0, 3, 1, 4, 2], Duration::from_secs(1), Some(period));
+    }
 }
 
 fn restart_all_in_any_order(gap: Duration) {
     for order in orders(&[0, 1, 2, 3, 4]) {
-        restart_all(&order, gap);
+        restart_all(&order, gap, None);
     }
 }
 
-fn restart_all(order: &[usize], gap: Duration) {
+fn restart_all(order: &[usize], gap: Duration, loss_period: Option<usize>) {
     let mut world = World::new();
+    world.loss_period = loss_period;
     for n in order {
         world.terminate(*n);
         world.run(gap);
     }
     world.run(Duration::from_millis(4500));
-    let what = format!("{order:?}, gap {gap:?}");
+    let what = format!("{order:?}, gap {gap:?}, loss {loss_period:?}");
     world.check(0, &what);
     for node in &world.nodes {
         if let State::Agent(agent) = &node.state {
@@ -636,6 +659,34 @@
     assert_eq!(is_complete(&mut listed, 4), Some(true));
 }
 
+/// Guards against a list that is lost with the host of its agent, or that two keepers of
+/// one role hold although the other role is there.
+#[test]
+fn keepers_are_on_other_hosts_and_of_both_roles() {
+    let data_centre = NEAR.parse().unwrap();
+    let mut candidates = KeeperCandidates::default();
+    let keeper = |role, leaving| KeeperNode {
+        role,
+        data_centre: NEAR.parse().unwrap(),
+        leaving,
+    };
+    for n in 1..=4 {
+        candidates.insert(address(n), keeper(KeeperRole::Agent, n == 2));
+        let mut balancer = address(n);
+        balancer.set_port(7001);
+        candidates.insert(balancer, keeper(KeeperRole::Balancer, n != 3));
+    }
+    let keepers = candidates.keepers(address(1), &data_centre);
+    let mut hosts: Vec<_> = keepers.iter().map(|(a, role)| (*role, *a.ip())).collect();
+    hosts[..2].sort_unstable();
+    let expected = [3, 4].map(|n| (KeeperRole::Agent, *address(n).ip()));
+    assert_eq!(hosts[..2], expected);
+    // A stopping node is better than none.
+    assert_eq!(hosts[2], (KeeperRole::Balancer, *address(3).ip()));
+    assert_ne!(hosts[3].1, *address(1).ip());
+    assert_eq!(candidates.asked(address(1), &data_centre).len(), 6);
+}
+
 /// A list of two parts of the flows of a table with 30 open flows.
 fn two_parts(complete: bool) -> Vec<FlowListPart> {
     let (mut table, now) = common::flow_table();
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -372,6 +372,12 @@
                 self.send_not_held(arrival.via, arrival.payload).await;
             }
             CallerAction::Reset => self.reset_flow(&seg, "upstream_restarted").await,
+            CallerAction::Drop => {
+                self.metrics
+                    .dropped_datagrams
+                    .with_label_values(&["unconfirmed"])
+                    .inc();
+            }
         }
     }
 
