--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -1,5 +1,7 @@
 //! Flow table of an agent.
 
+mod handover;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddrV4,
@@ -21,6 +23,10 @@
 /// arrival and rejects those beyond its length.
 const ADMITTED_PER_SLOT: u32 = 2;
 
+/// Datagrams with data that are delivered before the upstream confirms a flow. An
+/// upstream acknowledges every second one, and three at a wrong upstream break a flow.
+const MAX_UNCONFIRMED_DATA: u8 = 2;
+
 /// Timeouts and limits of a [`FlowTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlowTableSettings {
@@ -139,6 +145,8 @@
     NotHeld,
     /// The upstream has lost the flow: send a reset to the caller.
     Reset,
+    /// Drop it: the upstream has yet to confirm the flow.
+    Drop,
 }
 
 /// Action for a datagram of the upstream.
@@ -187,6 +195,8 @@
 pub struct FlowTable {
     settings: FlowTableSettings,
     upstream: Option<UpstreamStatus>,
+    /// Incarnation of the upstream whose flows were taken over from the previous agent.
+    restored_incarnation: Option<u64>,
     /// Until this instant, the table accepts flows that the upstream may hold
     /// from before the agent's start.
     recovery_until: Instant,
@@ -209,6 +219,7 @@
         FlowTable {
             settings,
             upstream: None,
+            restored_incarnation: None,
             recovery_until: now + settings.recovery_period,
             is_gone: false,
             flows: BTreeMap::new(),
@@ -221,7 +232,7 @@
     /// Sets the state of the upstream; `None` if it does not run. Flows of an earlier
     /// incarnation become lost.
     pub fn set_upstream(&mut self, upstream: Option<UpstreamStatus>, now: Instant) {
-        let former = self.upstream.and_then(|upstream| upstream.incarnation);
+        let former = self.flows_incarnation();
         let current = upstream.and_then(|upstream| upstream.incarnation);
         if former.is_some() && current.is_some() && former != current {
             for flow in self.flows.values_mut() {
@@ -273,7 +284,11 @@
             return CallerAction::NotHeld;
         }
         match flow.stage {
+            Stage::Unconfirmed if seg.len > 0 && flow.unconfirmed_data >= MAX_UNCONFIRMED_DATA => {
+                CallerAction::Drop
+            }
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
+                flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
                 flow.record_caller_data(seg);
                 flow.close_if_both_ended();
                 CallerAction::Deliver
@@ -350,7 +365,10 @@
         if !trusted || !self.is_recovering(now) || seg.resets {
             return CallerAction::NotHeld;
         }
-        let mut flow = Flow::new(Stage::Unconfirmed, now);
+        let mut flow = Flow {
+            unconfirmed_data: u8::from(seg.len > 0),
+            ..Flow::new(Stage::Unconfirmed, now)
+        };
         flow.record_caller_data(seg);
         self.flows.insert(seg.key_from_caller(), flow);
         CallerAction::Deliver
@@ -563,7 +581,9 @@
         self.flows.retain(|_, flow| {
             let retention = match flow.stage {
                 Stage::Open | Stage::Unconfirmed => cfg.idle_timeout,
-                Stage::Opening | Stage::Closed | Stage::Lost | Stage::NotHeld => cfg.linger_timeout,
+                // Otherwise a balancer would deliver another datagram on trial.
+                Stage::NotHeld => cfg.recovery_period,
+                Stage::Opening | Stage::Closed | Stage::Lost => cfg.linger_timeout,
             };
             now < flow.last_datagram_at + retention
         });
