Place and accept no new flow in an evacuated data centre

Balancers and agents got a placement policy and ignored it.

A balancer places no flow, and no copy of an opening, on an agent of an evacuated data centre. If that leaves no agent it resets the flow at once (cause "evacuated"); agents that accept no flows for other reasons still cause a drop, so that the caller's copy can succeed. Reports of evacuated agents count for a balancer's readiness, because routers would otherwise leave out the balancers that open flows depend on.

An agent of an evacuated data centre accepts no opening, no copy of an opening that its upstream has not accepted and sends no probe, reports that it accepts no flows, and forwards or resets the openings that wait. Agents forward no flow to an evacuated one. Open flows stay.

SteeringDecision::Reset has a reason now; the test in hints.rs that compares it names the reason.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -49,6 +49,6 @@
 pub use process::{
     AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowQuery, FlowTable,
     FlowTableSettings, Load, OpeningQueue, OpeningQueueSettings, Origin, RateLimiter,
-    ReleasedDatagram, SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings,
-    UpstreamAction, UpstreamStatus,
+    ReleasedDatagram, ResetReason, SearchResults, ServicePace, Steering, SteeringDecision,
+    SteeringSettings, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -1,7 +1,7 @@
 //! The agents of a service and the choice of one for a new flow.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
     time::{Duration, Instant},
 };
@@ -62,6 +62,8 @@
 #[derive(Debug, Default)]
 pub struct AgentPool {
     agents: BTreeMap<SocketAddrV4, AgentStatus>,
+    /// Data centres whose agents get no new flows, whatever they report.
+    evacuated: BTreeSet<DataCentre>,
 }
 
 impl AgentPool {
@@ -96,12 +98,46 @@
         self.agents.keys().copied()
     }
 
-    /// Whether an agent that accepts new flows has an up-to-date report.
+    /// Sets the data centres whose agents get no new flows.
+    pub fn set_evacuated(&mut self, evacuated: &BTreeSet<DataCentre>) {
+        self.evacuated.clone_from(evacuated);
+    }
+
+    fn is_evacuated(&self, agent: &AgentStatus) -> bool {
+        self.evacuated.contains(&agent.data_centre)
+    }
+
+    /// Whether the agent can be given new flows, apart from the age of its report.
+    fn accepts_flows(&self, agent: &AgentStatus) -> bool {
+        agent.accepting && !self.is_evacuated(agent)
+    }
+
+    /// Whether new flows can be placed on the agent with this address, and its report
+    /// is up to date.
+    #[must_use]
+    pub fn is_available(&self, address: SocketAddrV4, now: Instant) -> bool {
+        let agent = self.agents.get(&address);
+        agent.is_some_and(|agent| self.accepts_flows(agent) && Self::has_recent_report(agent, now))
+    }
+
+    /// Whether an agent that accepts new flows, or that would without an evacuation,
+    /// has an up-to-date report. Evacuated agents count: a balancer that only they
+    /// report to still forwards their open flows and refuses new ones.
     #[must_use]
     pub fn has_available_agent(&self, now: Instant) -> bool {
-        let is_available =
-            |agent: &AgentStatus| agent.accepting && Self::has_recent_report(agent, now);
-        self.agents.values().any(is_available)
+        self.agents.values().any(|agent| {
+            let counts = agent.accepting || self.is_evacuated(agent);
+            counts && Self::has_recent_report(agent, now)
+        })
+    }
+
+    /// Whether an evacuation leaves no agent for new flows, so that waiting for one is
+    /// useless.
+    #[must_use]
+    pub fn is_emptied_by_evacuation(&self) -> bool {
+        let mut agents = self.agents.values();
+        agents.any(|agent| self.is_evacuated(agent))
+            && !self.agents.values().any(|agent| self.accepts_flows(agent))
     }
 
     /// Whether the last report of `candidate` is up to date.
@@ -122,14 +158,14 @@
         now: Instant,
     ) -> Option<SocketAddrV4> {
         let is_eligible = |address: &SocketAddrV4, c: &AgentStatus| {
-            c.accepting && !except.contains(address) && Self::has_recent_report(c, now)
+            self.accepts_flows(c) && !except.contains(address) && Self::has_recent_report(c, now)
         };
         let any_eligible = self.agents.iter().any(|(a, c)| is_eligible(a, c));
         let candidates: Vec<(SocketAddrV4, f64)> = self
             .agents
             .iter()
             .filter(|(a, c)| {
-                is_eligible(a, c) || (!any_eligible && c.accepting && !except.contains(a))
+                is_eligible(a, c) || (!any_eligible && self.accepts_flows(c) && !except.contains(a))
             })
             .map(|(address, c)| (*address, cost(c, local)))
             .collect();
@@ -169,7 +205,10 @@
     pub fn has_free_slot(&self, except: &[SocketAddrV4], now: Instant) -> bool {
         self.agents.iter().any(|(address, c)| {
             let has_slot = c.requests() < c.slots.0;
-            has_slot && c.accepting && Self::has_recent_report(c, now) && !except.contains(address)
+            has_slot
+                && self.accepts_flows(c)
+                && Self::has_recent_report(c, now)
+                && !except.contains(address)
         })
     }
 }
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -187,6 +187,8 @@
 pub struct FlowTable {
     settings: FlowTableSettings,
     upstream: Option<UpstreamStatus>,
+    /// Whether the data centre is evacuated, so that the upstream gets no new flows.
+    evacuated: bool,
     /// Until this instant, the table accepts flows that the upstream may hold
     /// from before the agent's start.
     recovery_until: Instant,
@@ -209,6 +211,7 @@
         FlowTable {
             settings,
             upstream: None,
+            evacuated: false,
             recovery_until: now + settings.recovery_period,
             is_gone: false,
             flows: BTreeMap::new(),
@@ -237,6 +240,11 @@
         self.upstream = upstream;
     }
 
+    /// Sets whether the data centre is evacuated. Open flows stay.
+    pub fn set_evacuated(&mut self, evacuated: bool) {
+        self.evacuated = evacuated;
+    }
+
     /// Last known state of the upstream.
     #[must_use]
     pub fn upstream(&self) -> Option<&UpstreamStatus> {
@@ -255,8 +263,15 @@
     /// Whether the upstream can be given new flows.
     #[must_use]
     pub fn accepts_new_flows(&self, now: Instant) -> bool {
-        let accepting = self.upstream.is_some_and(|upstream| upstream.accepting);
-        accepting && self.flows.len() < self.settings.max_flows && !self.is_unresponsive(now)
+        self.is_accepting()
+            && self.flows.len() < self.settings.max_flows
+            && !self.is_unresponsive(now)
+    }
+
+    /// Whether new flows are wanted here at all: the upstream neither drains nor stops,
+    /// and its data centre is not evacuated.
+    fn is_accepting(&self) -> bool {
+        !self.evacuated && self.upstream.is_some_and(|upstream| upstream.accepting)
     }
 
     /// Decides what to do with a datagram of a caller.
@@ -291,9 +306,10 @@
             && matches!(flow.stage, Stage::Opening | Stage::Open)
         {
             // A retransmission. An unresponsive upstream would not answer it
-            // either.
+            // either, and an evacuated one gets no flow that it has not accepted yet.
             flow.last_datagram_at = now;
-            return if self.is_unresponsive(now) {
+            let not_open = flow.stage == Stage::Opening;
+            return if self.is_unresponsive(now) || (self.evacuated && not_open) {
                 CallerAction::PassOn
             } else {
                 CallerAction::Deliver
@@ -324,9 +340,8 @@
     /// Whether to send an opening datagram to an unresponsive upstream as a
     /// probe.
     fn may_probe(&self, now: Instant) -> bool {
-        let accepting = self.upstream.is_some_and(|upstream| upstream.accepting);
         let interval = self.settings.probe_interval;
-        accepting
+        self.is_accepting()
             && self.is_unresponsive(now)
             && self.last_probe_at.is_none_or(|at| now >= at + interval)
     }
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -15,6 +15,6 @@
 pub use rate_limiter::RateLimiter;
 pub use service_pace::ServicePace;
 pub use steering::{
-    DropReason, FlowQuery, ReleasedDatagram, SearchResults, Steering, SteeringDecision,
-    SteeringSettings,
+    DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
+    SteeringDecision, SteeringSettings,
 };
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -4,13 +4,15 @@
 mod search;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, SocketAddrV4},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-pub use outcome::{DropReason, FlowQuery, ReleasedDatagram, SearchResults, SteeringDecision};
+pub use outcome::{
+    DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, SteeringDecision,
+};
 use search::{Search, TryRecord, UnresolvedFlow};
 use types::{DataCentre, RequestTargets, RoutingSet, ServiceName};
 
@@ -96,6 +98,8 @@
     data_centre: DataCentre,
     routes: Option<RoutingSet>,
     pools: BTreeMap<ServiceName, AgentPool>,
+    /// Data centres whose agents get no new flows.
+    evacuated: BTreeSet<DataCentre>,
     hints: BTreeMap<FlowTuple, Hint>,
     searches: BTreeMap<FlowTuple, Search>,
     /// Agents that got a datagram of a flow without having claimed it.
@@ -121,6 +125,7 @@
             data_centre,
             routes: None,
             pools: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             hints: BTreeMap::new(),
             searches: BTreeMap::new(),
             tries: BTreeMap::new(),
@@ -161,7 +166,20 @@
 
     /// The agents of a service.
     pub fn pool(&mut self, service: &ServiceName) -> &mut AgentPool {
-        self.pools.entry(service.clone()).or_default()
+        let evacuated = &self.evacuated;
+        self.pools.entry(service.clone()).or_insert_with(|| {
+            let mut pool = AgentPool::default();
+            pool.set_evacuated(evacuated);
+            pool
+        })
+    }
+
+    /// Sets the data centres whose agents get no new flows. Open flows stay there.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentre>) {
+        for pool in self.pools.values_mut() {
+            pool.set_evacuated(&evacuated);
+        }
+        self.evacuated = evacuated;
     }
 
     /// The agents of all services.
@@ -197,8 +215,7 @@
             && hint.opening_seq == Some(seg.seq)
         {
             let pool = self.pools.get(&hint.service);
-            let agent = pool.and_then(|pool| pool.get(hint.agent));
-            if agent.is_some_and(|a| a.accepting && AgentPool::has_recent_report(a, now)) {
+            if pool.is_some_and(|pool| pool.is_available(hint.agent, now)) {
                 hint.last_used_at = now;
                 return SteeringDecision::Forward {
                     agent: hint.agent,
@@ -219,7 +236,7 @@
         // reset.
         let has_hint = self.hints.remove(key).is_some();
         if !seg.resets && (has_hint || seg.is_opening()) {
-            SteeringDecision::Reset
+            SteeringDecision::Reset(ResetReason::NoRule)
         } else {
             SteeringDecision::Drop(DropReason::NoRule)
         }
@@ -243,7 +260,11 @@
         let hash = key.stable_hash();
         let placed = pool.place(&self.data_centre, hash, &except, now);
         let Some(agent) = placed.or_else(|| pool.place(&self.data_centre, hash, &[], now)) else {
-            return SteeringDecision::Drop(DropReason::NoAgent);
+            return if pool.is_emptied_by_evacuation() {
+                SteeringDecision::Reset(ResetReason::Evacuated)
+            } else {
+                SteeringDecision::Drop(DropReason::NoAgent)
+            };
         };
         let hint = Hint {
             agent,
--- a/crates/flow/src/process/steering/outcome.rs
+++ b/crates/flow/src/process/steering/outcome.rs
@@ -24,11 +24,31 @@
     /// The datagram is queued until a running search ends.
     Queued,
     /// Send a reset to the caller.
-    Reset,
+    Reset(ResetReason),
     /// Drop the datagram.
     Drop(DropReason),
 }
 
+/// Why a balancer resets a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ResetReason {
+    /// No rule for the address.
+    NoRule,
+    /// All agents of the service that could take the flow are evacuated.
+    Evacuated,
+}
+
+impl ResetReason {
+    /// The reason in log lines.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResetReason::NoRule => "no_rule",
+            ResetReason::Evacuated => "evacuated",
+        }
+    }
+}
+
 /// Why a datagram was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DropReason {
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use common::{SERVICE, address, agent, data, opening, payload, ready, remove_routes};
-use flow::{Claim, DropReason, Origin, Steering, SteeringDecision};
+use flow::{Claim, DropReason, Origin, ResetReason, Steering, SteeringDecision};
 
 fn forwarded(steer: &SteeringDecision) -> (std::net::SocketAddrV4, Origin) {
     match steer {
@@ -127,13 +127,13 @@
     remove_routes(&mut steering, 2);
     assert_eq!(
         steer(&mut steering, &data(1, 101, 1), now),
-        SteeringDecision::Reset
+        SteeringDecision::Reset(ResetReason::NoRule)
     );
     let unknown = steer(&mut steering, &data(2, 101, 1), now);
     assert_eq!(unknown, SteeringDecision::Drop(DropReason::NoRule));
     assert_eq!(
         steer(&mut steering, &opening(3), now),
-        SteeringDecision::Reset
+        SteeringDecision::Reset(ResetReason::NoRule)
     );
 }
 
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -21,7 +21,7 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, RequestTargets, ServiceName};
+use types::{DataCentre, PlacementPolicy, RequestTargets, ServiceName};
 
 use super::{
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
@@ -172,11 +172,8 @@
                 }
                 update = self.updates.recv() => match update {
                     Some(ControlUpdate::Nodes(changes)) => self.apply_node_changes(changes).await,
-                    Some(
-                        ControlUpdate::Routes(_)
-                        | ControlUpdate::NodeListComplete(_)
-                        | ControlUpdate::Policy(_),
-                    ) => {}
+                    Some(ControlUpdate::Policy(policy)) => self.apply_policy(policy).await,
+                    Some(ControlUpdate::Routes(_) | ControlUpdate::NodeListComplete(_)) => {}
                     None => return,
                 },
                 Some(update) = self.upstream_updates.recv() => self.apply_upstream_update(update).await,
@@ -215,6 +212,22 @@
         let _ = update.applied.send(());
     }
 
+    async fn apply_policy(&mut self, policy: PlacementPolicy) {
+        let now = Instant::now();
+        let evacuated = policy.evacuated.contains(&self.cfg.data_centre);
+        log::info!(
+            event = "policy_applied", revision:% = policy.revision,
+            evacuated = u64::from(evacuated), waiting = self.opening_queue.len();
+            "applying a newer placement policy"
+        );
+        self.pool.set_evacuated(&policy.evacuated);
+        self.flow_table.set_evacuated(evacuated);
+        // The waiting openings go to other agents first, so that the reports tell what
+        // is left.
+        self.serve_waiting_openings(now).await;
+        self.send_due_reports(now).await;
+    }
+
     fn accepts_flows(&self, now: Instant) -> bool {
         !self.leaving && self.flow_table.accepts_new_flows(now)
     }
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -204,7 +204,7 @@
                 self.send_claim_queries(&payload, agents).await;
             }
             SteeringDecision::Queued => {}
-            SteeringDecision::Reset => self.reset_flow(&payload, "no_rule").await,
+            SteeringDecision::Reset(cause) => self.reset_flow(&payload, cause.as_str()).await,
             SteeringDecision::Drop(cause) => self.drop_datagram(seg, cause),
         }
     }
@@ -424,7 +424,13 @@
                 let queries = self.steering.resume_searches(Instant::now());
                 self.send_search_queries(queries).await;
             }
-            ControlUpdate::Policy(_) => {}
+            ControlUpdate::Policy(policy) => {
+                log::info!(
+                    event = "policy_applied", revision:% = policy.revision,
+                    evacuated = policy.evacuated.len(); "applying a newer placement policy"
+                );
+                self.steering.set_evacuated(policy.evacuated);
+            }
             ControlUpdate::Routes(delta) => {
                 let (number, changed) = (delta.number, delta.changed.len());
                 let applied = self.steering.routes_mut().apply(delta);
