Limit the new flows at a cold upstream

An upstream that has just started bears few requests, and an agent gave it as many as its slots admit. After the return of a data centre all its upstreams are cold at once.

ColdLimit (crate flow) keeps the instants of the last deliveries of first openings and allows another while both windows have room: the bound (cold-per-s x cold_excess + cold_slack in 1.1 s) and the pace (100 ms of the stated rate). FlowTable's admission uses it. Openings in excess go to another agent or wait, and are refused at once if the limit leaves no delivery in time. Reports have fewer slots, and a change of the slots alone is reported. An upstream that has not announced itself, or that may have restarted since, counts as cold; a restarted agent delivers nothing to a cold upstream in its first 1.1 s unless it saw the upstream not running. Without both settings or without a stated rate nothing is limited.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`Steering`] holds a balancer's hints about flows. A wrong hint costs a
 //!   retransmission, never a delivery to another upstream.
 //! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
+//! - [`ColdLimit`] holds back the new flows that a cold upstream does not bear.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
 //!
@@ -47,8 +48,8 @@
 
 pub use connection::{FlowTuple, Segment};
 pub use process::{
-    AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowQuery, FlowTable,
-    FlowTableSettings, Load, OpeningQueue, OpeningQueueSettings, Origin, RateLimiter,
+    AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason, FlowQuery,
+    FlowTable, FlowTableSettings, Load, OpeningQueue, OpeningQueueSettings, Origin, RateLimiter,
     ReleasedDatagram, ResetReason, SearchResults, ServicePace, Steering, SteeringDecision,
     SteeringSettings, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -7,9 +7,9 @@
 };
 
 use serde::{Deserialize, Serialize};
-use types::Slots;
+use types::{ServiceLimits, Slots};
 
-use super::ServicePace;
+use super::{ColdBound, ColdLimit, ServicePace};
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
@@ -40,6 +40,8 @@
     pub probe_interval: Duration,
     /// Maximum number of flows; above it, no new flow is accepted.
     pub max_flows: usize,
+    /// Limit of new flows at a cold upstream; `None` limits nothing.
+    pub cold_bound: Option<ColdBound>,
 }
 
 impl Default for FlowTableSettings {
@@ -51,6 +53,7 @@
             response_timeout: Duration::from_millis(150),
             probe_interval: Duration::from_millis(600),
             max_flows: 100_000,
+            cold_bound: None,
         }
     }
 }
@@ -202,6 +205,10 @@
     last_probe_at: Option<Instant>,
     /// Pace of the upstream while it is saturated.
     pace: ServicePace,
+    cold_limit: ColdLimit,
+    /// The upstream has lost a flow or was unresponsive since its last announcement, so
+    /// another run of it may have started.
+    may_have_restarted: bool,
 }
 
 impl FlowTable {
@@ -218,6 +225,8 @@
             unanswered_since: None,
             last_probe_at: None,
             pace: ServicePace::default(),
+            cold_limit: ColdLimit::new(settings.cold_bound, now),
+            may_have_restarted: false,
         }
     }
 
@@ -236,10 +245,59 @@
         if upstream.is_some_and(|upstream| !upstream.started_before_agent) {
             self.recovery_until = now;
         }
+        if current.is_some() {
+            self.may_have_restarted = false;
+        }
+        if upstream.is_none() {
+            self.cold_limit.record_absence();
+        }
         self.is_gone = upstream.is_none();
         self.upstream = upstream;
     }
 
+    /// Sets the limits of the upstream's service.
+    pub fn set_limits(&mut self, limits: ServiceLimits) {
+        self.cold_limit.set_limits(limits);
+    }
+
+    /// Whether the limits of the upstream's service are known.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        self.cold_limit.has_limits()
+    }
+
+    /// Whether the upstream is cold, or not known to be warm: it has not announced itself
+    /// yet, or may have restarted since.
+    fn is_cold(&self, now: Instant) -> bool {
+        let is_warm = self.upstream.is_some_and(|upstream| {
+            let in_slow_start = upstream.slow_start_until.is_some_and(|until| now < until);
+            upstream.incarnation.is_some() && !in_slow_start
+        });
+        !is_warm || self.may_have_restarted
+    }
+
+    /// New flows that the upstream may get now because of the cold limit; `None` if
+    /// nothing is limited.
+    fn cold_allowance(&self, now: Instant) -> Option<usize> {
+        self.is_cold(now)
+            .then(|| self.cold_limit.allowance(now))
+            .flatten()
+    }
+
+    /// Whether the cold limit holds back a flow that the upstream has room for.
+    #[must_use]
+    pub fn is_held_by_cold_limit(&self, now: Instant) -> bool {
+        self.cold_allowance(now) == Some(0) && self.slot_admissions(now) > 0
+    }
+
+    /// When the cold limit lets the upstream get the next flow, if it holds back one now.
+    #[must_use]
+    pub fn next_cold_admission_at(&self, now: Instant) -> Option<Instant> {
+        self.is_held_by_cold_limit(now)
+            .then(|| self.cold_limit.next_allowed_at(now))
+            .flatten()
+    }
+
     /// Sets whether the data centre is evacuated. Open flows stay.
     pub fn set_evacuated(&mut self, evacuated: bool) {
         self.evacuated = evacuated;
@@ -301,9 +359,11 @@
 
     fn on_opening(&mut self, seg: &Segment, origin: Origin, now: Instant) -> CallerAction {
         let key = seg.key_from_caller();
+        // Another run of the upstream may get this copy as its first datagram of the flow.
+        let may_be_first = self.may_have_restarted && self.cold_allowance(now).is_some();
         if let Some(flow) = self.flows.get_mut(&key)
             && flow.opening_seq == Some(seg.seq)
-            && matches!(flow.stage, Stage::Opening | Stage::Open)
+            && (flow.stage == Stage::Open || (flow.stage == Stage::Opening && !may_be_first))
         {
             // A retransmission. An unresponsive upstream would not answer it
             // either, and an evacuated one gets no flow that it has not accepted yet.
@@ -315,11 +375,12 @@
                 CallerAction::Deliver
             };
         }
-        let is_probe = self.may_probe(now);
+        let is_held = self.cold_allowance(now) == Some(0);
+        let is_probe = !is_held && self.may_probe(now);
         if !self.accepts_new_flows(now) && !is_probe {
             return CallerAction::PassOn;
         }
-        if origin == Origin::Placed && self.is_full(now) {
+        if origin == Origin::Placed && (is_held || self.is_full(now)) {
             return CallerAction::PassOn;
         }
         if !is_probe && self.free_admissions(now) == 0 {
@@ -328,12 +389,7 @@
         if is_probe {
             self.last_probe_at = Some(now);
         }
-        self.unanswered_since.get_or_insert(now);
-        let flow = Flow {
-            opening_seq: Some(seg.seq),
-            ..Flow::new(Stage::Opening, now)
-        };
-        self.flows.insert(key, flow);
+        self.accept_opening(seg, now);
         CallerAction::Deliver
     }
 
@@ -350,6 +406,7 @@
     /// the upstream was full, or that waited.
     pub fn accept_opening(&mut self, seg: &Segment, now: Instant) {
         self.unanswered_since.get_or_insert(now);
+        self.cold_limit.record_delivery(now);
         let flow = Flow {
             opening_seq: Some(seg.seq),
             ..Flow::new(Stage::Opening, now)
@@ -429,6 +486,7 @@
 
     /// Decides what to do with a datagram of the upstream.
     pub fn upstream_datagram(&mut self, seg: &Segment, now: Instant) -> UpstreamAction {
+        self.may_have_restarted |= self.is_unresponsive(now);
         self.unanswered_since = None;
         if seg.bounced {
             return self.on_bounced(seg, now);
@@ -493,6 +551,7 @@
             // The upstream had accepted the flow, so it has restarted since.
             Stage::Open if !seg.resets => {
                 flow.stage = Stage::Lost;
+                self.may_have_restarted = true;
                 UpstreamAction::Reset
             }
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost | Stage::NotHeld => {
@@ -526,12 +585,54 @@
     /// Number of flows that the upstream can be given now.
     #[must_use]
     pub fn free_admissions(&self, now: Instant) -> usize {
+        let free = self.slot_admissions(now);
+        let allowance = self.cold_allowance(now);
+        allowance.map_or(free, |allowance| free.min(allowance))
+    }
+
+    /// Number of flows that the upstream has room for.
+    fn slot_admissions(&self, now: Instant) -> usize {
         let slots = self.upstream.map_or(Slots(0), |upstream| upstream.slots);
         let admitted = slots.0.saturating_mul(ADMITTED_PER_SLOT);
         let free = admitted.saturating_sub(self.load(now).busy_requests);
         usize::try_from(free).unwrap_or(usize::MAX)
     }
 
+    /// When the upstream can be given the next flow that waits, and the interval between
+    /// the flows after it.
+    #[must_use]
+    pub fn admission_schedule(&self, now: Instant) -> (Instant, Duration) {
+        let pace = self.pace();
+        let interval = self.cold_allowance(now).and(self.cold_limit.interval());
+        let Some(interval) = interval else {
+            // An unknown rate will be known before a caller gives up.
+            return (now, pace);
+        };
+        let first = self.cold_limit.next_allowed_at(now).unwrap_or(now);
+        (first, interval.max(pace))
+    }
+
+    /// Slots and load as the agent reports them, with `waiting` flows in its queue. A cold
+    /// upstream has only as many free slots as it may get flows, and at least one in all:
+    /// balancers take none for one.
+    #[must_use]
+    pub fn reported_load(&self, waiting: u32, now: Instant) -> (Slots, Load) {
+        let mut slots = self.slots(now);
+        let mut load = self.load(now);
+        let allowance = self.cold_allowance(now);
+        if let Some(allowance) = allowance.filter(|_| slots.0 > 0) {
+            let allowance = u32::try_from(allowance).unwrap_or(u32::MAX);
+            let usable = load.busy_requests.saturating_add(allowance);
+            slots = Slots(usable.clamp(1, slots.0));
+            if allowance == 0 {
+                load.busy_requests = load.busy_requests.max(slots.0);
+            }
+        }
+        // Flows that wait at the agent and go before new ones count as load.
+        load.busy_requests = load.busy_requests.saturating_add(waiting);
+        (slots, load)
+    }
+
     /// Average time until the upstream frees a slot while it is saturated.
     #[must_use]
     pub fn pace(&self) -> Duration {
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Types that live as long as the process.
 
 mod agent_pool;
+mod cold_limit;
 mod flow_table;
 mod opening_queue;
 mod rate_limiter;
@@ -8,6 +9,7 @@
 mod steering;
 
 pub use agent_pool::{AgentPool, AgentStatus};
+pub use cold_limit::{ColdBound, ColdLimit};
 pub use flow_table::{
     CallerAction, Claim, FlowTable, FlowTableSettings, Load, Origin, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -154,15 +154,27 @@
     /// up when slots become free every `pace`, and those above `max_waiting`. None
     /// of them has been delivered to an upstream.
     pub fn take_hopeless(&mut self, pace: Duration, now: Instant) -> Vec<T> {
+        self.take_hopeless_from(now, pace, pace, now)
+    }
+
+    /// As [`take_hopeless`](OpeningQueue::take_hopeless), for slots that become free from
+    /// `first_slot_at` on, every `interval`, and an upstream with this `pace`.
+    pub fn take_hopeless_from(
+        &mut self,
+        first_slot_at: Instant,
+        interval: Duration,
+        pace: Duration,
+        now: Instant,
+    ) -> Vec<T> {
         let answer_time = pace + self.settings.round_trips;
         self.waiting.sort_by_key(|flow| flow.rank(now, answer_time));
         let mut kept = Vec::new();
         let mut hopeless = Vec::new();
-        let mut slot_at = now;
+        let mut slot_at = first_slot_at;
         for flow in self.waiting.drain(..) {
             let has_room = kept.len() < self.settings.max_waiting;
             if has_room && slot_at + self.settings.round_trips < flow.given_up_at {
-                slot_at += pace;
+                slot_at += interval;
                 kept.push(flow);
             } else {
                 hopeless.push(flow.item);
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -21,7 +21,7 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, PlacementPolicy, RequestTargets, ServiceName};
+use types::{DataCentre, PlacementPolicy, RequestRate, RequestTargets, ServiceLimits, ServiceName};
 
 use super::{
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
@@ -159,6 +159,7 @@
         let mut from_peers = vec![0; MAX_DATAGRAM_BYTES];
         let mut tick_at = Instant::now();
         loop {
+            let cold_admission_at = self.next_cold_admission_at(Instant::now());
             tokio::select! {
                 received = self.upstream_socket.recv_from(&mut from_upstream) => {
                     if let Ok((len, _)) = received {
@@ -181,6 +182,9 @@
                     self.leaving = true;
                     self.send_due_reports(Instant::now()).await;
                 }
+                () = sleep_until(cold_admission_at.unwrap_or(tick_at).into()), if cold_admission_at.is_some() => {
+                    self.serve_waiting_openings(Instant::now()).await;
+                }
                 () = sleep_until(tick_at.into()) => {
                     let now = Instant::now();
                     tick_at = now + TICK_INTERVAL;
@@ -217,13 +221,20 @@
         let evacuated = policy.evacuated.contains(&self.cfg.data_centre);
         log::info!(
             event = "policy_applied", revision:% = policy.revision,
-            evacuated = u64::from(evacuated), waiting = self.opening_queue.len();
+            evacuated = u64::from(evacuated),
+            cold_rate = policy.limits.cold_rate.map_or(0.0, RequestRate::per_second),
+            waiting = self.opening_queue.len();
             "applying a newer placement policy"
         );
         self.pool.set_evacuated(&policy.evacuated);
         self.flow_table.set_evacuated(evacuated);
-        // The waiting openings go to other agents first, so that the reports tell what
-        // is left.
+        self.set_limits(policy.limits, now).await;
+    }
+
+    /// Applies the limits of the service, and whatever else of a policy was set before.
+    async fn set_limits(&mut self, limits: ServiceLimits, now: Instant) {
+        self.flow_table.set_limits(limits);
+        // The waiting openings go first, so that the reports tell what is left.
         self.serve_waiting_openings(now).await;
         self.send_due_reports(now).await;
     }
@@ -362,6 +373,9 @@
             self.flow_table.caller_datagram(&seg, arrival.origin, now)
         };
         self.flow_table.set_via(&key, arrival.via);
+        if matches!(verdict, CallerAction::PassOn | CallerAction::Wait) {
+            self.record_cold_hold(&seg, now);
+        }
         match verdict {
             CallerAction::Deliver => self.deliver(&seg, arrival, now).await,
             CallerAction::PassOn => self.forward_opening(&seg, arrival, now).await,
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -4,7 +4,7 @@
 
 use directory::{NodeRole, ViewChanges};
 use flow::AgentPool;
-use types::UpstreamId;
+use types::{ServiceLimits, UpstreamId};
 
 use super::Agent;
 use crate::{AgentReport, Codec, Handover, Message};
@@ -22,14 +22,12 @@
 impl<C: Codec> Agent<C> {
     /// Sends a report of the state and load to the recipients for which it is due.
     pub(super) async fn send_due_reports(&mut self, now: Instant) {
-        let mut load = self.flow_table.load(now);
-        // Flows that wait here and go before new ones count as load.
         let pace = self.flow_table.pace();
         let waiting = self.opening_queue.waiting_in_time(pace, now);
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        load.busy_requests = load.busy_requests.saturating_add(waiting);
+        let (slots, load) = self.flow_table.reported_load(waiting, now);
         let accepting = self.accepts_flows(now);
-        let recipients = self.report_schedule.take_due(load, accepting, now);
+        let recipients = self.report_schedule.take_due((slots, load, accepting), now);
         if recipients.is_empty() {
             return;
         }
@@ -40,7 +38,7 @@
             incarnation: self.cfg.incarnation,
             data_centre: self.cfg.data_centre.clone(),
             service: self.cfg.service.clone(),
-            slots: self.flow_table.slots(now),
+            slots,
             accepting,
             load,
         });
@@ -51,6 +49,7 @@
 
     /// Applies changes of balancers and other agents in the directory.
     pub(super) async fn apply_node_changes(&mut self, changes: ViewChanges) {
+        let now = Instant::now();
         for handover in self.balancers.apply(&changes) {
             self.send_handover(&handover).await;
         }
@@ -58,6 +57,11 @@
             self.report_schedule.remove(node.address);
             self.pool.remove(node.address);
         }
+        // The first list of nodes follows the policy of the same control host, if it has
+        // one.
+        if !self.flow_table.has_limits() {
+            self.set_limits(ServiceLimits::default(), now).await;
+        }
         for node in changes.changed {
             let is_recipient = match &node.role {
                 NodeRole::Balancer => true,
--- a/crates/relay/src/process/agent/openings.rs
+++ b/crates/relay/src/process/agent/openings.rs
@@ -128,6 +128,32 @@
         }
     }
 
+    /// Records that the cold limit holds back an opening, if it does.
+    pub(super) fn record_cold_hold(&self, seg: &Segment, now: Instant) {
+        if !self.accepts_flows(now) || !self.flow_table.is_held_by_cold_limit(now) {
+            return;
+        }
+        self.metrics
+            .flow_events
+            .with_label_values(&["cold_held"])
+            .inc();
+        let next_ms = self.flow_table.next_cold_admission_at(now);
+        let next_ms = next_ms.map_or(0, |at| millis(at.saturating_duration_since(now)));
+        log::info!(
+            event = "cold_held", flow:% = seg.key_from_caller(), copy = seg.ack,
+            next_ms = next_ms, waiting = self.opening_queue.len();
+            "the cold upstream has got as many new flows as it may; holding back an opening"
+        );
+    }
+
+    /// When a waiting opening can go to the upstream that the cold limit holds back now.
+    pub(super) fn next_cold_admission_at(&self, now: Instant) -> Option<Instant> {
+        if self.opening_queue.is_empty() {
+            return None;
+        }
+        self.flow_table.next_cold_admission_at(now)
+    }
+
     /// Keeps a new flow until a slot is free, here or at another agent.
     pub(super) async fn queue_opening(
         &mut self,
@@ -202,7 +228,11 @@
 
     async fn refuse_hopeless_openings(&mut self, now: Instant) {
         let pace = self.flow_table.pace();
-        for arrival in self.opening_queue.take_hopeless(pace, now) {
+        let (first_slot_at, interval) = self.flow_table.admission_schedule(now);
+        let hopeless = self
+            .opening_queue
+            .take_hopeless_from(first_slot_at, interval, pace, now);
+        for arrival in hopeless {
             if let Some(seg) = self.codec.parse(&arrival.payload) {
                 self.reset_flow(&seg, "no_slot_in_time").await;
             }
--- a/crates/relay/src/process/report_schedule.rs
+++ b/crates/relay/src/process/report_schedule.rs
@@ -7,6 +7,7 @@
 };
 
 use flow::Load;
+use types::Slots;
 
 /// Minimum interval between reports of a changed load within the data centre.
 const SAME_DATA_CENTRE_INTERVAL: Duration = Duration::from_millis(50);
@@ -35,11 +36,13 @@
     addresses: BTreeSet<SocketAddrV4>,
     min_interval: Duration,
     reported_at: Instant,
-    /// The load, and whether new flows were accepted; `None` if a recipient has
-    /// received no report yet.
-    last_report: Option<(Load, bool)>,
+    /// `None` if a recipient has received no report yet.
+    last_report: Option<ReportedState>,
 }
 
+/// Slots, load, and whether new flows are accepted.
+type ReportedState = (Slots, Load, bool);
+
 impl ReportSchedule {
     /// Creates a schedule without recipients.
     pub fn new(now: Instant) -> Self {
@@ -68,12 +71,12 @@
     }
 
     /// Returns the recipients whose report is due and records it as sent.
-    pub fn take_due(&mut self, load: Load, accepting: bool, now: Instant) -> Vec<SocketAddrV4> {
+    pub fn take_due(&mut self, state: ReportedState, now: Instant) -> Vec<SocketAddrV4> {
         let mut due = Vec::new();
         for group in [&mut self.same_data_centre, &mut self.other_data_centres] {
-            if group.is_due(load, accepting, now) {
+            if group.is_due(state, now) {
                 group.reported_at = now;
-                group.last_report = Some((load, accepting));
+                group.last_report = Some(state);
                 due.extend(group.addresses.iter().copied());
             }
         }
@@ -91,12 +94,13 @@
         }
     }
 
-    fn is_due(&self, load: Load, accepting: bool, now: Instant) -> bool {
-        let Some((load_reported, accepting_reported)) = self.last_report else {
+    fn is_due(&self, state: ReportedState, now: Instant) -> bool {
+        let Some(reported) = self.last_report else {
             return true;
         };
-        let urgent = accepting_reported != accepting;
-        let changed = load_reported != load && now >= self.reported_at + self.interval();
+        let (_, _, accepting) = state;
+        let urgent = reported.2 != accepting;
+        let changed = reported != state && now >= self.reported_at + self.interval();
         urgent || changed || now >= self.reported_at + HEARTBEAT_INTERVAL
     }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -167,8 +167,16 @@
 
     /// Sets the state of the upstream and waits until it is applied.
     pub async fn set_upstream(&self, status: UpstreamStatus) {
+        self.update_upstream(Some(status)).await;
+    }
+
+    /// Removes the upstream, which then does not run.
+    pub async fn remove_upstream(&self) {
+        self.update_upstream(None).await;
+    }
+
+    async fn update_upstream(&self, upstream: Option<UpstreamStatus>) {
         let (applied, done) = oneshot::channel();
-        let upstream = Some(status);
         let update = UpstreamUpdate { upstream, applied };
         self.upstream_updates.send(update).await.unwrap();
         done.await.unwrap();
