--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`Steering`] holds a balancer's hints about flows. A wrong hint costs a
 //!   retransmission, never a delivery to another upstream.
 //! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
+//! - [`ColdLimit`] holds back the new flows that a cold upstream does not bear.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
 //!
@@ -47,11 +48,11 @@
 
 pub use connection::{FlowRecord, FlowTuple, RecordedStage, Segment};
 pub use process::{
-    AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowListId, FlowListPart,
-    FlowListRecovery, FlowListRecoverySettings, FlowListTransfer, FlowListTransferSettings,
-    FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates, KeeperNode, KeeperRole,
-    KeptFlowLists, KeptFlowListsSettings, Load, OpeningQueue, OpeningQueueSettings, Origin,
-    RateLimiter, RecoveredFlows, ReleasedDatagram, SearchResults, ServicePace, Steering,
-    SteeringDecision, SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest,
-    UpstreamAction, UpstreamStatus,
+    AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason, FlowListId,
+    FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
+    FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates,
+    KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, Load, OpeningQueue,
+    OpeningQueueSettings, Origin, RateLimiter, RecoveredFlows, ReleasedDatagram, ResetReason,
+    SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings, TrialArbiter,
+    TrialArbiterSettings, TrialRequest, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Types that live as long as the process.
 
 mod agent_pool;
+mod cold_limit;
 mod flow_list;
 mod flow_table;
 mod opening_queue;
@@ -10,6 +11,7 @@
 mod trial_arbiter;
 
 pub use agent_pool::{AgentPool, AgentStatus};
+pub use cold_limit::{ColdBound, ColdLimit};
 pub use flow_list::{
     FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
     FlowListTransferSettings, KeeperCandidates, KeeperNode, KeeperRole, KeptFlowLists,
@@ -22,7 +24,7 @@
 pub use rate_limiter::RateLimiter;
 pub use service_pace::ServicePace;
 pub use steering::{
-    DropReason, FlowQuery, ReleasedDatagram, SearchResults, Steering, SteeringDecision,
-    SteeringSettings, TrialRequest,
+    DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
+    SteeringDecision, SteeringSettings, TrialRequest,
 };
 pub use trial_arbiter::{TrialArbiter, TrialArbiterSettings};
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -524,7 +524,7 @@
             agents.map(|(agent, _)| (agent, Wire::Query(n))).collect()
         }
         SteeringDecision::Queued | SteeringDecision::Drop(_) => Vec::new(),
-        SteeringDecision::Reset => panic!("flow {n} is reset"),
+        SteeringDecision::Reset(_) => panic!("flow {n} is reset"),
     }
 }
 
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -23,7 +23,7 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{DataCentre, RequestTargets, ServiceName};
+use types::{DataCentre, PlacementPolicy, RequestRate, RequestTargets, ServiceLimits, ServiceName};
 
 use super::{
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
@@ -163,6 +163,7 @@
         let mut from_peers = vec![0; MAX_DATAGRAM_BYTES];
         let mut tick_at = Instant::now();
         loop {
+            let cold_admission_at = self.next_cold_admission_at(Instant::now());
             tokio::select! {
                 received = self.upstream_socket.recv_from(&mut from_upstream) => {
                     if let Ok((len, _)) = received {
@@ -176,8 +177,9 @@
                 }
                 update = self.updates.recv() => match update {
                     Some(ControlUpdate::Nodes(changes)) => self.apply_node_changes(changes).await,
+                    Some(ControlUpdate::Policy(policy)) => self.apply_policy(policy).await,
                     Some(ControlUpdate::NodeListComplete(_)) => self.restart.set_directory_complete(),
-                    Some(ControlUpdate::Routes(_) | ControlUpdate::Policy(_)) => {}
+                    Some(ControlUpdate::Routes(_)) => {}
                     None => return,
                 },
                 Some(update) = self.upstream_updates.recv() => self.apply_upstream_update(update).await,
@@ -187,6 +189,9 @@
                     self.send_due_reports(now).await;
                     self.start_handover(now).await;
                 }
+                () = sleep_until(cold_admission_at.unwrap_or(tick_at).into()), if cold_admission_at.is_some() => {
+                    self.serve_waiting_openings(Instant::now()).await;
+                }
                 () = sleep_until(tick_at.into()) => {
                     let now = Instant::now();
                     tick_at = now + TICK_INTERVAL;
@@ -219,6 +224,29 @@
         let _ = update.applied.send(());
     }
 
+    async fn apply_policy(&mut self, policy: PlacementPolicy) {
+        let now = Instant::now();
+        let evacuated = policy.evacuated.contains(&self.cfg.data_centre);
+        log::info!(
+            event = "policy_applied", revision:% = policy.revision,
+            evacuated = u64::from(evacuated),
+            cold_rate = policy.limits.cold_rate.map_or(0.0, RequestRate::per_second),
+            waiting = self.opening_queue.len();
+            "applying a newer placement policy"
+        );
+        self.pool.set_evacuated(&policy.evacuated);
+        self.flow_table.set_evacuated(evacuated);
+        self.set_limits(policy.limits, now).await;
+    }
+
+    /// Applies the limits of the service, and whatever else of a policy was set before.
+    async fn set_limits(&mut self, limits: ServiceLimits, now: Instant) {
+        self.flow_table.set_limits(limits);
+        // The waiting openings go first, so that the reports tell what is left.
+        self.serve_waiting_openings(now).await;
+        self.send_due_reports(now).await;
+    }
+
     fn accepts_flows(&self, now: Instant) -> bool {
         !self.leaving && self.flow_table.accepts_new_flows(now)
     }
@@ -363,6 +391,9 @@
             self.flow_table.caller_datagram(&seg, arrival.origin, now)
         };
         self.flow_table.set_via(&key, arrival.via);
+        if matches!(verdict, CallerAction::PassOn | CallerAction::Wait) {
+            self.record_cold_hold(&seg, now);
+        }
         match verdict {
             CallerAction::Deliver => self.deliver(&seg, arrival, now).await,
             CallerAction::PassOn => self.forward_opening(&seg, arrival, now).await,
