flow: grant trials at once after a crash, and end an empty recovery sooner

After a kill of all processes an agent stayed silent about unknown flows for 0.7 s and its arbiter granted no trial for 2.5 s, so the flows that their upstreams still held were found late.

The delay of 2.5 s is kept only where a node keeps the list of a process that was stopped as planned. A recovery for which all nodes that are asked keep nothing ends 250 ms after the start; a running control host sends its list of nodes within 100 ms.

--- a/crates/flow/src/process/flow_list/recovery.rs
+++ b/crates/flow/src/process/flow_list/recovery.rs
@@ -25,7 +25,9 @@
     /// unknown flows wait until then; the shortest timeout of a request is 1.5 s.
     pub timeout: Duration,
     /// If all known nodes have answered that they keep no list, further nodes are
-    /// awaited until this long after the start, unless the directory is complete.
+    /// awaited until this long after the start, unless the directory is complete. A
+    /// control host that runs sends its list of nodes within 100 ms; after a crash of all
+    /// processes, callers' datagrams wait for the end of the recovery.
     pub directory_timeout: Duration,
 }
 
@@ -36,7 +38,7 @@
             window: 4,
             answer_timeout: Duration::from_millis(150),
             timeout: Duration::from_millis(1500),
-            directory_timeout: Duration::from_millis(700),
+            directory_timeout: Duration::from_millis(250),
         }
     }
 }
@@ -50,6 +52,8 @@
     pub upstream: Option<u64>,
     /// The flows.
     pub flows: Vec<FlowRecord>,
+    /// A node keeps a list, so the previous process was stopped as planned.
+    pub was_planned: bool,
 }
 
 /// A query for a part of a list.
@@ -221,6 +225,7 @@
             complete: list.is_whole() && one_owner && all_complete,
             upstream: parts.clone().find_map(|part| part.upstream),
             flows: parts.flat_map(|part| part.flows.clone()).collect(),
+            was_planned: true,
         }
     }
 }
--- a/crates/flow/tests/hints.rs
+++ b/crates/flow/tests/hints.rs
@@ -95,6 +95,9 @@
     let mut arbiters: Vec<TrialArbiter> = (0..=5)
         .map(|_| TrialArbiter::new(TrialArbiterSettings::default(), long_ago))
         .collect();
+    for arbiter in &mut arbiters {
+        arbiter.begin(true, long_ago);
+    }
     let seg = data(1, 101, 1);
     let key = seg.key_from_caller();
     let (mut tried, mut now) = (0, start);
@@ -117,6 +120,32 @@
     assert_eq!(tried, 2);
 }
 
+/// Guards against a third trial of a flow after its arbiter was restarted as planned, and
+/// against flows that nobody tries for 2.5 s after a crash of all processes.
+#[test]
+fn an_arbiter_grants_nothing_after_a_planned_restart_and_at_once_after_a_crash() {
+    let start = std::time::Instant::now();
+    let key = data(1, 101, 1).key_from_caller();
+    let granted = |was_planned: Option<bool>, age_ms: u64| {
+        let mut arbiter = TrialArbiter::new(TrialArbiterSettings::default(), start);
+        let known_at = start + Duration::from_millis(300);
+        if let Some(was_planned) = was_planned {
+            arbiter.begin(was_planned, known_at);
+        }
+        arbiter.grant(key, start + Duration::from_millis(age_ms))
+    };
+    assert!(
+        !granted(None, 10_000),
+        "the end of its predecessor is not known"
+    );
+    assert!(
+        !granted(Some(true), 2000),
+        "its predecessor may have granted one"
+    );
+    assert!(granted(Some(true), 2500));
+    assert!(granted(Some(false), 300));
+}
+
 /// Guards against a flow that is tried without a grant, or never searched for again,
 /// because its arbiters have failed.
 #[test]
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -295,6 +295,7 @@
                     );
                     if let Some(recovered) = recovery.result(now) {
                         agent.recovery = None;
+                        agent.arbiter.begin(recovered.was_planned, now);
                         agent.table.restore(recovered, now);
                     }
                 }
@@ -747,6 +748,7 @@
             .into_iter()
             .flat_map(|part| part.flows)
             .collect(),
+        was_planned: true,
     };
     table.restore(recovered, now);
     let verdict = table.caller_datagram(&seg, Origin::Held, now);
@@ -763,6 +765,7 @@
         complete: true,
         upstream: Some(7),
         flows: flows.collect(),
+        was_planned: true,
     };
     table.restore(recovered, now);
     let claim = |ack: u32| {
--- a/crates/relay/src/process/agent/restart.rs
+++ b/crates/relay/src/process/agent/restart.rs
@@ -176,6 +176,8 @@
                 "ended the recovery of the previous process's list of flows"
             );
             self.restart.recovery = None;
+            let was_planned = recovered.was_planned;
+            self.restart.trial_arbiter.begin(was_planned, now);
             self.flow_table.restore(recovered, now);
             return;
         }
