Evacuate a data centre by request of an operator

A change SetEvacuation goes through the replicated log like any other.

A request for the opposite is accepted if it is based on the last request, so that a copy that the network delays does not undo a later request; the control host that an operator waits for proposes again after a conflict. Control hosts push the policy to their nodes as soon as they have applied it, send it with each reply, with the limits of the agent's own service, and publish what their disk holds at once after a start. The platform's interface takes POST and DELETE for the data centres that the settings list, lists the evacuated ones, and warns of services that are left without upstreams. docs/design/evacuation.md has the reasons.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,14 +7,20 @@
 //!
 //! # Objects and base revisions
 //!
-//! The objects are services (with their targets), drain marks and the key
-//! set. Changes use optimistic concurrency: each carries the revision of its
+//! The objects are services (with their targets), drain marks, evacuation marks
+//! and the key set. Changes use optimistic concurrency: each carries the revision of its
 //! object that the operator read (its base, 0 if there was no object) and is
 //! accepted only if that revision is still current. The last
 //! [`MAX_TOMBSTONES`] removed services and cleared drain marks are retained
 //! with their last revision, so that a change based on an earlier state is
 //! detected as a conflict.
 //!
+//! Two kinds of change deviate from this. Routing sets are ordered by their own
+//! numbers. A request for an evacuation is accepted whatever its base if it repeats
+//! the state of the mark, and otherwise if the mark was not requested after the
+//! base: operators repeat such a request until it is answered, and a copy that is
+//! delayed on the network must not undo a later request that was answered.
+//!
 //! # Key rotation
 //!
 //! `AddKey` adds a key of the next generation next to the current one. Once
@@ -60,5 +66,6 @@
     MAX_ID_CLOCK_SKEW,
 };
 pub use version::{
-    Changes, ConfigState, Delta, DrainMark, KeyRotationState, MAX_TOMBSTONES, SNAPSHOT_FORMAT,
+    Changes, ConfigState, Delta, DrainMark, EvacuationMark, KeyRotationState, MAX_EVACUATION_MARKS,
+    MAX_TOMBSTONES, SNAPSHOT_FORMAT,
 };
--- a/crates/config/src/request/apply.rs
+++ b/crates/config/src/request/apply.rs
@@ -3,9 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use types::{
-    Answer, Change, ChangeRequest, CidKey, ClassName, Conflict, HostName, KeyGeneration, KeySet,
-    OperatorName, Refusal, Revision, RoutingRule, RoutingSet, Service, ServiceName, Target,
-    UnixMillis,
+    Answer, Change, ChangeRequest, CidKey, ClassName, Conflict, DataCentre, HostName,
+    KeyGeneration, KeySet, OperatorName, Refusal, Revision, RoutingRule, RoutingSet, Service,
+    ServiceName, Target, UnixMillis,
 };
 
 use super::{
@@ -13,7 +13,8 @@
     first_answers::{check_id_time, request_digest},
 };
 use crate::version::{
-    ConfigState, DrainMark, KeyRotationState, ServiceTombstone, VersionedObjects,
+    ConfigState, DrainMark, EvacuationMark, KeyRotationState, MAX_EVACUATION_MARKS,
+    ServiceTombstone, VersionedObjects,
 };
 
 /// Log time for which a superseded key must stay before it may be replaced.
@@ -136,9 +137,13 @@
             } => self.set_target(cx, service, class, target),
             Change::DeleteTarget { service, class } => self.delete_target(cx, service, class),
             Change::SetDrain { host, drain } => self.set_drain(cx, host, *drain),
+            Change::SetEvacuation {
+                data_centre,
+                evacuated,
+            } => self.set_evacuation(cx, data_centre, *evacuated),
             Change::AddKey { key } => self.add_key(cx, key),
             Change::ActivateKey => self.activate_key(cx),
-            Change::ReplaceRoutes(set) => self.replace_routes(set),
+            Change::ReplaceRoutes(set) => self.replace_routes(cx, set),
             Change::NoteGroup { refused, .. } => match refused {
                 Some(refusal) => Err(Refusal::Group(*refusal).into()),
                 None => Ok(()),
@@ -255,7 +260,7 @@
     /// Routing sets are ordered by their own numbers instead of a base
     /// revision. A set whose number is not higher than the current one is
     /// accepted without effect, because it is superseded.
-    fn replace_routes(&mut self, set: &RoutingSet) -> Result<(), Rejection> {
+    fn replace_routes(&mut self, cx: &ChangeContext, set: &RoutingSet) -> Result<(), Rejection> {
         let has_only_zero_parts =
             |rule: &RoutingRule| rule.weights.values().all(|part| part.0 == 0);
         if let Some((address, _)) = set.rules.iter().find(|(_, rule)| has_only_zero_parts(rule)) {
@@ -265,7 +270,7 @@
             .routes()
             .is_none_or(|current| current.number < set.number)
         {
-            self.put_routes(set.clone());
+            self.put_routes(set.clone(), cx.index);
         }
         Ok(())
     }
@@ -299,6 +304,35 @@
         Ok(())
     }
 
+    /// A request that repeats the state is accepted whatever its base, and renews the
+    /// revision of the mark, so that a delayed copy of an earlier request for the
+    /// opposite conflicts with it.
+    fn set_evacuation(
+        &mut self,
+        cx: &ChangeContext,
+        data_centre: &DataCentre,
+        evacuated: bool,
+    ) -> Result<(), Rejection> {
+        if let Some(mark) = self.evacuations().get(data_centre)
+            && mark.evacuated != evacuated
+            && mark.revision > cx.base
+        {
+            return Err(Rejection::Conflict(Conflict {
+                winner: mark.revision,
+                author: mark.author.clone(),
+            }));
+        }
+        let mark = EvacuationMark {
+            evacuated,
+            revision: cx.index,
+            author: cx.author.clone(),
+        };
+        if self.put_evacuation(data_centre.clone(), mark) {
+            return Ok(());
+        }
+        Err(Refusal::TooManyEvacuations(MAX_EVACUATION_MARKS).into())
+    }
+
     fn keys_at_base(&self, cx: &ChangeContext) -> Result<Option<KeyRotationState>, Rejection> {
         match self.keys() {
             Some(keys) => cx.check_base(keys.revision, &keys.author)?,
--- a/crates/config/src/request/audit.rs
+++ b/crates/config/src/request/audit.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    Answer, Change, ChangeId, ChangeRequest, ClassName, GroupRequest, HostName, KeyGeneration,
-    OperatorName, Revision, RoutingSetNumber, ServiceName, Target, UnixMillis,
+    Answer, Change, ChangeId, ChangeRequest, ClassName, DataCentre, GroupRequest, HostName,
+    KeyGeneration, OperatorName, Revision, RoutingSetNumber, ServiceName, Target, UnixMillis,
 };
 
 /// Number of audit records that are retained.
@@ -66,6 +66,8 @@
     DeleteTarget(ServiceName, ClassName),
     /// Set (true) or clear (false) the drain mark of a host.
     SetDrain(HostName, bool),
+    /// Start (true) or end (false) the evacuation of a data centre.
+    SetEvacuation(DataCentre, bool),
     /// Add a key of this generation.
     AddKey(KeyGeneration),
     /// Make the pending key the current one.
@@ -94,6 +96,12 @@
             }
             ChangeSummary::SetDrain(host, true) => write!(f, "drain upstream of {host}"),
             ChangeSummary::SetDrain(host, false) => write!(f, "stop draining upstream of {host}"),
+            ChangeSummary::SetEvacuation(data_centre, true) => {
+                write!(f, "evacuate data centre {data_centre}")
+            }
+            ChangeSummary::SetEvacuation(data_centre, false) => {
+                write!(f, "end evacuation of data centre {data_centre}")
+            }
             ChangeSummary::AddKey(generation) => write!(f, "add key of generation {generation}"),
             ChangeSummary::ActivateKey => f.write_str("activate the other key"),
             ChangeSummary::ReplaceRoutes(number, rules) => {
@@ -116,6 +124,10 @@
             } => ChangeSummary::SetTarget(service, class, target),
             Change::DeleteTarget { service, class } => ChangeSummary::DeleteTarget(service, class),
             Change::SetDrain { host, drain } => ChangeSummary::SetDrain(host, drain),
+            Change::SetEvacuation {
+                data_centre,
+                evacuated,
+            } => ChangeSummary::SetEvacuation(data_centre, evacuated),
             Change::AddKey { key } => ChangeSummary::AddKey(key.generation),
             Change::ActivateKey => ChangeSummary::ActivateKey,
             Change::ReplaceRoutes(set) => {
--- a/crates/config/src/version/config_state.rs
+++ b/crates/config/src/version/config_state.rs
@@ -6,9 +6,13 @@
 };
 
 use serde::{Deserialize, Serialize};
-use types::{HostName, Revision, RoutingSet, Service, ServiceId, ServiceName, UnixMillis};
+use types::{
+    DataCentre, HostName, Revision, RoutingSet, Service, ServiceId, ServiceName, UnixMillis,
+};
 
-use super::{Changes, Delta, DrainMark, KeyRotationState, Object, VersionedObjects};
+use super::{
+    Changes, Delta, DrainMark, EvacuationMark, KeyRotationState, Object, VersionedObjects,
+};
 use crate::request::{AuditRecord, FirstAnswers, MAX_AUDIT_RECORDS};
 
 /// The configuration after applying a prefix of the log.
@@ -75,6 +79,27 @@
         self.objects.drains()
     }
 
+    /// Evacuation marks by data centre. Marks whose evacuation has ended are
+    /// included, with `evacuated` false.
+    #[must_use]
+    pub fn evacuations(&self) -> &BTreeMap<DataCentre, EvacuationMark> {
+        self.objects.evacuations()
+    }
+
+    /// The data centres that are evacuated.
+    pub fn evacuated_data_centres(&self) -> impl Iterator<Item = &DataCentre> {
+        let evacuated = self.evacuations().iter().filter(|(_, mark)| mark.evacuated);
+        evacuated.map(|(data_centre, _)| data_centre)
+    }
+
+    /// Revision of the last change of what [`types::PlacementPolicy`] is derived
+    /// from: the evacuated data centres and the limits of the services in the
+    /// routing set.
+    #[must_use]
+    pub fn placement_revision(&self) -> Revision {
+        self.objects.placement_revision()
+    }
+
     /// Records of the audit trail, oldest first.
     pub fn audit(&self) -> impl DoubleEndedIterator<Item = &AuditRecord> + ExactSizeIterator {
         self.audit.iter()
@@ -118,6 +143,10 @@
             removed: Vec::new(),
             keys: self.keys().map(|keys| keys.set.clone()),
             drains: drains.map(|(host, _)| (host.clone(), true)).collect(),
+            evacuations: self
+                .evacuated_data_centres()
+                .map(|data_centre| (data_centre.clone(), true))
+                .collect(),
         }
     }
 
@@ -129,6 +158,11 @@
                 let drain = self.drains().get(host).is_some_and(|mark| mark.drain);
                 changes.drains.insert(host.clone(), drain);
             }
+            Object::Evacuation(data_centre) => {
+                let mark = self.evacuations().get(data_centre);
+                let evacuated = mark.is_some_and(|mark| mark.evacuated);
+                changes.evacuations.insert(data_centre.clone(), evacuated);
+            }
         }
     }
 
--- a/crates/config/src/version/delta.rs
+++ b/crates/config/src/version/delta.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use types::{HostName, KeySet, Revision, Service, ServiceId};
+use types::{DataCentre, HostName, KeySet, Revision, Service, ServiceId};
 
 /// Difference between a revision that a reader has and the current one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     pub keys: Option<KeySet>,
     /// Hosts whose drain mark was set (true) or cleared (false).
     pub drains: BTreeMap<HostName, bool>,
+    /// Data centres whose evacuation was requested (true) or ended (false).
+    pub evacuations: BTreeMap<DataCentre, bool>,
 }
 
 impl Changes {
@@ -39,5 +41,6 @@
             && self.removed.is_empty()
             && self.keys.is_none()
             && self.drains.is_empty()
+            && self.evacuations.is_empty()
     }
 }
--- a/crates/config/src/version/objects.rs
+++ b/crates/config/src/version/objects.rs
@@ -16,6 +16,17 @@
     pub author: OperatorName,
 }
 
+/// Evacuation setting of a data centre, as set by an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationMark {
+    /// Whether the data centre is evacuated.
+    pub evacuated: bool,
+    /// Revision of the last accepted request, also if it repeated the state.
+    pub revision: Revision,
+    /// Operator who sent that request.
+    pub author: OperatorName,
+}
+
 /// The keys for connection ids and the state of their rotation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyRotationState {
--- a/crates/config/src/version/versioned_objects.rs
+++ b/crates/config/src/version/versioned_objects.rs
@@ -7,19 +7,25 @@
 };
 
 use serde::{Deserialize, Serialize, Serializer};
-use types::{HostName, Revision, RoutingSet, Service, ServiceId, ServiceName};
+use types::{DataCentre, HostName, Revision, RoutingSet, Service, ServiceId, ServiceName};
 
-use super::objects::{DrainMark, KeyRotationState, ServiceTombstone};
+use super::objects::{DrainMark, EvacuationMark, KeyRotationState, ServiceTombstone};
 
 /// Number of removed services, and separately of cleared drain marks, that are
 /// retained. A reader that missed a removal that was dropped gets a snapshot.
 pub const MAX_TOMBSTONES: usize = 10_000;
 
+/// Number of evacuation marks that are retained, and so of data centres that can be
+/// evacuated. Three times the data centres of the largest expected deployment, and
+/// their names still fit a datagram to a node.
+pub const MAX_EVACUATION_MARKS: usize = 64;
+
 /// Object whose last change is at a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Object {
     Service(ServiceId),
     Drain(HostName),
+    Evacuation(DataCentre),
     Keys,
 }
 
@@ -30,7 +36,7 @@
     objects: StoredObjects,
     ids_by_name: BTreeMap<ServiceName, ServiceId>,
     ids_by_address: BTreeMap<SocketAddr, ServiceId>,
-    /// Each service, each drain mark and the keys, by revision of the last change.
+    /// Each service, each mark and the keys, by revision of the last change.
     by_revision: BTreeMap<Revision, Object>,
     /// Revisions of the cleared drain marks.
     cleared_drains: BTreeSet<Revision>,
@@ -55,6 +61,26 @@
     keys: Option<KeyRotationState>,
     /// The accepted routing set with the highest number.
     routes: Option<Arc<RoutingSet>>,
+    /// Absent from snapshots of earlier versions, and left out while nothing is set,
+    /// so that earlier versions can still read the snapshot. It must stay the last
+    /// field, because snapshots have no field names.
+    #[serde(default, skip_serializing_if = "PlacementObjects::is_default")]
+    placement: PlacementObjects,
+}
+
+/// What restricts the placement of new flows.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct PlacementObjects {
+    evacuations: BTreeMap<DataCentre, EvacuationMark>,
+    /// Revision of the last change of the evacuated data centres or of the limits of
+    /// services.
+    revision: Revision,
+}
+
+impl PlacementObjects {
+    fn is_default(&self) -> bool {
+        *self == PlacementObjects::default()
+    }
 }
 
 impl From<StoredObjects> for VersionedObjects {
@@ -66,6 +92,9 @@
         for (host, mark) in &objects.drains {
             versioned.index_drain(host, mark);
         }
+        for (data_centre, mark) in &objects.placement.evacuations {
+            versioned.index_evacuation(data_centre, mark);
+        }
         if let Some(keys) = &objects.keys {
             versioned.by_revision.insert(keys.revision, Object::Keys);
         }
@@ -114,12 +143,24 @@
         self.objects.routes.as_ref()
     }
 
-    /// Replaces the routing set. It has no revision, because nodes compare its
-    /// own number.
-    pub(crate) fn put_routes(&mut self, set: RoutingSet) {
+    /// Replaces the routing set at `revision`. It does not count as a change of the
+    /// objects, because nodes compare its own number.
+    pub(crate) fn put_routes(&mut self, set: RoutingSet, revision: Revision) {
+        let limits = self.objects.routes.as_ref().map(|set| &set.services);
+        if !limits.map_or(set.services.is_empty(), |limits| *limits == set.services) {
+            self.objects.placement.revision = revision;
+        }
         self.objects.routes = Some(Arc::new(set));
     }
 
+    pub(crate) fn evacuations(&self) -> &BTreeMap<DataCentre, EvacuationMark> {
+        &self.objects.placement.evacuations
+    }
+
+    pub(crate) fn placement_revision(&self) -> Revision {
+        self.objects.placement.revision
+    }
+
     pub(crate) fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.objects.services.get(self.ids_by_name.get(name)?)
     }
@@ -243,6 +284,46 @@
         }
     }
 
+    /// Inserts or replaces an evacuation mark at the revision in it. If there are too
+    /// many marks, the oldest one whose evacuation has ended is dropped; if there is
+    /// none, returns `false` and changes nothing.
+    pub(crate) fn put_evacuation(&mut self, data_centre: DataCentre, mark: EvacuationMark) -> bool {
+        let previous = self.evacuations().get(&data_centre).cloned();
+        if let Some(previous) = &previous {
+            self.by_revision.remove(&previous.revision);
+        } else if self.evacuations().len() >= MAX_EVACUATION_MARKS && !self.drop_ended_evacuation()
+        {
+            return false;
+        }
+        if previous.is_some_and(|mark| mark.evacuated) != mark.evacuated {
+            self.objects.placement.revision = mark.revision;
+        }
+        self.objects.revision = mark.revision;
+        self.index_evacuation(&data_centre, &mark);
+        self.objects.placement.evacuations.insert(data_centre, mark);
+        true
+    }
+
+    /// Drops the oldest mark whose evacuation has ended, if there is one.
+    fn drop_ended_evacuation(&mut self) -> bool {
+        let ended = self.evacuations().iter();
+        let ended = ended.filter(|(_, mark)| !mark.evacuated);
+        let oldest = ended.min_by_key(|(_, mark)| mark.revision);
+        let Some((oldest, revision)) = oldest.map(|(name, mark)| (name.clone(), mark.revision))
+        else {
+            return false;
+        };
+        self.objects.placement.evacuations.remove(&oldest);
+        self.by_revision.remove(&revision);
+        self.raise_compacted_revision(revision);
+        true
+    }
+
+    fn index_evacuation(&mut self, data_centre: &DataCentre, mark: &EvacuationMark) {
+        let object = Object::Evacuation(data_centre.clone());
+        self.by_revision.insert(mark.revision, object);
+    }
+
     fn raise_compacted_revision(&mut self, revision: Revision) {
         self.objects.compacted_revision = self.objects.compacted_revision.max(revision);
     }
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -58,6 +58,13 @@
     Change::SetDrain { host, drain }
 }
 
+pub fn evacuate(data_centre: &str, evacuated: bool) -> Change {
+    Change::SetEvacuation {
+        data_centre: data_centre.parse().unwrap(),
+        evacuated,
+    }
+}
+
 pub fn add_key(generation: u8) -> Change {
     let key = CidKey {
         generation: KeyGeneration(generation),
@@ -187,6 +194,9 @@
         | Change::SetTarget { service: name, .. }
         | Change::DeleteTarget { service: name, .. } => state.service(name).map(|s| s.revision),
         Change::SetDrain { host, .. } => state.drains().get(host).map(|m| m.revision),
+        Change::SetEvacuation { data_centre, .. } => {
+            state.evacuations().get(data_centre).map(|m| m.revision)
+        }
         Change::AddKey { .. } | Change::ActivateKey => state.keys().map(|k| k.revision),
     };
     revision.unwrap_or_default()
@@ -194,7 +204,7 @@
 
 fn random_change(u: &mut Unstructured) -> Result<Change> {
     let name = *u.choose(&["a", "b"])?;
-    Ok(match u.int_in_range(0..=7)? {
+    Ok(match u.int_in_range(0..=8)? {
         0 => create(name, u.int_in_range(1..=2)?),
         1 => delete(name),
         2 => set_target(name, u.choose(&["x", "y"])?, u.int_in_range(0..=2)?, "/"),
@@ -202,6 +212,7 @@
         4 => drain(name, u.arbitrary()?),
         5 => add_key(u.int_in_range(0..=3)?),
         6 => replace_routes(u.int_in_range(0..=9)?, name, u.int_in_range(0..=2)?),
+        7 => evacuate(name, u.arbitrary()?),
         _ => Change::ActivateKey,
     })
 }
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -8,7 +8,8 @@
 use common::{Entry, START, create, delete, drain, id, random_log, set_target, snapshot};
 use config::{Changes, ConfigState, Delta};
 use types::{
-    Answer, Change, ChangeRequest, Conflict, HostName, KeySet, Revision, Service, ServiceId,
+    Answer, Change, ChangeRequest, Conflict, DataCentre, HostName, KeySet, Revision, Service,
+    ServiceId,
 };
 
 /// Number of random logs of each property; the case number is the seed.
@@ -160,6 +161,7 @@
     revision: Revision,
     services: BTreeMap<ServiceId, Service>,
     drains: BTreeSet<HostName>,
+    evacuations: BTreeSet<DataCentre>,
     keys: Option<KeySet>,
 }
 
@@ -182,6 +184,10 @@
             self.drains.remove(&host);
             self.drains.extend(drain.then_some(host));
         }
+        for (data_centre, evacuated) in changes.evacuations {
+            self.evacuations.remove(&data_centre);
+            self.evacuations.extend(evacuated.then_some(data_centre));
+        }
         self.keys = changes.keys.or(self.keys.take());
     }
 }
@@ -201,5 +207,7 @@
         new.update(&state);
         assert_eq!(old, new);
         assert_eq!(old.services, *state.services());
+        let evacuated = state.evacuated_data_centres().cloned().collect();
+        assert_eq!(old.evacuations, evacuated);
     });
 }
--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -25,6 +25,7 @@
         Query::Services => QueryReply::Services(state.services().values().cloned().collect()),
         Query::Service(name) => QueryReply::Service(state.service(name).cloned()),
         Query::Drain(host) => QueryReply::Drain(state.drains().get(host).cloned()),
+        Query::Evacuations => QueryReply::Evacuations(state.evacuations().clone()),
         Query::Keys => QueryReply::Keys(keys_report(view)),
         Query::Audit { limit } => {
             QueryReply::Audit(state.audit().rev().take(*limit).cloned().collect())
--- a/crates/limpetctl/src/request/audit.rs
+++ b/crates/limpetctl/src/request/audit.rs
@@ -124,6 +124,10 @@
         ChangeSummary::DeleteTarget(service, class) => format!("delete target {service} {class}"),
         ChangeSummary::SetDrain(host, true) => format!("drain {host}"),
         ChangeSummary::SetDrain(host, false) => format!("undrain {host}"),
+        ChangeSummary::SetEvacuation(data_centre, true) => format!("evacuate {data_centre}"),
+        ChangeSummary::SetEvacuation(data_centre, false) => {
+            format!("end evacuation of {data_centre}")
+        }
         ChangeSummary::AddKey(generation) => format!("add key of generation {generation}"),
         ChangeSummary::ActivateKey => "activate key".to_owned(),
         ChangeSummary::ReplaceRoutes(number, rules) => {
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -173,6 +173,7 @@
             Query::Services => QueryReply::Services(state.services().values().cloned().collect()),
             Query::Service(name) => QueryReply::Service(state.service(&name).cloned()),
             Query::Drain(host) => QueryReply::Drain(state.drains().get(&host).cloned()),
+            Query::Evacuations => QueryReply::Evacuations(state.evacuations().clone()),
             Query::Keys => QueryReply::Keys(state.keys().map(|keys| KeysReport {
                 current: keys.set.current.generation,
                 pending: keys.pending().map(|key| key.generation),
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -26,4 +26,7 @@
 pub use error::{Error, Result};
 pub use process::{ReplicaHandle, Settings, start, start_observer, start_on};
 pub use request::{ChangeOutcome, ReadOutcome};
-pub use version::{ControlHostContact, MembershipPolicy, MembershipSettings, RouteHistory};
+pub use version::{
+    ControlHostContact, MembershipPolicy, MembershipSettings, Placement, RouteHistory,
+    services_without_upstreams,
+};
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -17,14 +17,14 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{Answer, ChangeRequest, MemberId, Revision, RoutingSet, UnixMillis};
+use types::{Answer, Change, ChangeRequest, MemberId, Revision, RoutingSet, UnixMillis};
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{Settings, metrics::Metrics};
 use crate::{
     Error, Result,
-    request::{Command, PendingRequest},
-    version::{ControlHostContact, MembershipPolicy},
+    request::{Command, PendingRequest, ReadTarget},
+    version::{ControlHostContact, MembershipPolicy, Placement},
 };
 
 /// Interval at which the leader checks whether a membership change is needed.
@@ -37,8 +37,8 @@
     Message(Message),
     /// An operator's change.
     Change(Box<ChangeRequest>, oneshot::Sender<ChangeReply>),
-    /// A read of the routing set.
-    Read(oneshot::Sender<QueryReply>),
+    /// A read of the configuration.
+    Read(ReadTarget, oneshot::Sender<QueryReply>),
     /// The known control hosts and the last contact with each.
     ControlHosts(BTreeMap<MemberId, ControlHostContact>),
     /// Forms the first group.
@@ -64,6 +64,7 @@
     disk: store::StoreHandle,
     outgoing: mpsc::Sender<Envelope>,
     routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    placement: watch::Sender<Placement>,
     membership_status: watch::Sender<MembershipStatus>,
     metrics: Metrics,
     commands: mpsc::Receiver<GroupCommand>,
@@ -85,6 +86,7 @@
     pub disk: store::StoreHandle,
     pub outgoing: mpsc::Sender<Envelope>,
     pub routes: watch::Sender<Option<Arc<RoutingSet>>>,
+    pub placement: watch::Sender<Placement>,
     pub membership_status: watch::Sender<MembershipStatus>,
     pub commands: mpsc::Receiver<GroupCommand>,
 }
@@ -114,6 +116,7 @@
             disk: channels.disk,
             outgoing: channels.outgoing,
             routes: channels.routes,
+            placement: channels.placement,
             membership_status: channels.membership_status,
             metrics,
             commands: channels.commands,
@@ -158,8 +161,8 @@
         match command {
             GroupCommand::Message(message) => self.step(Input::Message(message)),
             GroupCommand::Change(req, tx) => self.propose(*req, tx),
-            GroupCommand::Read(tx) => {
-                let token = self.register_pending(PendingRequest::Read(tx));
+            GroupCommand::Read(target, tx) => {
+                let token = self.register_pending(PendingRequest::Read(target, tx));
                 self.step(Input::ConfirmRead { token })
             }
             GroupCommand::Bootstrap(group) => self.step(Input::Bootstrap(group)),
@@ -264,9 +267,33 @@
         Ok(())
     }
 
-    /// Publishes the current routing set to the other tasks. Its number never
-    /// decreases.
+    /// Publishes the configuration to the other tasks.
     fn publish(&mut self) {
+        self.publish_placement();
+        self.publish_routes();
+    }
+
+    /// Publishes the current placement. Its revision never decreases. Receivers are
+    /// only notified of a newer policy, not of repeated requests.
+    fn publish_placement(&mut self) {
+        let placement = Placement::from_state(&self.state);
+        let evacuated = placement.evacuated().len() as u64;
+        self.metrics.evacuated_data_centres.set(gauge(evacuated));
+        self.placement.send_if_modified(|published| {
+            let newer = published.revision() < placement.revision();
+            if newer {
+                log::info!(
+                    event = "placement", revision:% = placement.revision(),
+                    evacuated:? = placement.evacuated(); "applied a newer placement policy"
+                );
+            }
+            *published = placement;
+            newer
+        });
+    }
+
+    /// Publishes the current routing set. Its number never decreases.
+    fn publish_routes(&mut self) {
         let Some(set) = self.state.routes() else {
             return;
         };
@@ -305,6 +332,17 @@
             event = "change", index:% = entry.index, id:% = req.id, author:% = req.author,
             answer = label; "change applied"
         );
+        if let Change::SetEvacuation {
+            data_centre,
+            evacuated,
+        } = &req.change
+        {
+            log::info!(
+                event = "evacuation", index:% = entry.index, data_centre:% = data_centre,
+                evacuated = u64::from(*evacuated), author:% = req.author, answer = label;
+                "evacuation request applied"
+            );
+        }
         if self.consensus.status().is_leader() {
             self.answers.insert(entry.index, answer);
         }
@@ -326,14 +364,19 @@
             Completion::Rejected { token, reason } => self.reject(token, reason),
             Completion::OutcomeUnknown { token } => match self.pending.remove(&token) {
                 Some(PendingRequest::Change(tx)) => drop(tx.send(ChangeReply::Unknown)),
-                Some(PendingRequest::Read(tx)) => {
+                Some(PendingRequest::Read(_, tx)) => {
                     drop(tx.send(QueryReply::NotLeader { leader: None }));
                 }
                 Some(PendingRequest::Group) | None => {}
             },
             Completion::ReadConfirmed { token, .. } => {
-                if let Some(PendingRequest::Read(tx)) = self.pending.remove(&token) {
-                    let _ = tx.send(QueryReply::Routes(self.state.routes().cloned()));
+                if let Some(PendingRequest::Read(target, tx)) = self.pending.remove(&token) {
+                    let _ = tx.send(match target {
+                        ReadTarget::Routes => QueryReply::Routes(self.state.routes().cloned()),
+                        ReadTarget::Evacuations => {
+                            QueryReply::Evacuations(self.state.evacuations().clone())
+                        }
+                    });
                 }
             }
         }
@@ -354,7 +397,7 @@
                     ChangeReply::Unavailable
                 }));
             }
-            Some(PendingRequest::Read(tx)) => drop(tx.send(QueryReply::NotLeader { leader })),
+            Some(PendingRequest::Read(_, tx)) => drop(tx.send(QueryReply::NotLeader { leader })),
             Some(PendingRequest::Group) => {
                 log::info!(event = "group_change_rejected", reason:% = reason; "membership change rejected");
             }
--- a/crates/replica/src/process/http.rs
+++ b/crates/replica/src/process/http.rs
@@ -13,7 +13,7 @@
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{group::GroupCommand, nodes::SharedRoster};
-use crate::version::RouteHistory;
+use crate::{request::ReadTarget, version::RouteHistory};
 
 /// Accepts a message of a member.
 pub(crate) const CONSENSUS_PATH: &str = "/v1/consensus";
@@ -21,6 +21,8 @@
 pub(crate) const CHANGE_PATH: &str = "/v1/change";
 /// Reads the routing set; served by the leader only.
 pub(crate) const READ_PATH: &str = "/v1/routing-set";
+/// Reads the evacuations; served by the leader only.
+pub(crate) const EVACUATIONS_PATH: &str = "/v1/evacuations";
 /// Returns the delta from a node's routing set to the current one.
 pub(crate) const DELTA_PATH: &str = directory::ROUTES_PATH;
 /// Returns the roster of this host.
@@ -41,7 +43,8 @@
         match (&req.method, req.path.as_str()) {
             (&Method::POST, CONSENSUS_PATH) => self.receive_message(&req.body),
             (&Method::POST, CHANGE_PATH) => self.propose_change(&req.body).await,
-            (&Method::POST, READ_PATH) => self.read_routes().await,
+            (&Method::POST, READ_PATH) => self.read(ReadTarget::Routes).await,
+            (&Method::POST, EVACUATIONS_PATH) => self.read(ReadTarget::Evacuations).await,
             (&Method::POST, DELTA_PATH) => self.routing_delta(&req.body),
             (&Method::POST, ROSTER_PATH) => self.roster(),
             _ => BufferedResponse::empty(StatusCode::NOT_FOUND),
@@ -71,9 +74,10 @@
         encode_response(&rx.await.unwrap_or(ChangeReply::Unknown))
     }
 
-    async fn read_routes(&self) -> BufferedResponse {
+    async fn read(&self, target: ReadTarget) -> BufferedResponse {
         let (tx, rx) = oneshot::channel();
-        if self.group.send(GroupCommand::Read(tx)).await.is_err() {
+        let command = GroupCommand::Read(target, tx);
+        if self.group.send(command).await.is_err() {
             return BufferedResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let none = QueryReply::NotLeader { leader: None };
--- a/crates/replica/src/process/metrics.rs
+++ b/crates/replica/src/process/metrics.rs
@@ -17,6 +17,8 @@
     pub voters: IntGauge,
     /// Number of the current routing set.
     pub routing_set: IntGauge,
+    /// Number of data centres that are evacuated.
+    pub evacuated_data_centres: IntGauge,
     /// Number of known processes.
     pub nodes: IntGauge,
     /// Changes, by answer.
@@ -52,6 +54,10 @@
             commit: gauge("limpet_replica_commit", "Last committed log entry.")?,
             voters: gauge("limpet_replica_voters", "Voters of the control group.")?,
             routing_set: gauge("limpet_replica_routing_set", "Number of the routing set.")?,
+            evacuated_data_centres: gauge(
+                "limpet_replica_evacuated_data_centres",
+                "Data centres whose upstreams get no new flows.",
+            )?,
             nodes: gauge("limpet_replica_nodes", "Known processes.")?,
             changes,
             change_seconds,
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! Types that live as long as the process: tasks, settings and the handle.
 
+mod evacuation;
 mod group;
 mod http;
 mod metrics;
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -24,14 +24,17 @@
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{MemberId, PlacementPolicy, RoutingSet};
+use types::{MemberId, PlacementPolicy, RoutingSet, ServiceName};
 
 use super::{
     Settings,
     group::{GroupCommand, MembershipStatus, gauge},
     metrics::Metrics,
 };
-use crate::version::{ControlHostContact, RouteHistory};
+use crate::{
+    request::UnservedServicesRequest,
+    version::{ControlHostContact, Placement, RouteHistory, services_without_upstreams},
+};
 
 /// Interval between gossip messages to the other control hosts.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
@@ -71,6 +74,8 @@
 #[derive(Debug)]
 struct Subscriber {
     reply_to: SocketAddrV4,
+    /// Service of an agent.
+    service: Option<ServiceName>,
     version: DirectoryVersion,
     last_hello: Instant,
 }
@@ -100,6 +105,8 @@
     member: Option<LocalMember>,
     /// Addresses of the known control hosts, for observers.
     control_hosts: watch::Sender<Vec<Ipv4Addr>>,
+    /// Requests for the services without agents outside some data centres.
+    unserved_services: mpsc::Receiver<UnservedServicesRequest>,
     /// The members of the first group, once this host has chosen them.
     first_group: Option<Vec<(MemberId, Ipv4Addr)>>,
     /// When to form the first group, if this host is responsible for that.
@@ -123,6 +130,7 @@
 pub(crate) struct LocalMember {
     pub id: MemberId,
     pub routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    pub placement: watch::Receiver<Placement>,
     pub membership_status: watch::Receiver<MembershipStatus>,
     pub group: mpsc::Sender<GroupCommand>,
 }
@@ -145,6 +153,7 @@
     pub roster_writer: Option<std::sync::mpsc::Sender<Roster>>,
     pub member: Option<LocalMember>,
     pub control_hosts: watch::Sender<Vec<Ipv4Addr>>,
+    pub unserved_services: mpsc::Receiver<UnservedServicesRequest>,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -201,6 +210,7 @@
             history: channels.history,
             member: channels.member,
             control_hosts: channels.control_hosts,
+            unserved_services: channels.unserved_services,
             first_group: None,
             form_at,
             stop: channels.stop,
@@ -238,6 +248,12 @@
                     self.handle_fetched_roster(fetched, now);
                     self.update_coverage(now).await;
                 }
+                Some(request) = self.unserved_services.recv() => {
+                    let nodes = self.directory.nodes().map(|(node, _)| node);
+                    let services = services_without_upstreams(nodes, &request.evacuated);
+                    // The requester may have stopped waiting.
+                    let _ = request.reply.send(services);
+                }
                 _ = self.stop.changed(), if !self.local_node.leaving => {
                     self.local_node.leaving = true;
                     self.local_node.seq += 1;
@@ -315,13 +331,14 @@
         if let Some(version) = hello.version {
             let subscriber = Subscriber {
                 reply_to: hello.reply_to,
+                service: agent_service(&hello.node).cloned(),
                 version,
                 last_hello: now,
             };
             self.subscribers.insert(address, subscriber);
             self.send_deltas(address, true).await;
         } else {
-            let reply = self.control_host_list();
+            let reply = self.control_host_list(&hello.node);
             self.send(hello.reply_to, &reply).await;
         }
         if changed {
@@ -340,7 +357,8 @@
 
     /// The reply to a node that is choosing a control host. It lists no nodes:
     /// sending all of them would cost the square of their number when all start.
-    fn control_host_list(&self) -> HelloReply {
+    fn control_host_list(&self, node: &Node) -> HelloReply {
+        let policy = placement_policy(self.member.as_ref(), agent_service(node));
         let nodes = self.directory.nodes().map(|(node, _)| node);
         let hosts = nodes.filter(|node| node.is_control() && !node.leaving);
         HelloReply {
@@ -353,7 +371,7 @@
                 .collect(),
             version: self.directory.version(),
             complete: false,
-            policy: PlacementPolicy::default(),
+            policy,
         }
     }
 
@@ -372,6 +390,7 @@
         let Some(subscriber) = self.subscribers.get_mut(&to) else {
             return;
         };
+        let policy = placement_policy(self.member.as_ref(), subscriber.service.as_ref());
         let mut deltas = self.directory.deltas_since(subscriber.version);
         if let Some(last) = deltas.last() {
             subscriber.version = last.to;
@@ -394,7 +413,7 @@
                 control_hosts: Vec::new(),
                 version,
                 complete,
-                policy: PlacementPolicy::default(),
+                policy: policy.clone(),
             },
         )
         .await;
@@ -406,7 +425,7 @@
                 control_hosts: Vec::new(),
                 version,
                 complete,
-                policy: PlacementPolicy::default(),
+                policy: policy.clone(),
             };
             self.send(to, &reply).await;
         }
@@ -546,15 +565,36 @@
     };
     let LocalMember {
         routes,
+        placement,
         membership_status,
         ..
     } = member;
     tokio::select! {
         changed = routes.changed() => changed.is_ok(),
+        changed = placement.changed() => changed.is_ok(),
         changed = membership_status.changed() => changed.is_ok(),
     }
 }
 
+/// Service of an agent; `None` for other nodes.
+fn agent_service(node: &Node) -> Option<&ServiceName> {
+    match &node.role {
+        NodeRole::Agent(service) => Some(service),
+        _ => None,
+    }
+}
+
+/// The placement policy of a node, with the limits of the service if it is an agent.
+/// A host without a configuration has the default one, which nodes ignore.
+fn placement_policy(
+    member: Option<&LocalMember>,
+    service: Option<&ServiceName>,
+) -> PlacementPolicy {
+    member.map_or_else(PlacementPolicy::default, |member| {
+        member.placement.borrow().policy_for(service)
+    })
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/replica/src/process/replica.rs
+++ b/crates/replica/src/process/replica.rs
@@ -17,17 +17,20 @@
 
 use super::{
     group::{GroupCommand, MembershipStatus},
-    http::{CHANGE_PATH, READ_PATH},
+    http::{CHANGE_PATH, EVACUATIONS_PATH, READ_PATH},
     metrics::Metrics,
 };
-use crate::request::{ChangeOutcome, ReadOutcome};
+use crate::{
+    request::{ChangeOutcome, ReadOutcome, ReadTarget, UnservedServicesRequest},
+    version::Placement,
+};
 
 /// Delay before a change or read is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Timeout of one attempt, after which there may be another leader. Above the
 /// usual duration of a commit on a slow disk.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Maximum size of a reply between members, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 20;
@@ -38,6 +41,8 @@
 pub struct ReplicaHandle {
     pub(crate) group: mpsc::Sender<GroupCommand>,
     pub(crate) membership_status: watch::Receiver<MembershipStatus>,
+    pub(crate) placement: watch::Receiver<Placement>,
+    pub(crate) unserved_services: mpsc::Sender<UnservedServicesRequest>,
     pub(crate) metrics: Metrics,
 }
 
@@ -103,7 +108,7 @@
         self.metrics.voters.get()
     }
 
-    async fn try_change(&self, req: ChangeRequest, deadline: Instant) -> ChangeReply {
+    pub(super) async fn try_change(&self, req: ChangeRequest, deadline: Instant) -> ChangeReply {
         let (tx, rx) = oneshot::channel();
         let command = GroupCommand::Change(Box::new(req.clone()), tx);
         if self.group.send(command).await.is_err() {
@@ -126,7 +131,10 @@
     pub async fn read_routes(&self, deadline: Instant) -> ReadOutcome {
         loop {
             match self
-                .try_read(deadline.min(Instant::now() + LEADER_TIMEOUT))
+                .try_read(
+                    ReadTarget::Routes,
+                    deadline.min(Instant::now() + LEADER_TIMEOUT),
+                )
                 .await
             {
                 Some(QueryReply::Routes(set)) => return ReadOutcome::Confirmed(set),
@@ -136,13 +144,20 @@
         }
     }
 
-    async fn try_read(&self, deadline: Instant) -> Option<QueryReply> {
+    pub(super) async fn try_read(
+        &self,
+        target: ReadTarget,
+        deadline: Instant,
+    ) -> Option<QueryReply> {
         let (tx, rx) = oneshot::channel();
-        self.group.send(GroupCommand::Read(tx)).await.ok()?;
+        let command = GroupCommand::Read(target, tx);
+        self.group.send(command).await.ok()?;
+        let path = match target {
+            ReadTarget::Routes => READ_PATH,
+            ReadTarget::Evacuations => EVACUATIONS_PATH,
+        };
         match timeout_at(deadline.into(), rx).await.ok()?.ok()? {
-            QueryReply::NotLeader { leader } => {
-                call_member(leader?, READ_PATH, &(), deadline).await
-            }
+            QueryReply::NotLeader { leader } => call_member(leader?, path, &(), deadline).await,
             reply => Some(reply),
         }
     }
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -22,7 +22,10 @@
     nodes::{NodeTask, SharedRoster},
     roster_file, transport,
 };
-use crate::{Error, Result, version::RouteHistory};
+use crate::{
+    Error, Result,
+    version::{Placement, RouteHistory},
+};
 
 /// Capacity of the command queue of the group task, and of the queue of outgoing
 /// messages.
@@ -89,11 +92,14 @@
     let (commands_tx, commands_rx) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
     let (outgoing_tx, outgoing_rx) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
     let (routes_tx, routes_rx) = watch::channel(None);
+    let (placement_tx, placement_rx) = watch::channel(Placement::default());
+    let (unserved_services_tx, unserved_services_rx) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
     let (membership_status_tx, membership_status_rx) = watch::channel(MembershipStatus::default());
     let channels = group::Channels {
         disk,
         outgoing: outgoing_tx,
         routes: routes_tx,
+        placement: placement_tx,
         membership_status: membership_status_tx,
         commands: commands_rx,
     };
@@ -113,10 +119,12 @@
         member: Some(nodes::LocalMember {
             id: member,
             routes: routes_rx,
+            placement: placement_rx.clone(),
             membership_status: membership_status_rx.clone(),
             group: commands_tx.clone(),
         }),
         control_hosts: watch::channel(Vec::new()).0,
+        unserved_services: unserved_services_rx,
         stop,
     };
     let node_task = NodeTask::new(
@@ -141,6 +149,8 @@
     let replica = ReplicaHandle {
         group: commands_tx,
         membership_status: membership_status_rx,
+        placement: placement_rx,
+        unserved_services: unserved_services_tx,
         metrics,
     };
     Ok((replica, group_task.run()))
@@ -173,6 +183,7 @@
         roster_writer: None,
         member: None,
         control_hosts: members_tx,
+        unserved_services: mpsc::channel(1).1,
         stop,
     };
     let run = rand::rng().random_range(1..=u64::MAX);
--- a/crates/replica/src/request/mod.rs
+++ b/crates/replica/src/request/mod.rs
@@ -1,10 +1,10 @@
 //! Types that live for one change or read.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
-use types::{ChangeRequest, RoutingSet, UnixMillis};
+use types::{ChangeRequest, DataCentre, RoutingSet, ServiceName, UnixMillis};
 use wire::request::{ChangeReply, QueryReply};
 
 /// The outcome of a change.
@@ -37,11 +37,25 @@
     pub req: ChangeRequest,
 }
 
+/// The part of the configuration that a read returns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadTarget {
+    Routes,
+    Evacuations,
+}
+
+/// A request for the services that have no agents outside the data centres.
+#[derive(Debug)]
+pub(crate) struct UnservedServicesRequest {
+    pub evacuated: BTreeSet<DataCentre>,
+    pub reply: oneshot::Sender<BTreeSet<ServiceName>>,
+}
+
 /// A request that waits for a commit or a confirmed read.
 #[derive(Debug)]
 pub(crate) enum PendingRequest {
     Change(oneshot::Sender<ChangeReply>),
-    Read(oneshot::Sender<QueryReply>),
+    Read(ReadTarget, oneshot::Sender<QueryReply>),
     /// A membership change that the leader proposed itself.
     Group,
 }
--- a/crates/replica/src/version/mod.rs
+++ b/crates/replica/src/version/mod.rs
@@ -2,6 +2,8 @@
 
 mod history;
 mod membership;
+mod placement;
 
 pub use history::RouteHistory;
 pub use membership::{ControlHostContact, MembershipPolicy, MembershipSettings};
+pub use placement::{Placement, services_without_upstreams};
--- a/crates/types/src/request/change.rs
+++ b/crates/types/src/request/change.rs
@@ -6,8 +6,8 @@
 use uuid::Uuid;
 
 use crate::{
-    Category, CidKey, ClassName, Error, GroupRefusal, GroupRequest, HostName, OperatorName, Result,
-    Revision, RoutingSet, RoutingSetNumber, ServiceName, Target, UnixMillis,
+    Category, CidKey, ClassName, DataCentre, Error, GroupRefusal, GroupRequest, HostName,
+    OperatorName, Result, Revision, RoutingSet, RoutingSetNumber, ServiceName, Target, UnixMillis,
 };
 
 /// Id of a change, a version 7 UUID.
@@ -88,6 +88,14 @@
         /// Whether the upstream is to be drained.
         drain: bool,
     },
+    /// Starts or ends the evacuation of a data centre. While it lasts, the upstreams
+    /// there get no new work.
+    SetEvacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether it is to be evacuated.
+        evacuated: bool,
+    },
     /// Adds a key that nodes accept but do not yet use for new connection ids.
     AddKey {
         /// The new key.
@@ -180,6 +188,9 @@
     /// The id is dated too far ahead of the control group's clock.
     #[error("change id {0} is dated in the future; check the clock of the host that drew it")]
     IdInFuture(ChangeId),
+    /// No more data centres can be evacuated.
+    #[error("{0} data centres are evacuated already, the most that are supported")]
+    TooManyEvacuations(usize),
     /// The base revision is not a known revision of the object.
     #[error("revision {0} is not known for what the change concerns")]
     UnknownBase(Revision),
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use config::{AuditRecord, DrainMark};
+use config::{AuditRecord, DrainMark, EvacuationMark};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use types::{
@@ -79,6 +79,8 @@
     Service(ServiceName),
     /// Whether the upstream of a host is drained.
     Drain(HostName),
+    /// The data centres of which an evacuation was requested.
+    Evacuations,
     /// The keys, without their secrets.
     Keys,
     /// Records of the audit trail, the newest first.
@@ -111,6 +113,8 @@
     Service(Option<Service>),
     /// Reply to [`Query::Drain`].
     Drain(Option<DrainMark>),
+    /// Reply to [`Query::Evacuations`].
+    Evacuations(BTreeMap<DataCentre, EvacuationMark>),
     /// Reply to [`Query::Keys`].
     Keys(Option<KeysReport>),
     /// Reply to [`Query::Audit`].
