Evacuate a data centre in the HTTP/3 front end

The change SetEvacuation was accepted by limpetd's control hosts and had no effect on its nodes, and limpetctl could not send it.

--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -332,6 +332,7 @@
             ConfigState::decode(&snapshot.state[..])?
         };
         self.snapshot_index = snapshot.position.index;
+        self.count_evacuations();
         Ok(())
     }
 
@@ -351,12 +352,30 @@
             event = "change", index:% = entry.index, id:% = req.id, author:% = req.author,
             base:% = req.base, answer = label; "configuration change applied"
         );
+        if let Change::SetEvacuation {
+            data_centre,
+            evacuated,
+        } = &req.change
+        {
+            log::info!(
+                event = "evacuation", index:% = entry.index, data_centre:% = data_centre,
+                evacuated = u64::from(*evacuated), author:% = req.author, answer = label;
+                "evacuation request applied"
+            );
+        }
+        self.count_evacuations();
         if self.leadership.is_some() {
             self.change_answers.insert(entry.index, answer);
         }
         Ok(())
     }
 
+    fn count_evacuations(&self) {
+        let count = self.state.evacuated_data_centres().count();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.evacuated_data_centres.set(count);
+    }
+
     /// Copies configuration changes into the registry of the leader.
     fn update_registry(&mut self) {
         let Some(leadership) = &mut self.leadership else {
--- a/crates/control/src/process/leadership.rs
+++ b/crates/control/src/process/leadership.rs
@@ -4,7 +4,7 @@
 
 use config::ConfigState;
 use member::Registry;
-use types::{Revision, Term};
+use types::{Revision, ServiceName, Term};
 
 use super::{Settings, live_nodes::LiveNodes, waiting_syncs::WaitingSyncs};
 use crate::{request::WaitingSync, version::LeaderView};
@@ -64,6 +64,18 @@
         for (host, drain) in changes.drains {
             self.registry.set_drain(&host, drain);
         }
+        let has_evacuation = changes.evacuations.values().any(|evacuated| *evacuated);
+        for (data_centre, evacuated) in changes.evacuations {
+            self.registry.set_evacuated(&data_centre, evacuated);
+        }
+        let unserved = self.registry.services_without_upstreams();
+        if has_evacuation && !unserved.is_empty() {
+            let services: Vec<&str> = unserved.iter().map(ServiceName::as_str).collect();
+            log::warn!(
+                event = "services_without_upstreams", services = services.join(", ").as_str();
+                "an evacuation leaves services without upstreams"
+            );
+        }
         self.registry_revision = state.revision();
     }
 
--- a/crates/control/src/process/metrics.rs
+++ b/crates/control/src/process/metrics.rs
@@ -13,6 +13,8 @@
     pub term: IntGauge,
     /// Index of the last committed log entry.
     pub commit: IntGauge,
+    /// Number of data centres that are evacuated.
+    pub evacuated_data_centres: IntGauge,
     /// Number of live nodes; set on the leader only.
     pub nodes: IntGauge,
     /// Applied configuration changes, by answer.
@@ -49,6 +51,10 @@
             leader: gauge("limpet_control_leader", "1 at the leader, else 0.")?,
             term: gauge("limpet_control_term", "Term of the consensus.")?,
             commit: gauge("limpet_control_commit", "Last committed entry of the log.")?,
+            evacuated_data_centres: gauge(
+                "limpet_control_evacuated_data_centres",
+                "Data centres whose upstreams get no new work.",
+            )?,
             nodes: gauge("limpet_control_nodes", "Live nodes, counted at the leader.")?,
             changes: counters(
                 "limpet_control_changes_total",
--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -5,8 +5,8 @@
 use consensus::Status;
 use types::Service;
 use wire::request::{
-    ClassReport, GroupReport, KeysReport, Query, QueryReply, ServiceReport, StatusReport,
-    UpstreamReport,
+    ClassReport, EvacuationReport, GroupReport, KeysReport, Query, QueryReply, ServiceReport,
+    StatusReport, UpstreamReport,
 };
 
 use super::live_nodes::LiveNodes;
@@ -44,6 +44,10 @@
                 .values()
                 .map(|s| service_report(view, s))
                 .collect(),
+            evacuation: EvacuationReport {
+                evacuated: view.state.evacuated_data_centres().cloned().collect(),
+                services_without_upstreams: view.registry.services_without_upstreams(),
+            },
         })),
     }
 }
--- a/crates/control/src/version/mod.rs
+++ b/crates/control/src/version/mod.rs
@@ -158,10 +158,13 @@
             .collect()
     }
 
-    /// The node's own host if it is marked for draining, else empty.
+    /// The node's own host if it is marked for draining or its data centre is
+    /// evacuated, else empty.
     fn drains(&self, req: &SyncRequest) -> BTreeSet<types::HostName> {
         let mark = self.state.drains().get(&req.host);
-        let drained = mark.is_some_and(|mark| mark.drain);
+        let evacuation = self.state.evacuations().get(&req.data_centre);
+        let drained =
+            mark.is_some_and(|mark| mark.drain) || evacuation.is_some_and(|mark| mark.evacuated);
         drained.then(|| req.host.clone()).into_iter().collect()
     }
 
@@ -183,6 +186,7 @@
     changes.keys.is_some()
         || !changes.removed.is_empty()
         || changes.drains.contains_key(&req.host)
+        || changes.evacuations.contains_key(&req.data_centre)
         || changes
             .services
             .iter()
--- a/crates/control/tests/version.rs
+++ b/crates/control/tests/version.rs
@@ -155,6 +155,44 @@
     ));
 }
 
+/// Guards against agents of an evacuated data centre that go on taking new work, and
+/// against an evacuation that reaches nodes elsewhere.
+#[test]
+fn agents_of_an_evacuated_data_centre_drain() {
+    let mut leader = Leader::new(true);
+    let evacuate = |leader: &mut Leader, index, evacuated| {
+        let data_centre = "dar-1".parse().unwrap();
+        let change = Change::SetEvacuation {
+            data_centre,
+            evacuated,
+        };
+        let req = common::request(Revision(index - 1), change);
+        let at = req.id.created_at();
+        let answer = leader.state.apply(Revision(index), at, &req);
+        assert_eq!(answer, types::Answer::Accepted(Revision(index)));
+    };
+    let before = agent("vouchers", Some(version(2, TERM, 1)));
+    let elsewhere = SyncRequest {
+        data_centre: "sofia-1".parse().unwrap(),
+        ..before.clone()
+    };
+    evacuate(&mut leader, 3, true);
+    assert!(leader.view().has_update(&before));
+    assert_eq!(
+        leader.update(&before).draining_hosts,
+        [before.host.clone()].into()
+    );
+    assert!(!leader.view().has_update(&elsewhere));
+    assert!(leader.update(&elsewhere).draining_hosts.is_empty());
+    let restarted = agent("vouchers", None);
+    assert!(!leader.update(&restarted).draining_hosts.is_empty());
+
+    evacuate(&mut leader, 4, false);
+    let during = agent("vouchers", Some(version(3, TERM, 1)));
+    assert!(leader.view().has_update(&during));
+    assert!(leader.update(&during).draining_hosts.is_empty());
+}
+
 /// Guards against an update whose size grows with the number of missed changes:
 /// after 500 changes of one service a node gets one update with that service.
 #[test]
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -6,8 +6,8 @@
 use clap::{ArgGroup, Args, CommandFactory, Parser, Subcommand, error::ErrorKind, value_parser};
 use http::{HeaderName, HeaderValue, Method};
 use types::{
-    ChangeId, ClassName, HostName, MemberId, OperatorName, PathPrefix, Revision, RoutingSetNumber,
-    ServiceName,
+    ChangeId, ClassName, DataCentre, HostName, MemberId, OperatorName, PathPrefix, Revision,
+    RoutingSetNumber, ServiceName,
 };
 use url::Url;
 
@@ -149,6 +149,18 @@
     /// Upstreams: drain, undrain
     #[command(subcommand)]
     Upstream(UpstreamCommand),
+    /// Gives the upstreams of a data centre no new work until the evacuation ends
+    ///
+    /// Example: limpetctl evacuate east-1 --wait
+    Evacuate {
+        /// The data centre, for example east-1
+        data_centre: DataCentre,
+        /// Ends the evacuation
+        #[arg(long, env = "LIMPET_END")]
+        end: bool,
+        #[command(flatten)]
+        flags: ChangeFlags,
+    },
     /// Keys of connection ids: rotate, show
     #[command(subcommand)]
     Key(KeyCommand),
--- a/crates/limpetctl/src/request/mod.rs
+++ b/crates/limpetctl/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod change;
 mod control;
+mod evacuate;
 mod explain;
 mod key;
 mod query;
@@ -105,6 +106,11 @@
         Command::Target(command) => target::run(&cx, command).await,
         Command::Routes(command) => routes::run(&cx, command).await,
         Command::Upstream(command) => upstream::run(&cx, command).await,
+        Command::Evacuate {
+            data_centre,
+            end,
+            flags,
+        } => evacuate::run(&cx, data_centre, *end, flags).await,
         Command::Key(command) => key::run(&cx, command).await,
         Command::Control(command) => control::run(&cx, command).await,
         Command::Audit { limit } => audit::run(&cx, *limit).await,
--- a/crates/limpetctl/src/request/query.rs
+++ b/crates/limpetctl/src/request/query.rs
@@ -1,7 +1,9 @@
 //! Typed queries of the control group.
 
-use config::DrainMark;
-use types::{HostName, Revision, Service, ServiceName};
+use std::collections::BTreeMap;
+
+use config::{DrainMark, EvacuationMark};
+use types::{DataCentre, HostName, Revision, Service, ServiceName};
 use wire::request::{KeysReport, NodeReport, Query, QueryReply, StatusReport};
 
 use super::Context;
@@ -22,6 +24,13 @@
         }
     }
 
+    pub(super) async fn evacuations(&self) -> Result<BTreeMap<DataCentre, EvacuationMark>> {
+        match self.query(&Query::Evacuations).await? {
+            QueryReply::Evacuations(marks) => Ok(marks),
+            _ => Err(Error::UnexpectedReply),
+        }
+    }
+
     pub(super) async fn keys(&self) -> Result<Option<KeysReport>> {
         match self.query(&Query::Keys).await? {
             QueryReply::Keys(keys) => Ok(keys),
--- a/crates/limpetctl/src/version/mod.rs
+++ b/crates/limpetctl/src/version/mod.rs
@@ -11,4 +11,4 @@
 pub use group::GroupView;
 pub use node::{NodeView, format_nodes};
 pub use service::{ServiceView, ServicesView};
-pub use status::StatusView;
+pub use status::{StatusView, join_names};
--- a/crates/limpetctl/src/version/status.rs
+++ b/crates/limpetctl/src/version/status.rs
@@ -1,6 +1,9 @@
 //! Status of the whole system.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Display,
+};
 
 use serde::Serialize;
 use types::Share;
@@ -20,6 +23,10 @@
     pub group: GroupView,
     pub nodes: Vec<NodeView>,
     pub services: Vec<ServiceLoadView>,
+    /// Data centres whose upstreams get no new work.
+    pub evacuated_data_centres: Vec<String>,
+    /// Services whose upstreams are all in these data centres.
+    pub services_without_upstreams: Vec<String>,
 }
 
 /// Load of a service.
@@ -66,10 +73,21 @@
             group: GroupView::from(&status.group),
             nodes,
             services: status.services.iter().map(ServiceLoadView::from).collect(),
+            evacuated_data_centres: names(&status.evacuation.evacuated),
+            services_without_upstreams: names(&status.evacuation.services_without_upstreams),
         }
     }
 }
 
+fn names<T: Display>(names: &BTreeSet<T>) -> Vec<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
+/// The names, separated by commas.
+pub fn join_names<T: Display>(set: &BTreeSet<T>) -> String {
+    names(set).join(", ")
+}
+
 impl From<&ServiceReport> for ServiceLoadView {
     fn from(service: &ServiceReport) -> Self {
         let classes = service.classes.iter();
@@ -148,6 +166,21 @@
         table(&head, rows)
     }
 
+    /// The evacuated data centres, and the services that have no other upstreams.
+    fn evacuation(&self) -> Option<String> {
+        if self.evacuated_data_centres.is_empty() {
+            return None;
+        }
+        let evacuated = self.evacuated_data_centres.join(", ");
+        let mut lines = format!("evacuated data centres: {evacuated}");
+        if !self.services_without_upstreams.is_empty() {
+            let services = self.services_without_upstreams.join(", ");
+            lines.push_str("\nservices without upstreams: ");
+            lines.push_str(&services);
+        }
+        Some(lines)
+    }
+
     /// A line for each service whose leaving upstreams still hold connections.
     fn leaving(&self) -> Option<String> {
         let held: Vec<_> = self
@@ -176,6 +209,7 @@
             self.upstreams(),
         ];
         parts.extend(self.leaving());
+        parts.extend(self.evacuation());
         parts.join("\n\n")
     }
 }
--- a/crates/limpetctl/tests/common/host.rs
+++ b/crates/limpetctl/tests/common/host.rs
@@ -17,9 +17,9 @@
     UpstreamId, UpstreamState, Version,
 };
 use wire::request::{
-    ChangeReply, ClassReport, GroupChangeRequest, GroupRefusal, GroupReply, GroupReport,
-    GroupRequest, Hello, HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport,
-    StatusReport, UpstreamReport,
+    ChangeReply, ClassReport, EvacuationReport, GroupChangeRequest, GroupRefusal, GroupReply,
+    GroupReport, GroupRequest, Hello, HelloReply, KeysReport, NodeReport, Query, QueryReply,
+    ServiceReport, StatusReport, UpstreamReport,
 };
 
 /// Fault of the answer to a request. All but the last two apply the request
@@ -231,6 +231,18 @@
                 ),
             ],
             services: self.state.services().values().map(service).collect(),
+            evacuation: self.evacuation(),
+        }
+    }
+
+    /// All upstreams are in data centre `sofia`, like the nodes.
+    fn evacuation(&self) -> EvacuationReport {
+        let evacuated: BTreeSet<_> = self.state.evacuated_data_centres().cloned().collect();
+        let unserved = evacuated.iter().any(|name| name.as_str() == "sofia");
+        let services = self.state.services().values().filter(|_| unserved);
+        EvacuationReport {
+            services_without_upstreams: services.map(|s| s.name.clone()).collect(),
+            evacuated,
         }
     }
 
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -59,6 +59,25 @@
     assert_snapshot!(s.text);
 }
 
+/// Guards against evacuations that the tool cannot start, end, repeat or show, and
+/// against operators that are not warned of their effect.
+#[test]
+fn evacuations() {
+    let mut s = Session::new(&[Host::default().start()]);
+    s.run("service create vouchers --address 198.51.100.1:443");
+    s.run("evacuate varna");
+    s.run("evacuate varna");
+    s.run_as("bob", "evacuate varna --end --base 1");
+    s.run_as("bob", "evacuate varna --end");
+    s.run("evacuate sofia --wait --output json");
+    s.run("status");
+    s.run("status --output json");
+    s.run("evacuate sofia --end");
+    s.run("evacuate no/name");
+    s.run("audit --limit 6");
+    assert_snapshot!(s.text);
+}
+
 /// Guards against changed JSON fields, which scripts depend on.
 #[test]
 fn json_for_scripts() {
--- a/crates/limpetd/tests/drain.rs
+++ b/crates/limpetd/tests/drain.rs
@@ -178,6 +178,50 @@
     get_text(&mut again, "/").await;
 }
 
+/// Guards against an evacuation that leaves a share to the upstreams of the data centre,
+/// that aborts a feed, that ends with a restart of the control host, or whose end has no
+/// effect.
+#[actix_rt::test]
+async fn operator_evacuates_a_data_centre_and_brings_it_back() {
+    let mut site = Site::start_serving(plan(61, 8)).await;
+    let (mut caller, own) = connect(&site).await;
+    let mut open_feed = start_feed(&mut caller, "/feed?ms=100&lines=150").await;
+    open_feed.next_chunk().await.unwrap();
+    let set_evacuation = async |site: &Site, base, evacuated| {
+        let change = Change::SetEvacuation {
+            // The data centre of this upstream; the other one is elsewhere.
+            data_centre: format!("dc{own}").parse().unwrap(),
+            evacuated,
+        };
+        accepted_revision(&site.change(base, change).await)
+    };
+    let revision = set_evacuation(&site, Revision(0), true).await;
+    sleep(Duration::from_secs(3)).await;
+    for n in 0..10 {
+        let served = claim_on_new_connection(&site, &format!("evacuated-{n}")).await;
+        assert_eq!(served, Some(1 - own));
+    }
+    site.control[0].kill();
+    site.control[0] = site.start_control(0);
+    // The new leader publishes a membership after one lease.
+    sleep(Duration::from_secs(5)).await;
+    for n in 0..10 {
+        let served = claim_on_new_connection(&site, &format!("restarted-{n}")).await;
+        assert_eq!(served, Some(1 - own));
+    }
+    let status = site.status().await;
+    assert_eq!(status.evacuation.evacuated.len(), 1);
+
+    set_evacuation(&site, revision, false).await;
+    wait_for("new work at the upstream", async || {
+        let (mut caller, served) = connect(&site).await;
+        get_text(&mut caller, "/").await;
+        served == own
+    })
+    .await;
+    assert_eq!(open_feed.read_body().await.unwrap(), feed_lines(1, 150));
+}
+
 /// P3. Guards against a request, local or handed off by a peer, that keeps an
 /// agent running after its drain timeout, and against an answer that is aborted
 /// at the timeout but looks complete to the caller.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -2,15 +2,16 @@
 //! leader.
 //!
 //! Agents and balancers send announcements periodically; each announcement
-//! renews a lease. From them, the configured services and the drain marks,
-//! [`Registry`] builds numbered versions of the membership: the upstreams of
+//! renews a lease. From them, the configured services, the drain marks and the
+//! evacuated data centres, [`Registry`] builds numbered versions of the membership: the upstreams of
 //! each service and the share of new flows that each of them gets. It reads no
 //! clock: every call passes the instant.
 //!
 //! # Shares
 //!
 //! An upstream is *usable* if its lease is valid, its agent reports it as ready
-//! and its host has no drain mark. Its share is the lower of
+//! and neither its host has a drain mark nor its data centre is evacuated. Its share
+//! is the lower of
 //!
 //! - its ramp: 0 until it has been listed for two seconds, then 1/8, 1/4, 1/2
 //!   and the whole of [`Share::FULL`](types::Share::FULL) over ten seconds;
@@ -18,10 +19,10 @@
 //!   if more requests are in flight and queued than it offers slots. A level
 //!   changes only after all reports of five seconds were on one side of it.
 //!
-//! An upstream that leaves, on its own or because of a drain mark, has share 0
-//! in the next version and stays listed until its lease expires, so that its
-//! flows are still forwarded. An upstream that is down, or whose lease expired,
-//! is failing: it has share 0 or is no longer listed, unless fewer upstreams of
+//! An upstream that leaves, on its own, because of a drain mark or because of an
+//! evacuation, has share 0 in the next version and stays listed until its lease
+//! expires, so that its flows are still forwarded. An upstream that is down, or
+//! whose lease expired, is failing: it has share 0 or is no longer listed, unless fewer upstreams of
 //! its service are usable than failing. The service is then *frozen*: failing
 //! upstreams stay listed and keep their shares, those with an expired lease for
 //! at most [`Settings::lapsed_retention`], and only the shares of leaving
--- a/crates/member/src/process/registry.rs
+++ b/crates/member/src/process/registry.rs
@@ -7,8 +7,8 @@
 };
 
 use types::{
-    BalancerAnnouncement, ClassLoads, ClassName, HostName, ServiceId, ServiceName, Share, Target,
-    Term, UpstreamAnnouncement, UpstreamId, UpstreamMember,
+    BalancerAnnouncement, ClassLoads, ClassName, DataCentre, HostName, ServiceId, ServiceName,
+    Share, Target, Term, UpstreamAnnouncement, UpstreamId, UpstreamMember, UpstreamState,
 };
 
 use super::{Settings, balancers::Balancers, service_record::ServiceRecord, upstream::Upstream};
@@ -44,6 +44,7 @@
     /// until which its delayed announcements are ignored.
     displaced_upstreams: BTreeMap<UpstreamId, Instant>,
     drained_hosts: BTreeSet<HostName>,
+    evacuated: BTreeSet<DataCentre>,
     balancers: Balancers,
     balancers_seq: u64,
     /// One entry for each upstream: its `next_check`.
@@ -71,6 +72,7 @@
             by_data_address: BTreeMap::new(),
             displaced_upstreams: BTreeMap::new(),
             drained_hosts: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
             balancers: Balancers::default(),
             balancers_seq: 0,
             scheduled_checks: BTreeSet::new(),
@@ -103,12 +105,13 @@
         let record = self.records.get(&announcement.service);
         let member = record.and_then(|r| r.members.get(&announcement.id));
         let has_share = member.is_some_and(|m| m.share > Share(0));
+        let drained = self.is_drained(host, &announcement.data_centre);
         let changed = match self.upstreams.get_mut(&announcement.id) {
             Some(u) if u.announcement.service == announcement.service => {
                 if u.host != *host {
                     move_to_host(&mut self.by_host, u, host, announcement.id);
-                    u.drained = self.drained_hosts.contains(host);
                 }
+                u.drained = drained;
                 u.renew(now, host, announcement, has_share, &self.settings)
             }
             _ => {
@@ -145,7 +148,7 @@
 
     fn add_upstream(&mut self, now: Instant, host: &HostName, announcement: &UpstreamAnnouncement) {
         let mut upstream = Upstream::new(now, host, announcement, &self.settings);
-        upstream.drained = self.drained_hosts.contains(host);
+        upstream.drained = self.is_drained(host, &announcement.data_centre);
         self.by_host
             .entry(host.clone())
             .or_default()
@@ -262,12 +265,52 @@
         }
         for id in self.by_host.get(host).into_iter().flatten() {
             if let Some(u) = self.upstreams.get_mut(id) {
-                u.drained = drain;
+                u.drained = drain || self.evacuated.contains(&u.announcement.data_centre);
                 self.dirty_services.insert(u.announcement.service.clone());
             }
         }
     }
 
+    /// Starts or ends the evacuation of a data centre: its upstreams are treated like
+    /// those of drained hosts.
+    pub fn set_evacuated(&mut self, data_centre: &DataCentre, evacuated: bool) {
+        let changed = if evacuated {
+            self.evacuated.insert(data_centre.clone())
+        } else {
+            self.evacuated.remove(data_centre)
+        };
+        if !changed {
+            return;
+        }
+        let upstreams = self.upstreams.values_mut();
+        for u in upstreams.filter(|u| u.announcement.data_centre == *data_centre) {
+            u.drained = evacuated || self.drained_hosts.contains(&u.host);
+            self.dirty_services.insert(u.announcement.service.clone());
+        }
+    }
+
+    /// Whether an operator has drained the host or evacuated its data centre.
+    fn is_drained(&self, host: &HostName, data_centre: &DataCentre) -> bool {
+        self.drained_hosts.contains(host) || self.evacuated.contains(data_centre)
+    }
+
+    /// The services that have upstreams in evacuated data centres and none elsewhere,
+    /// except for some that leave. An upstream of an evacuated data centre counts also
+    /// when it has announced that it leaves, because its agent does so on request.
+    #[must_use]
+    pub fn services_without_upstreams(&self) -> BTreeSet<ServiceName> {
+        let mut is_served: BTreeMap<&ServiceName, bool> = BTreeMap::new();
+        for announced in self.upstreams.values().map(|u| &u.announcement) {
+            if self.evacuated.contains(&announced.data_centre) {
+                is_served.entry(&announced.service).or_default();
+            } else if announced.state != UpstreamState::Leaving {
+                is_served.insert(&announced.service, true);
+            }
+        }
+        let unserved = is_served.into_iter().filter(|(_, served)| !served);
+        unserved.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Expires leases, advances ramps and publishes all changes since the last
     /// publication as one version. Returns `None` if nothing changed.
     ///
--- a/crates/member/src/process/upstream.rs
+++ b/crates/member/src/process/upstream.rs
@@ -22,7 +22,7 @@
     announced_at: Instant,
     /// Instant at which the lease expires.
     pub(crate) lease_until: Instant,
-    /// Whether the host has a drain mark of an operator.
+    /// Whether an operator has drained the host or evacuated its data centre.
     pub(crate) drained: bool,
     /// `None` until the upstream is listed.
     ramp: Option<Ramp>,
@@ -106,8 +106,8 @@
         self.lease_until <= now
     }
 
-    /// Returns true if the upstream announced that it leaves or its host has a
-    /// drain mark.
+    /// Returns true if the upstream announced that it leaves, its host has a drain
+    /// mark, or its data centre is evacuated.
     pub(crate) fn is_leaving(&self) -> bool {
         self.drained || self.announcement.state == UpstreamState::Leaving
     }
--- a/crates/member/src/version/availability.rs
+++ b/crates/member/src/version/availability.rs
@@ -7,13 +7,14 @@
 /// Whether and how far an upstream takes new work.
 ///
 /// An upstream is usable if its lease is valid, its agent reports it as ready
-/// and its host has no drain mark. A leaving upstream is neither usable nor
+/// and no operator has drained its host or evacuated its data centre. A leaving upstream is neither usable nor
 /// failing, and [`is_frozen`] does not count it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Availability {
     /// Takes new work, up to this many parts of a full share.
     Usable(u8),
-    /// Leaves on its own or because of a drain mark.
+    /// Leaves on its own or because an operator drained its host or evacuated its
+    /// data centre.
     Leaving,
     /// Refuses connections, or its lease expired without an announced leave.
     Failing,
--- a/crates/member/tests/shares.rs
+++ b/crates/member/tests/shares.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{CARRY, Leader, SERVICE, announcement, host, in_state, newly_ready, with_load};
-use types::{UpstreamAnnouncement, UpstreamId, UpstreamState::*};
+use types::{DataCentre, UpstreamAnnouncement, UpstreamId, UpstreamState::*};
 
 /// Guards against flows to an upstream that some balancers do not have in their
 /// membership yet, and against a new upstream that gets its full share at once.
@@ -76,6 +76,50 @@
     }
 }
 
+/// Guards against new work for the upstreams of an evacuated data centre, for those that
+/// move there or start there later, and against an end of the evacuation that clears
+/// the drain mark of a host.
+#[test]
+fn upstreams_of_an_evacuated_data_centre_have_no_share() {
+    let east: DataCentre = "east".parse().unwrap();
+    let in_east = |n| UpstreamAnnouncement {
+        data_centre: east.clone(),
+        ..announcement(n)
+    };
+    let mut leader = Leader::new();
+    leader.run(3000, &[in_east(1), in_east(2), announcement(3)]);
+    assert_eq!(leader.shares(), [1024, 1024, 1024]);
+    leader.registry.set_evacuated(&east, true);
+    leader.tick();
+    assert_eq!(leader.shares(), [0, 0, 1024]);
+    assert_eq!(leader.registry.status(SERVICE).leaving_upstreams, 2);
+    assert!(leader.registry.services_without_upstreams().is_empty());
+
+    // One starts in the evacuated data centre, and one moves there.
+    leader.run(500, &[in_east(1), in_east(2), in_east(3), in_east(4)]);
+    assert!(leader.shares().iter().all(|share| *share == 0));
+    // Their agents announce on request that they leave.
+    let leaving = |n| UpstreamAnnouncement {
+        state: Leaving,
+        ..in_east(n)
+    };
+    for announcements in [[].as_slice(), &[1, 2, 3, 4].map(leaving)] {
+        leader.run(500, announcements);
+        let unserved = leader.registry.services_without_upstreams();
+        assert_eq!(unserved, ["badges".parse().unwrap()].into());
+    }
+
+    leader.registry.set_drain(&host(1), true);
+    leader.registry.set_evacuated(&east, false);
+    let all = [in_east(1), in_east(2), in_east(3), in_east(4)];
+    leader.run(500, &all);
+    assert_eq!((leader.share(1), leader.share(3)), (Some(0), Some(1024)));
+    leader.registry.set_evacuated(&east, true);
+    leader.registry.set_drain(&host(1), false);
+    leader.run(500, &all);
+    assert_eq!(leader.share(1), Some(0));
+}
+
 /// Guards against an upstream without a share after its recovery.
 #[test]
 fn shares_are_restored_after_recovery() {
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -17,7 +17,9 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{Answer, Change, ChangeRequest, MemberId, Revision, RoutingSet, UnixMillis};
+use types::{
+    Answer, Change, ChangeRequest, DataCentre, MemberId, Revision, RoutingSet, UnixMillis,
+};
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{Settings, metrics::Metrics};
@@ -282,9 +284,12 @@
         self.placement.send_if_modified(|published| {
             let newer = published.revision() < placement.revision();
             if newer {
+                let evacuated = placement.evacuated().iter();
+                let evacuated: Vec<&str> = evacuated.map(DataCentre::as_str).collect();
                 log::info!(
                     event = "placement", revision:% = placement.revision(),
-                    evacuated:? = placement.evacuated(); "applied a newer placement policy"
+                    evacuated = evacuated.join(", ").as_str();
+                    "applied a newer placement policy"
                 );
             }
             *published = placement;
--- a/crates/wire/src/request/mod.rs
+++ b/crates/wire/src/request/mod.rs
@@ -6,8 +6,9 @@
 
 pub use keys::{BeginRequest, EndRequest};
 pub use operator::{
-    ChangeReply, ClassReport, GroupChangeRequest, GroupReply, GroupReport, Hello, HelloReply,
-    KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport, UpstreamReport,
+    ChangeReply, ClassReport, EvacuationReport, GroupChangeRequest, GroupReply, GroupReport, Hello,
+    HelloReply, KeysReport, NodeReport, Query, QueryReply, ServiceReport, StatusReport,
+    UpstreamReport,
 };
 pub use reserve::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
 pub use types::{GroupRefusal, GroupRequest};
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -149,6 +149,28 @@
     pub nodes: Vec<NodeReport>,
     /// Services.
     pub services: Vec<ServiceReport>,
+    /// The evacuated data centres. Left out while there are none, for readers of
+    /// earlier versions; it must stay the last field, because it has no name on the
+    /// wire.
+    #[serde(default, skip_serializing_if = "EvacuationReport::is_empty")]
+    pub evacuation: EvacuationReport,
+}
+
+/// The evacuated data centres and what they leave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Data centres whose upstreams get no new work.
+    pub evacuated: BTreeSet<DataCentre>,
+    /// Services whose upstreams are all in these data centres.
+    pub services_without_upstreams: BTreeSet<ServiceName>,
+}
+
+impl EvacuationReport {
+    /// Whether no data centre is evacuated.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.evacuated.is_empty()
+    }
 }
 
 /// Status of the control group.
