--- a/crates/control/src/process/report.rs
+++ b/crates/control/src/process/report.rs
@@ -5,8 +5,8 @@
 use consensus::Status;
 use types::Service;
 use wire::request::{
-    ClassReport, GroupReport, KeysReport, Query, QueryReply, ServiceReport, StatusReport,
-    UpstreamReport,
+    ClassReport, EvacuationReport, GroupReport, KeysReport, Query, QueryReply, ServiceReport,
+    StatusReport, UpstreamReport,
 };
 
 use super::live_nodes::LiveNodes;
@@ -25,6 +25,7 @@
         Query::Services => QueryReply::Services(state.services().values().cloned().collect()),
         Query::Service(name) => QueryReply::Service(state.service(name).cloned()),
         Query::Drain(host) => QueryReply::Drain(state.drains().get(host).cloned()),
+        Query::Evacuations => QueryReply::Evacuations(state.evacuations().clone()),
         Query::Keys => QueryReply::Keys(keys_report(view)),
         Query::Audit { limit } => {
             QueryReply::Audit(state.audit().rev().take(*limit).cloned().collect())
@@ -43,6 +44,10 @@
                 .values()
                 .map(|s| service_report(view, s))
                 .collect(),
+            evacuation: EvacuationReport {
+                evacuated: view.state.evacuated_data_centres().cloned().collect(),
+                services_without_upstreams: view.registry.services_without_upstreams(),
+            },
         })),
     }
 }
--- a/crates/wire/src/request/operator.rs
+++ b/crates/wire/src/request/operator.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use config::{AuditRecord, DrainMark};
+use config::{AuditRecord, DrainMark, EvacuationMark};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use types::{
@@ -79,6 +79,8 @@
     Service(ServiceName),
     /// Whether the upstream of a host is drained.
     Drain(HostName),
+    /// The data centres of which an evacuation was requested.
+    Evacuations,
     /// The keys, without their secrets.
     Keys,
     /// Records of the audit trail, the newest first.
@@ -111,6 +113,8 @@
     Service(Option<Service>),
     /// Reply to [`Query::Drain`].
     Drain(Option<DrainMark>),
+    /// Reply to [`Query::Evacuations`].
+    Evacuations(BTreeMap<DataCentre, EvacuationMark>),
     /// Reply to [`Query::Keys`].
     Keys(Option<KeysReport>),
     /// Reply to [`Query::Audit`].
@@ -145,6 +149,28 @@
     pub nodes: Vec<NodeReport>,
     /// Services.
     pub services: Vec<ServiceReport>,
+    /// The evacuated data centres. Left out while there are none, for readers of
+    /// earlier versions; it must stay the last field, because it has no name on the
+    /// wire.
+    #[serde(default, skip_serializing_if = "EvacuationReport::is_empty")]
+    pub evacuation: EvacuationReport,
+}
+
+/// The evacuated data centres and what they leave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Data centres whose upstreams get no new work.
+    pub evacuated: BTreeSet<DataCentre>,
+    /// Services whose upstreams are all in these data centres.
+    pub services_without_upstreams: BTreeSet<ServiceName>,
+}
+
+impl EvacuationReport {
+    /// Whether no data centre is evacuated.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.evacuated.is_empty()
+    }
 }
 
 /// Status of the control group.
