flow: end a recovery without a list 0.4 s after the start

An agent waited up to 1.5 s for all nodes that it asks for its list, and answered no query for unknown flows meanwhile. After a crash of many processes some of those nodes do not run.

--- a/crates/flow/src/process/flow_list/recovery.rs
+++ b/crates/flow/src/process/flow_list/recovery.rs
@@ -29,6 +29,10 @@
     /// control host that runs sends its list of nodes within 100 ms; after a crash of all
     /// processes, callers' datagrams wait for the end of the recovery.
     pub directory_timeout: Duration,
+    /// If none of the nodes that have answered keeps a list, the others are awaited until
+    /// this long after the start. It allows six queries of each; after a crash, some of
+    /// the nodes do not run.
+    pub silence_timeout: Duration,
 }
 
 impl Default for FlowListRecoverySettings {
@@ -39,6 +43,7 @@
             answer_timeout: Duration::from_millis(150),
             timeout: Duration::from_millis(1500),
             directory_timeout: Duration::from_millis(250),
+            silence_timeout: Duration::from_millis(400),
         }
     }
 }
@@ -206,7 +211,8 @@
             Some(at) => all_answered || now >= at + settings.answer_timeout,
             None => {
                 let none_keeps = !self.nodes.values().any(keeps);
-                all_answered && none_keeps && directory_is_known
+                let is_silent = now >= self.started_at + settings.silence_timeout;
+                (all_answered || is_silent) && none_keeps && directory_is_known
             }
         };
         has_ended.then(|| self.recovered())
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -735,6 +735,26 @@
     assert!(!recovery.result(now).unwrap().complete);
 }
 
+/// Guards against an agent that answers no query for 1.5 s after a crash, because some of
+/// the nodes that it asks for its list have crashed too.
+#[test]
+fn a_recovery_without_a_list_does_not_wait_for_nodes_that_do_not_run() {
+    let now = Instant::now();
+    let mut recovery = FlowListRecovery::new(FlowListRecoverySettings::default(), now);
+    recovery.add_nodes([address(1), address(2)]);
+    recovery.handle_nothing(address(1));
+    let after = |ms| now + Duration::from_millis(ms);
+    assert_eq!(
+        recovery.result(after(300)),
+        None,
+        "the other node may keep a list"
+    );
+    assert_eq!(
+        recovery.result(after(400)),
+        Some(flow::RecoveredFlows::default())
+    );
+}
+
 /// Guards against flows of an upstream that restarted together with its agent: they are
 /// reset, not delivered to the new process.
 #[test]
