flow: count a request for a slot once it has arrived completely

An agent counted a flow as busy from the first byte of a request. An upload over a slow link takes far longer to arrive than to serve, so uploads were refused beside idle upstreams.

Full datagrams tell that more of the request follows. Until the last one, the request holds no slot. The tests of uploads fail without it.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Instant};
 
-use crate::Segment;
+use crate::{Segment, request::RequestProgress};
 
 /// State of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,8 +33,8 @@
     pub upstream_range: Option<(u32, u32)>,
     /// Highest sequence number of the caller's data.
     pub caller_seq: Option<u32>,
-    /// A request waits for the first byte of its answer.
-    pub awaiting_answer: bool,
+    /// Progress of the latest request.
+    pub request: RequestProgress,
     pub caller_ended: bool,
     pub upstream_ended: bool,
     pub opened_at: Instant,
@@ -50,7 +50,7 @@
             opening_seq: None,
             upstream_range: None,
             caller_seq: None,
-            awaiting_answer: false,
+            request: RequestProgress::Idle,
             caller_ended: false,
             upstream_ended: false,
             opened_at: now,
@@ -91,7 +91,7 @@
 
     /// Records data of the caller. A higher sequence number starts or continues
     /// a request.
-    pub fn record_caller_data(&mut self, seg: &Segment) {
+    pub fn record_caller_data(&mut self, seg: &Segment, now: Instant) {
         self.caller_ended |= seg.ends;
         if seg.len == 0 {
             return;
@@ -99,14 +99,14 @@
         let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
         if self.caller_seq.is_none_or(newer) {
             self.caller_seq = Some(seg.seq);
-            self.awaiting_answer = true;
+            self.request = RequestProgress::after_data(seg.len, now);
         }
     }
 
     pub fn close_if_both_ended(&mut self) {
         if self.caller_ended && self.upstream_ended {
             self.stage = Stage::Closed;
-            self.awaiting_answer = false;
+            self.request = RequestProgress::Idle;
         }
     }
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -44,6 +44,7 @@
 
 pub mod connection;
 pub mod process;
+mod request;
 
 pub use connection::{FlowTuple, Segment};
 pub use process::{
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -13,6 +13,7 @@
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
+    request::RequestProgress,
 };
 
 /// Requests that an upstream is given at once, as a multiple of its slots: one in
@@ -175,8 +176,8 @@
 /// Load of an upstream, as its agent measures it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests that wait for the first byte of their answer, and new flows
-    /// that have not sent a request yet.
+    /// Requests that have arrived completely and wait for the first byte of their
+    /// answer, and new flows that have not sent a request yet.
     pub busy_requests: u32,
     /// Number of open flows.
     pub open_flows: u32,
@@ -226,7 +227,7 @@
         if former.is_some() && current.is_some() && former != current {
             for flow in self.flows.values_mut() {
                 flow.stage = Stage::Lost;
-                flow.awaiting_answer = false;
+                flow.request = RequestProgress::Idle;
             }
             self.unanswered_since = None;
         }
@@ -274,7 +275,7 @@
         }
         match flow.stage {
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
-                flow.record_caller_data(seg);
+                flow.record_caller_data(seg, now);
                 flow.close_if_both_ended();
                 CallerAction::Deliver
             }
@@ -351,7 +352,7 @@
             return CallerAction::NotHeld;
         }
         let mut flow = Flow::new(Stage::Unconfirmed, now);
-        flow.record_caller_data(seg);
+        flow.record_caller_data(seg, now);
         self.flows.insert(seg.key_from_caller(), flow);
         CallerAction::Deliver
     }
@@ -439,14 +440,14 @@
             flow.stage = Stage::Open;
         }
         flow.record_upstream_data(seg);
-        let answers = seg.len > 0 && flow.awaiting_answer;
+        let answers = seg.len > 0 && flow.request.is_pending();
         if seg.len > 0 {
-            flow.awaiting_answer = false;
+            flow.request = RequestProgress::Idle;
         }
         flow.upstream_ended |= seg.ends;
         if seg.resets {
             flow.stage = Stage::Closed;
-            flow.awaiting_answer = false;
+            flow.request = RequestProgress::Idle;
         }
         flow.close_if_both_ended();
         if answers {
@@ -462,7 +463,7 @@
             return UpstreamAction::Drop;
         };
         flow.last_datagram_at = now;
-        flow.awaiting_answer = false;
+        flow.request = RequestProgress::Idle;
         if seg.is_opening() {
             if flow.stage == Stage::Opening {
                 self.flows.remove(&key);
@@ -538,7 +539,7 @@
                 Stage::Open => {
                     load.open_flows += 1;
                     load.busy_requests += u32::from(
-                        flow.awaiting_answer || (is_recent && flow.opening_seq.is_some()),
+                        flow.request.needs_slot(now) || (is_recent && flow.opening_seq.is_some()),
                     );
                 }
                 _ => {}
@@ -552,7 +553,7 @@
     #[must_use]
     pub fn in_progress(&self) -> usize {
         let active = |flow: &&Flow| {
-            flow.awaiting_answer || (flow.stage == Stage::Opening && flow.caller_seq.is_none())
+            flow.request.is_pending() || (flow.stage == Stage::Opening && flow.caller_seq.is_none())
         };
         self.flows.values().filter(active).count()
     }
--- /dev/null
+++ b/crates/flow/src/request/mod.rs
@@ -0,0 +1,5 @@
+//! State that lives as long as a request.
+
+mod progress;
+
+pub(crate) use progress::RequestProgress;
