relay: let large flows wait for a balancer's link

A balancer forwards every opening, so a burst of uploads puts more windows on a link of 4.8 Mbit/s than fit into the callers' first retransmission interval. Copies then keep the overload going.

A balancer learns by address how many bytes a request brings, and counts the large transfers that use its link. A further large flow waits, by priority and objective, and is reset with cause link_saturated if its turn comes too late. Nothing of it has been forwarded then. Small flows, copies of forwarded openings, and hosts without link_mbps are served as before.

The effect under load is not measured yet.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -99,7 +99,7 @@
         let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
         if self.caller_seq.is_none_or(newer) {
             self.caller_seq = Some(seg.seq);
-            self.request = RequestProgress::after_data(seg.len, now);
+            self.request = RequestProgress::after_data(seg, now);
         }
     }
 
--- a/crates/flow/src/connection/segment.rs
+++ b/crates/flow/src/connection/segment.rs
@@ -7,6 +7,10 @@
 
 use super::FlowTuple;
 
+/// Data bytes in a full datagram. A caller fills every datagram of a request except the
+/// last one.
+const FULL_DATAGRAM_BYTES: u16 = 1200;
+
 /// The header fields that the decisions need.
 #[expect(clippy::struct_excessive_bools, reason = "each is a bit of the header")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +80,12 @@
         }
     }
 
+    /// Whether the data fills the datagram, so that more of the request follows.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.len >= FULL_DATAGRAM_BYTES
+    }
+
     /// Whether a caller opens a flow with this datagram.
     #[must_use]
     pub fn is_opening(&self) -> bool {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
+//! - [`LinkAdmission`] decides which new flows may use a balancer's link now, and which
+//!   wait for it or are refused.
 //!
 //! The crate has no sockets, clock, randomness or encoding: the user passes the
 //! current time and a [`Segment`] that a codec has decoded.
@@ -49,7 +51,7 @@
 pub use connection::{FlowTuple, Segment};
 pub use process::{
     AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowQuery, FlowTable,
-    FlowTableSettings, Load, OpeningQueue, OpeningQueueSettings, Origin, RateLimiter,
-    ReleasedDatagram, SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings,
-    UpstreamAction, UpstreamStatus,
+    FlowTableSettings, LinkAdmission, Load, OpeningQueue, OpeningQueueSettings, Origin,
+    RateLimiter, ReleasedDatagram, SearchResults, ServicePace, Steering, SteeringDecision,
+    SteeringSettings, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_pool;
 mod flow_table;
+mod link_admission;
 mod opening_queue;
 mod rate_limiter;
 mod service_pace;
@@ -11,6 +12,7 @@
 pub use flow_table::{
     CallerAction, Claim, FlowTable, FlowTableSettings, Load, Origin, UpstreamAction, UpstreamStatus,
 };
+pub use link_admission::LinkAdmission;
 pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
 pub use service_pace::ServicePace;
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -181,6 +181,14 @@
                 .any(|pool| pool.has_available_agent(now))
     }
 
+    /// Whether the flow of an opening datagram was placed from here before, so that the
+    /// datagram is a copy.
+    #[must_use]
+    pub fn was_placed(&self, seg: &Segment) -> bool {
+        let hint = self.hints.get(&seg.key_from_caller());
+        hint.is_some_and(|hint| hint.opening_seq == Some(seg.seq))
+    }
+
     /// Decides what to do with a datagram of a caller.
     pub fn steer(&mut self, seg: &Segment, payload: &Bytes, now: Instant) -> SteeringDecision {
         let key = seg.key_from_caller();
--- a/crates/flow/src/request/progress.rs
+++ b/crates/flow/src/request/progress.rs
@@ -7,8 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Data bytes in a full datagram.
-const FULL_DATAGRAM_BYTES: u16 = 1200;
+use crate::Segment;
 
 /// A request that paused for this long after a full datagram counts as complete: its
 /// length may be a multiple of a full datagram. Longer than a caller's first
@@ -29,9 +28,9 @@
 }
 
 impl RequestProgress {
-    /// Progress after a datagram with `len` bytes of new data of the caller.
-    pub fn after_data(len: u16, now: Instant) -> Self {
-        if len >= FULL_DATAGRAM_BYTES {
+    /// Progress after a datagram with new data of the caller.
+    pub fn after_data(seg: &Segment, now: Instant) -> Self {
+        if seg.is_full() {
             RequestProgress::Arriving(now + ARRIVAL_PAUSE)
         } else {
             RequestProgress::Waiting
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, FlowQuery, Load, Origin, ReleasedDatagram, Segment, Steering,
-    SteeringDecision, SteeringSettings,
+    AgentStatus, Claim, DropReason, FlowQuery, LinkAdmission, Load, Origin, ReleasedDatagram,
+    Segment, Steering, SteeringDecision, SteeringSettings,
 };
 use prometheus::Registry;
 use tokio::{
@@ -63,6 +63,13 @@
     pub steering: SteeringSettings,
 }
 
+/// An opening datagram that waits for the link.
+#[derive(Debug)]
+struct HeldOpening {
+    payload: Bytes,
+    arrived_at: Instant,
+}
+
 /// The task of a balancer, which owns its sockets and steering state.
 pub struct Balancer<C> {
     cfg: BalancerSettings,
@@ -71,6 +78,8 @@
     ingress_socket: UdpSocket,
     peer_socket: UdpSocket,
     egress_queue: EgressQueue,
+    /// New flows that wait for the link.
+    link_admission: LinkAdmission<HeldOpening>,
     updates: mpsc::Receiver<ControlUpdate>,
     /// Whether new flows can be placed.
     ready: watch::Sender<bool>,
@@ -111,6 +120,7 @@
             ingress_socket: bind(cfg.ingress_address)?,
             peer_socket: bind(cfg.peer_listen_address)?,
             egress_queue: EgressQueue::new(cfg.link_rate, Instant::now()),
+            link_admission: LinkAdmission::new(cfg.link_rate),
             steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
             codec,
@@ -129,6 +139,8 @@
         loop {
             let search_deadline = self.steering.next_deadline().unwrap_or(self.next_expiry_at);
             let deadline = self.next_expiry_at.min(search_deadline);
+            let link_deadline = self.link_admission.next_deadline();
+            let deadline = link_deadline.map_or(deadline, |at| at.min(deadline));
             let egress_deadline = self.egress_queue.next_deadline();
             tokio::select! {
                 received = self.ingress_socket.recv_from(&mut from_callers) => {
@@ -163,11 +175,78 @@
             return;
         };
         let payload = Bytes::copy_from_slice(datagram);
-        let steer = self.steering.steer(&seg, &payload, Instant::now());
+        let now = Instant::now();
+        if !seg.is_opening() {
+            self.link_admission.observe(&seg, now);
+        } else if !self.steering.was_placed(&seg) {
+            return self.admit_to_link(&seg, payload, now).await;
+        }
+        let steer = self.steering.steer(&seg, &payload, now);
         self.apply_decision(steer, &seg, payload).await;
+        self.serve_link(now).await;
+    }
+
+    /// Places a new flow, or keeps its opening datagram until the link has room.
+    async fn admit_to_link(&mut self, seg: &Segment, payload: Bytes, now: Instant) {
+        let key = seg.key_from_caller();
+        let targets = self.steering.targets(key.service);
+        let opening = HeldOpening {
+            payload,
+            arrived_at: now,
+        };
+        if let Some(opening) = self.link_admission.admit(seg, targets, opening, now) {
+            return self.place_opening(seg, opening, now).await;
+        }
+        log::info!(
+            event = "held_by_link", flow:% = key, copy = seg.ack,
+            waiting = self.link_admission.waiting(),
+            transfers = self.link_admission.transfers(now);
+            "the link has no room for another large flow; the new flow waits"
+        );
+        self.metrics
+            .flow_events
+            .with_label_values(&["held_by_link"])
+            .inc();
+        self.serve_link(now).await;
+    }
+
+    async fn place_opening(&mut self, seg: &Segment, opening: HeldOpening, now: Instant) {
+        let steer = self.steering.steer(seg, &opening.payload, now);
+        let waited = now.saturating_duration_since(opening.arrived_at);
+        self.apply_decision_after(steer, seg, opening.payload, waited)
+            .await;
+    }
+
+    /// Places the flows that the link has room for now, and resets those that it cannot
+    /// serve in time.
+    async fn serve_link(&mut self, now: Instant) {
+        while let Some(opening) = self.link_admission.take_admitted(now) {
+            if let Some(seg) = self.codec.parse(&opening.payload) {
+                self.place_opening(&seg, opening, now).await;
+            }
+        }
+        for opening in self.link_admission.take_refused(now) {
+            self.metrics
+                .flow_events
+                .with_label_values(&["refused_by_link"])
+                .inc();
+            self.reset_flow(&opening.payload, "link_saturated").await;
+        }
     }
 
     async fn apply_decision(&mut self, steer: SteeringDecision, seg: &Segment, payload: Bytes) {
+        self.apply_decision_after(steer, seg, payload, Duration::ZERO)
+            .await;
+    }
+
+    /// Applies a decision about a datagram that waited here for `waited`.
+    async fn apply_decision_after(
+        &mut self,
+        steer: SteeringDecision,
+        seg: &Segment,
+        payload: Bytes,
+        waited: Duration,
+    ) {
         let key = seg.key_from_caller();
         match steer {
             SteeringDecision::Forward {
@@ -186,7 +265,7 @@
                     );
                 }
                 if seg.is_opening() {
-                    self.send_opening(agent, origin, &service, key.service, payload)
+                    self.send_opening(agent, origin, &service, key.service, waited, payload)
                         .await;
                 } else {
                     self.send_to_agent(agent, origin, &service, payload).await;
@@ -284,6 +363,7 @@
         origin: Origin,
         service: &ServiceName,
         address: SocketAddrV4,
+        waited: Duration,
         payload: Bytes,
     ) {
         self.metrics
@@ -296,7 +376,7 @@
             via: self.cfg.peer_address,
             declined_by: Vec::new(),
             targets: self.steering.targets(address),
-            waited_ms: 0,
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
             payload,
         };
         self.send_message(agent, &message).await;
@@ -496,6 +576,7 @@
     }
 
     async fn handle_deadlines(&mut self, now: Instant) {
+        self.serve_link(now).await;
         let ended = self.steering.end_searches(now);
         self.send_search_queries(ended.queries).await;
         for payload in ended.lost_flows {
@@ -516,6 +597,7 @@
         }
         self.next_expiry_at = now + EXPIRY_INTERVAL;
         self.steering.expire(now);
+        self.link_admission.expire(now);
         let listed_agents = &self.listed_agents;
         for pool in self.steering.pools_mut() {
             pool.retain(|address, agent| {
