relay: order a balancer's egress by priority, fairly between flows

The queue of a slow link distinguished only datagrams up to 256 bytes from larger ones, so an order of 900 bytes waited behind every datagram of the uploads of less urgent routes, and a full queue dropped whatever came next.

Control messages go first, then flows by the priority of their routes, and by deficit round robin within a priority, new flows first. A priority gets at least an eighth of the bytes that overtake it. A full queue drops the least urgent datagram, of the flow with the longest queue.

The effect under load is not measured yet.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,5 +21,6 @@
 pub use error::{Error, Result};
 pub use process::{
     Agent, AgentSettings, Balancer, BalancerSettings, BalancerTable, ControlSync,
-    ControlSyncSettings, ControlUpdate, EgressQueue, Handover, OutgoingDatagram, UpstreamUpdate,
+    ControlSyncSettings, ControlUpdate, EgressQueue, Handover, OutgoingDatagram, Traffic,
+    UpstreamUpdate,
 };
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, FlowQuery, LinkAdmission, Load, Origin, ReleasedDatagram,
-    Segment, Steering, SteeringDecision, SteeringSettings,
+    AgentStatus, Claim, DropReason, FlowQuery, FlowTuple, LinkAdmission, Load, Origin,
+    ReleasedDatagram, Segment, Steering, SteeringDecision, SteeringSettings,
 };
 use prometheus::Registry;
 use tokio::{
@@ -20,7 +20,7 @@
 };
 use types::{BytesPerSecond, DataCentre, ServiceName, Slots, UpstreamId};
 
-use super::{ControlUpdate, EgressQueue, metrics::RelayMetrics};
+use super::{ControlUpdate, EgressQueue, Traffic, metrics::RelayMetrics};
 use crate::{AgentReport, Codec, Error, Message, Result, ServiceTag};
 
 /// Interval between removals of expired state.
@@ -265,10 +265,11 @@
                     );
                 }
                 if seg.is_opening() {
-                    self.send_opening(agent, origin, &service, key.service, waited, payload)
+                    self.send_opening(agent, origin, &service, key, waited, payload)
                         .await;
                 } else {
-                    self.send_to_agent(agent, origin, &service, payload).await;
+                    self.send_to_agent(agent, origin, &service, key, payload)
+                        .await;
                 }
             }
             SteeringDecision::Query(agents) => {
@@ -315,8 +316,8 @@
         for (agent, service) in agents {
             let tag = ServiceTag::of(&service);
             let header = header.clone();
-            self.send_message(agent, &Message::ClaimQuery { tag, header })
-                .await;
+            let query = Message::ClaimQuery { tag, header };
+            self.send_message(agent, Traffic::Control, &query).await;
         }
     }
 
@@ -340,6 +341,7 @@
         agent: SocketAddrV4,
         origin: Origin,
         service: &ServiceName,
+        key: FlowTuple,
         payload: Bytes,
     ) {
         self.metrics
@@ -353,7 +355,12 @@
             declined_by: Vec::new(),
             payload,
         };
-        self.send_message(agent, &message).await;
+        self.send_message(agent, self.traffic_of(key), &message)
+            .await;
+    }
+
+    fn traffic_of(&self, key: FlowTuple) -> Traffic {
+        Traffic::Flow(key, self.steering.targets(key.service).priority)
     }
 
     /// Sends an opening datagram to an agent, with the targets of its route.
@@ -362,7 +369,7 @@
         agent: SocketAddrV4,
         origin: Origin,
         service: &ServiceName,
-        address: SocketAddrV4,
+        key: FlowTuple,
         waited: Duration,
         payload: Bytes,
     ) {
@@ -375,22 +382,23 @@
             origin,
             via: self.cfg.peer_address,
             declined_by: Vec::new(),
-            targets: self.steering.targets(address),
+            targets: self.steering.targets(key.service),
             waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
             payload,
         };
-        self.send_message(agent, &message).await;
+        self.send_message(agent, self.traffic_of(key), &message)
+            .await;
     }
 
-    async fn send_message(&mut self, agent: SocketAddrV4, message: &Message) {
+    async fn send_message(&mut self, agent: SocketAddrV4, traffic: Traffic, message: &Message) {
         match wire::encode(message) {
             Ok(datagram) => {
-                if !self.egress_queue.push(agent, datagram) {
+                if let Some((to, _)) = self.egress_queue.push(traffic, agent, datagram) {
                     self.metrics
                         .dropped_datagrams
                         .with_label_values(&["link_full"])
                         .inc();
-                    log::warn!(event = "link_full", agent:% = agent; "egress queue is full; dropping a datagram to an agent");
+                    log::warn!(event = "link_full", agent:% = to; "egress queue is full; dropping a datagram to an agent");
                 }
                 self.flush().await;
             }
@@ -416,7 +424,12 @@
                 service,
                 payload,
             } = release;
-            self.send_to_agent(agent, origin, &service, payload).await;
+            let Some(seg) = self.codec.parse(&payload) else {
+                continue;
+            };
+            let key = seg.key_from_caller();
+            self.send_to_agent(agent, origin, &service, key, payload)
+                .await;
         }
     }
 
--- a/crates/relay/src/process/egress_queue.rs
+++ b/crates/relay/src/process/egress_queue.rs
@@ -3,15 +3,20 @@
 //! A caller's window of datagrams that arrives within milliseconds overflows the
 //! queue of a link of a few Mbit/s. The link drops the excess, which the caller
 //! retransmits only after its timeout. An [`EgressQueue`] releases datagrams at
-//! the rate of the link and queues the others for a bounded time.
+//! the rate of the link and queues the others for a bounded time: control messages
+//! first, then flows by the priority of their routes, and fairly between the flows of a
+//! priority. When it is full, the least urgent datagrams are dropped.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddrV4,
     time::{Duration, Instant},
 };
 
-use types::BytesPerSecond;
+use flow::FlowTuple;
+use types::{BytesPerSecond, Priority};
+
+use super::fair_queue::FairQueue;
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADER_BYTES: usize = 28;
@@ -25,13 +30,39 @@
 /// everything twice.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(350);
 
-/// Datagrams up to this size are sent first: they open flows or acknowledge data,
-/// and hardly delay larger ones.
-const SMALL_DATAGRAM_BYTES: usize = 256;
+/// A priority gets at least one byte for this many bytes of more urgent ones that
+/// overtake it, so that no priority starves.
+const OVERTAKING_BYTES: usize = 8;
+
+/// Bytes that a priority must be owed before it goes ahead of a more urgent one: a full
+/// datagram.
+const MIN_OWED_BYTES: usize = 1300;
 
 /// A datagram and its destination.
 pub type OutgoingDatagram = (SocketAddrV4, Vec<u8>);
 
+/// Bytes of a datagram on the link.
+pub(super) fn link_bytes(datagram: &OutgoingDatagram) -> usize {
+    datagram.1.len() + HEADER_BYTES
+}
+
+/// What a datagram belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Traffic {
+    /// A message between processes.
+    Control,
+    /// A datagram of a flow.
+    Flow(FlowTuple, Priority),
+}
+
+/// The datagrams of one priority.
+#[derive(Debug, Default)]
+struct Level {
+    datagrams: FairQueue<FlowTuple>,
+    /// Share, in bytes, of the more urgent traffic that has overtaken the level.
+    owed_bytes: usize,
+}
+
 /// A queue of datagrams that is paced to the rate of a link.
 #[derive(Debug)]
 pub struct EgressQueue {
@@ -39,9 +70,10 @@
     rate: Option<BytesPerSecond>,
     /// When the link has transmitted all datagrams released so far.
     link_free_at: Instant,
-    small_datagrams: VecDeque<OutgoingDatagram>,
-    large_datagrams: VecDeque<OutgoingDatagram>,
-    /// Bytes in both queues, with headers.
+    control: VecDeque<OutgoingDatagram>,
+    /// The priorities with queued datagrams.
+    levels: BTreeMap<Priority, Level>,
+    /// Queued bytes, with headers.
     queued_bytes: usize,
 }
 
@@ -52,27 +84,52 @@
         EgressQueue {
             rate,
             link_free_at: now,
-            small_datagrams: VecDeque::new(),
-            large_datagrams: VecDeque::new(),
+            control: VecDeque::new(),
+            levels: BTreeMap::new(),
             queued_bytes: 0,
         }
     }
 
-    /// Appends a datagram. Returns `false` if the queue is full.
-    pub fn push(&mut self, to: SocketAddrV4, datagram: Vec<u8>) -> bool {
-        if let Some(rate) = self.rate
-            && rate.transmission_time(self.queued_bytes) >= MAX_QUEUE_TIME
-        {
-            return false;
+    fn is_full(&self) -> bool {
+        self.rate
+            .is_some_and(|rate| rate.transmission_time(self.queued_bytes) >= MAX_QUEUE_TIME)
+    }
+
+    /// Appends a datagram. Returns the datagram that was dropped if the queue is full:
+    /// of the least urgent priority, and within it of the flow with the longest queue.
+    #[must_use]
+    pub fn push(
+        &mut self,
+        traffic: Traffic,
+        to: SocketAddrV4,
+        datagram: Vec<u8>,
+    ) -> Option<OutgoingDatagram> {
+        let datagram = (to, datagram);
+        let is_full = self.is_full();
+        self.queued_bytes += link_bytes(&datagram);
+        match traffic {
+            Traffic::Control => self.control.push_back(datagram),
+            Traffic::Flow(key, priority) => {
+                let level = self.levels.entry(priority).or_default();
+                level.datagrams.push(key, datagram);
+            }
         }
-        self.queued_bytes += datagram.len() + HEADER_BYTES;
-        let queue = if datagram.len() <= SMALL_DATAGRAM_BYTES {
-            &mut self.small_datagrams
-        } else {
-            &mut self.large_datagrams
-        };
-        queue.push_back((to, datagram));
-        true
+        is_full.then(|| self.drop_least_urgent()).flatten()
+    }
+
+    fn drop_least_urgent(&mut self) -> Option<OutgoingDatagram> {
+        let dropped = match self.levels.last_entry() {
+            Some(mut level) => {
+                let dropped = level.get_mut().datagrams.drop_longest();
+                if level.get().datagrams.is_empty() {
+                    level.remove();
+                }
+                dropped
+            }
+            None => self.control.pop_back(),
+        }?;
+        self.queued_bytes -= link_bytes(&dropped);
+        Some(dropped)
     }
 
     /// Removes the next datagram that the link can transmit at `now`.
@@ -80,16 +137,36 @@
         if self.link_free_at > now + MAX_BURST_TIME {
             return None;
         }
-        let (to, datagram) = self
-            .small_datagrams
-            .pop_front()
-            .or_else(|| self.large_datagrams.pop_front())?;
-        let size = datagram.len() + HEADER_BYTES;
+        let datagram = match self.control.pop_front() {
+            Some(datagram) => datagram,
+            None => self.pop_flow()?,
+        };
+        let size = link_bytes(&datagram);
         self.queued_bytes -= size;
         if let Some(rate) = self.rate {
             self.link_free_at = self.link_free_at.max(now) + rate.transmission_time(size);
         }
-        Some((to, datagram))
+        Some(datagram)
+    }
+
+    /// Removes the next datagram of a flow.
+    fn pop_flow(&mut self) -> Option<OutgoingDatagram> {
+        let mut levels = self.levels.iter();
+        let owed = levels.find(|(_, level)| level.owed_bytes >= MIN_OWED_BYTES);
+        let (&priority, _) = owed.or_else(|| self.levels.first_key_value())?;
+        let level = self.levels.get_mut(&priority)?;
+        let datagram = level.datagrams.pop()?;
+        let size = link_bytes(&datagram);
+        level.owed_bytes = level.owed_bytes.saturating_sub(size);
+        if level.datagrams.is_empty() {
+            self.levels.remove(&priority);
+        }
+        for (other, level) in &mut self.levels {
+            if *other > priority {
+                level.owed_bytes += size / OVERTAKING_BYTES;
+            }
+        }
+        Some(datagram)
     }
 
     /// When the next queued datagram can be removed; `None` if the queue is empty.
