relay: queue requests on open flows together with openings

Openings wait at the agent by priority, but requests on open flows went past them into the upstream's own queue, which is in order of arrival. A burst of feeds on open flows so delayed more urgent orders.

While the upstream has as many requests as it can be given, an agent keeps a whole request on an open flow and gives each free place to the first of both queues by one rule. It waits for at most 150 ms, is never refused, and keeps its order within the flow. Waiting requests count as load.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Whether the datagram has data beyond what the caller has sent before.
+    pub fn is_new_data(&self, seg: &Segment) -> bool {
+        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
+        seg.len > 0 && self.caller_seq.is_none_or(newer)
+    }
+
     /// Records data of the caller. A higher sequence number starts or continues
     /// a request.
     pub fn record_caller_data(&mut self, seg: &Segment, now: Instant) {
@@ -96,8 +102,7 @@
         if seg.len == 0 {
             return;
         }
-        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
-        if self.caller_seq.is_none_or(newer) {
+        if self.is_new_data(seg) {
             self.caller_seq = Some(seg.seq);
             self.request = RequestProgress::after_data(seg, now);
         }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
+//! - [`RequestQueue`] holds the requests on open flows that wait for the same slots.
 //! - [`LinkAdmission`] decides which new flows may use a balancer's link now, and which
 //!   wait for it or are refused.
 //!
@@ -52,6 +53,6 @@
 pub use process::{
     AgentPool, AgentStatus, CallerAction, Claim, DropReason, FlowQuery, FlowTable,
     FlowTableSettings, LinkAdmission, Load, OpeningQueue, OpeningQueueSettings, Origin,
-    RateLimiter, ReleasedDatagram, SearchResults, ServicePace, Steering, SteeringDecision,
-    SteeringSettings, UpstreamAction, UpstreamStatus,
+    RateLimiter, ReleasedDatagram, RequestQueue, SearchResults, ServicePace, Steering,
+    SteeringDecision, SteeringSettings, UpstreamAction, UpstreamStatus,
 };
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -518,6 +518,22 @@
         usize::try_from(free).unwrap_or(usize::MAX)
     }
 
+    /// Whether a datagram is a whole further request on an open flow, while the upstream
+    /// has as many requests as it can be given. The first request of a flow has been
+    /// admitted with its opening, and more of a large request may be on its way.
+    #[must_use]
+    pub fn exceeds_admissions(&self, seg: &Segment, now: Instant) -> bool {
+        let Some(flow) = self.flows.get(&seg.key_from_caller()) else {
+            return false;
+        };
+        let is_further = flow.stage == Stage::Open
+            && flow.caller_seq.is_some()
+            && !flow.request.is_pending()
+            && flow.is_new_data(seg)
+            && flow.acknowledges_upstream(seg);
+        is_further && !(seg.is_full() || seg.ends || seg.resets) && self.free_admissions(now) == 0
+    }
+
     /// Average time until the upstream frees a slot while it is saturated.
     #[must_use]
     pub fn pace(&self) -> Duration {
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod link_admission;
 mod opening_queue;
 mod rate_limiter;
+mod request_queue;
 mod service_pace;
 mod steering;
 
@@ -15,6 +16,7 @@
 pub use link_admission::LinkAdmission;
 pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
+pub use request_queue::RequestQueue;
 pub use service_pace::ServicePace;
 pub use steering::{
     DropReason, FlowQuery, ReleasedDatagram, SearchResults, Steering, SteeringDecision,
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -138,6 +138,20 @@
         Some(self.waiting.swap_remove(at).item)
     }
 
+    /// The first flow, if it goes before all of another queue for the same slots.
+    pub(super) fn first_before(
+        &self,
+        other: &OpeningQueue<T>,
+        pace: Duration,
+        now: Instant,
+    ) -> Option<FlowTuple> {
+        let answer_time = pace + self.settings.round_trips;
+        let rank = |flow: &WaitingOpening<T>| flow.rank(now, answer_time);
+        let first = self.waiting.iter().min_by_key(|flow| rank(flow))?;
+        let goes_before = other.waiting.iter().all(|flow| rank(first) <= rank(flow));
+        goes_before.then_some(first.key)
+    }
+
     /// Takes the flow that gets the next free slot. `pace` is the interval at which
     /// the upstream frees slots.
     pub fn pop(&mut self, pace: Duration, now: Instant) -> Option<T> {
--- /dev/null
+++ b/crates/flow/tests/request_queue.rs
@@ -0,0 +1,122 @@
+//! Requests on open flows that wait for a slot together with openings.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{agreement, answer, data, flow_table, opening, service_address};
+use flow::{FlowTable, OpeningQueue, OpeningQueueSettings, Origin, RequestQueue, Segment};
+use types::{Priority, RequestTargets};
+
+/// Initial sequence number of the upstream.
+const INITIAL_SEQ: u32 = 5000;
+
+fn targets(priority: u8) -> RequestTargets {
+    RequestTargets {
+        objective: Duration::from_millis(250),
+        timeout: Duration::from_millis(1500),
+        priority: Priority(priority),
+    }
+}
+
+/// The first request of caller `n`, and the further one.
+fn request(n: u8, number: u32) -> Segment {
+    data(n, 101 + number * 10, INITIAL_SEQ + 1)
+}
+
+/// Opens a flow and passes its first request.
+fn open_with_request(table: &mut FlowTable, n: u8, now: Instant) {
+    table.accept_opening(&opening(n), now);
+    table.upstream_datagram(&agreement(n, INITIAL_SEQ), now);
+    assert!(!table.exceeds_admissions(&request(n, 0), now));
+    table.caller_datagram(&request(n, 0), Origin::Held, now);
+}
+
+fn queues() -> (RequestQueue<u8>, OpeningQueue<u8>, Instant) {
+    let settings = OpeningQueueSettings::default();
+    let mut requests = RequestQueue::new(settings);
+    requests.set_targets(service_address(), targets(2));
+    (requests, OpeningQueue::new(settings), Instant::now())
+}
+
+const PACE: Duration = Duration::from_millis(10);
+
+/// Guards against requests on open flows that fill the upstream's own queue, and against
+/// a flow whose first request waits although its opening was admitted.
+#[test]
+fn a_further_request_waits_while_the_upstream_is_full() {
+    let (mut table, now) = flow_table();
+    open_with_request(&mut table, 0, now);
+    table.upstream_datagram(&answer(0, INITIAL_SEQ + 1), now);
+    assert!(!table.exceeds_admissions(&request(0, 1), now));
+    // Four slots, and as many requests on their way.
+    for n in 1..=8 {
+        open_with_request(&mut table, n, now);
+    }
+    assert!(table.exceeds_admissions(&request(0, 1), now));
+    let end = Segment {
+        ends: true,
+        ..request(0, 1)
+    };
+    let part = Segment {
+        len: 1200,
+        ..request(0, 1)
+    };
+    let acknowledgement = Segment {
+        len: 0,
+        ..request(0, 1)
+    };
+    for other in [end, part, acknowledgement, request(0, 0), request(1, 1)] {
+        assert!(!table.exceeds_admissions(&other, now), "{other:?}");
+    }
+    table.upstream_datagram(&answer(1, INITIAL_SEQ + 1), now);
+    assert!(!table.exceeds_admissions(&request(0, 1), now));
+}
+
+/// Guards against orders that wait behind feeds, and feeds that starve behind openings
+/// of their own priority.
+#[test]
+fn openings_and_requests_share_one_order() {
+    let (mut requests, mut openings, now) = queues();
+    openings.push(&opening(1), now, targets(1), 1);
+    requests.push(&request(2, 1), 2, now);
+    openings.push(&opening(3), now, targets(3), 3);
+    assert_eq!(requests.pop_before(&openings, PACE, now), None);
+    assert_eq!(openings.pop(PACE, now), Some(1));
+    assert_eq!(requests.pop_before(&openings, PACE, now), Some(2));
+    assert!(requests.is_empty());
+}
+
+/// Guards against a request that waits for longer than its caller's first retransmission
+/// after 200 ms, or that copies prolong or deliver twice.
+#[test]
+fn a_request_waits_for_150_ms_at_most() {
+    let (mut requests, _, now) = queues();
+    requests.push(&request(1, 1), 1, now);
+    let copied_at = now + Duration::from_millis(100);
+    requests.push(&request(1, 1), 2, copied_at);
+    assert_eq!(requests.len(), 1);
+    let limit = now + Duration::from_millis(150);
+    assert!(requests.take_overdue(limit).is_empty());
+    let overdue = requests.take_overdue(limit + Duration::from_millis(1));
+    assert_eq!(overdue, [2]);
+    requests.push(&request(1, 1), 3, now);
+    requests.remove_copy(&request(1, 1));
+    assert!(requests.is_empty());
+}
+
+/// Guards against an upstream that gets an end of a flow, or its next request, before the
+/// request that waits.
+#[test]
+fn a_later_datagram_of_the_flow_releases_its_request() {
+    let (mut requests, _, now) = queues();
+    requests.push(&request(1, 1), 1, now);
+    let acknowledgement = Segment {
+        len: 0,
+        ..request(1, 2)
+    };
+    assert_eq!(requests.take_before(&acknowledgement), None);
+    assert_eq!(requests.take_before(&request(1, 1)), None);
+    assert_eq!(requests.take_before(&request(1, 2)), Some(1));
+    assert!(requests.is_empty());
+}
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod neighbours;
 mod openings;
+mod requests;
 
 use std::{
     collections::BTreeMap,
@@ -12,7 +13,7 @@
 use bytes::Bytes;
 use flow::{
     AgentPool, CallerAction, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
-    OpeningQueueSettings, Origin, Segment, UpstreamAction, UpstreamStatus,
+    OpeningQueueSettings, Origin, RequestQueue, Segment, UpstreamAction, UpstreamStatus,
 };
 use openings::OpeningRoute;
 use prometheus::Registry;
@@ -95,6 +96,8 @@
     opening_routes: BTreeMap<FlowTuple, OpeningRoute>,
     /// New flows that wait for a slot of the upstream.
     opening_queue: OpeningQueue<CallerDatagram>,
+    /// Requests on open flows that wait for a slot of the upstream.
+    request_queue: RequestQueue<CallerDatagram>,
     next_expiry_at: Instant,
     metrics: RelayMetrics,
 }
@@ -135,6 +138,7 @@
             codec,
             flow_table: FlowTable::new(cfg.flow_table, now),
             opening_queue: OpeningQueue::new(cfg.opening_queue),
+            request_queue: RequestQueue::new(cfg.opening_queue),
             pool: AgentPool::default(),
             report_schedule: ReportSchedule::new(now),
             balancers: BalancerTable::default(),
@@ -187,6 +191,7 @@
                 () = sleep_until(tick_at.into()) => {
                     let now = Instant::now();
                     tick_at = now + TICK_INTERVAL;
+                    self.deliver_overdue_requests(now).await;
                     self.serve_waiting_openings(now).await;
                     self.send_due_reports(now).await;
                     self.expire_state(now);
@@ -341,23 +346,41 @@
         if seg.is_opening() {
             // This copy takes the place of one that waits.
             self.opening_queue.remove(&key);
+            self.request_queue.set_targets(key.service, arrival.targets);
+        } else if let Some(request) = self.request_queue.take_before(&seg) {
+            self.deliver_request(request, now).await;
         }
+        if self.flow_table.exceeds_admissions(&seg, now) {
+            return self.queue_request(&seg, arrival, now);
+        }
+        // This copy takes the place of one that waits.
+        self.request_queue.remove_copy(&seg);
+        self.handle_parsed_datagram(&seg, arrival, now).await;
+    }
+
+    async fn handle_parsed_datagram(
+        &mut self,
+        seg: &Segment,
+        arrival: CallerDatagram,
+        now: Instant,
+    ) {
+        let key = seg.key_from_caller();
         let refuses_opening = self.leaving && seg.is_opening();
         let verdict = if refuses_opening {
             CallerAction::PassOn
         } else {
-            self.flow_table.caller_datagram(&seg, arrival.origin, now)
+            self.flow_table.caller_datagram(seg, arrival.origin, now)
         };
         self.flow_table.set_via(&key, arrival.via);
         match verdict {
-            CallerAction::Deliver => self.deliver(&seg, arrival, now).await,
-            CallerAction::PassOn => self.forward_opening(&seg, arrival, now).await,
-            CallerAction::Wait => self.queue_opening(&seg, arrival, now).await,
+            CallerAction::Deliver => self.deliver(seg, arrival, now).await,
+            CallerAction::PassOn => self.forward_opening(seg, arrival, now).await,
+            CallerAction::Wait => self.queue_opening(seg, arrival, now).await,
             CallerAction::NotHeld => {
                 log::info!(event = "not_held", flow:% = key, origin:? = arrival.origin; "agent does not hold the flow; returning the datagram to the balancer");
                 self.send_not_held(arrival.via, arrival.payload).await;
             }
-            CallerAction::Reset => self.reset_flow(&seg, "upstream_restarted").await,
+            CallerAction::Reset => self.reset_flow(seg, "upstream_restarted").await,
         }
     }
 
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -23,9 +23,9 @@
     /// Sends a report of the state and load to the recipients for which it is due.
     pub(super) async fn send_due_reports(&mut self, now: Instant) {
         let mut load = self.flow_table.load(now);
-        // Flows that wait here and go before new ones count as load.
+        // What waits here and goes before new flows counts as load.
         let pace = self.flow_table.pace();
-        let waiting = self.opening_queue.waiting_in_time(pace, now);
+        let waiting = self.opening_queue.waiting_in_time(pace, now) + self.request_queue.len();
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         load.busy_requests = load.busy_requests.saturating_add(waiting);
         let accepting = self.accepts_flows(now);
--- a/crates/relay/src/process/agent/openings.rs
+++ b/crates/relay/src/process/agent/openings.rs
@@ -158,7 +158,7 @@
     /// happens in time.
     pub(super) async fn serve_waiting_openings(&mut self, now: Instant) {
         if self.opening_queue.is_empty() {
-            return;
+            return self.serve_requests(now).await;
         }
         if !self.accepts_flows(now) {
             for arrival in self.opening_queue.take_all() {
@@ -169,6 +169,9 @@
             return;
         }
         for _ in 0..self.flow_table.free_admissions(now) {
+            if self.serve_first_request(now).await {
+                continue;
+            }
             let Some((seg, arrival)) = self.pop_opening(now) else {
                 return;
             };
--- /dev/null
+++ b/crates/relay/src/process/agent/requests.rs
@@ -0,0 +1,59 @@
+//! Requests on open flows at an agent: they wait while the upstream is full.
+
+use std::time::Instant;
+
+use flow::Segment;
+
+use super::{Agent, CallerDatagram, TICK_INTERVAL};
+use crate::Codec;
+
+impl<C: Codec> Agent<C> {
+    /// Keeps a request on an open flow until a slot is free.
+    pub(super) fn queue_request(&mut self, seg: &Segment, arrival: CallerDatagram, now: Instant) {
+        self.metrics
+            .flow_events
+            .with_label_values(&["request_queued"])
+            .inc();
+        log::debug!(
+            event = "request_queued", flow:% = seg.key_from_caller(),
+            waiting = self.request_queue.len(); "no slot is free; the request on an open flow waits"
+        );
+        self.request_queue.push(seg, arrival, now);
+    }
+
+    /// Delivers the requests that may not wait until the next tick.
+    pub(super) async fn deliver_overdue_requests(&mut self, now: Instant) {
+        for arrival in self.request_queue.take_overdue(now + TICK_INTERVAL) {
+            self.deliver_request(arrival, now).await;
+        }
+    }
+
+    /// Delivers the request that goes before all openings, if there is one.
+    pub(super) async fn serve_first_request(&mut self, now: Instant) -> bool {
+        let pace = self.flow_table.pace();
+        let request = self
+            .request_queue
+            .pop_before(&self.opening_queue, pace, now);
+        let Some(arrival) = request else {
+            return false;
+        };
+        self.deliver_request(arrival, now).await;
+        true
+    }
+
+    /// Delivers requests while the upstream can be given more and no opening waits.
+    pub(super) async fn serve_requests(&mut self, now: Instant) {
+        for _ in 0..self.flow_table.free_admissions(now) {
+            if !self.serve_first_request(now).await {
+                return;
+            }
+        }
+    }
+
+    /// Delivers a request that has waited, if the flow is still open.
+    pub(super) async fn deliver_request(&mut self, arrival: CallerDatagram, now: Instant) {
+        if let Some(seg) = self.codec.parse(&arrival.payload) {
+            self.handle_parsed_datagram(&seg, arrival, now).await;
+        }
+    }
+}
