--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Instant};
 
-use crate::Segment;
+use crate::{Segment, request::RequestProgress};
 
 /// State of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,8 +36,8 @@
     pub unrecorded_bytes: u32,
     /// Highest sequence number of the caller's data.
     pub caller_seq: Option<u32>,
-    /// A request waits for the first byte of its answer.
-    pub awaiting_answer: bool,
+    /// Progress of the latest request.
+    pub request: RequestProgress,
     /// Datagrams with data that were delivered while the flow was unconfirmed.
     pub unconfirmed_data: u8,
     pub caller_ended: bool,
@@ -56,7 +56,7 @@
             upstream_range: None,
             unrecorded_bytes: 0,
             caller_seq: None,
-            awaiting_answer: false,
+            request: RequestProgress::Idle,
             unconfirmed_data: 0,
             caller_ended: false,
             upstream_ended: false,
@@ -97,24 +97,29 @@
         }
     }
 
+    /// Whether the datagram has data beyond what the caller has sent before.
+    pub fn is_new_data(&self, seg: &Segment) -> bool {
+        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
+        seg.len > 0 && self.caller_seq.is_none_or(newer)
+    }
+
     /// Records data of the caller. A higher sequence number starts or continues
     /// a request.
-    pub fn record_caller_data(&mut self, seg: &Segment) {
+    pub fn record_caller_data(&mut self, seg: &Segment, now: Instant) {
         self.caller_ended |= seg.ends;
         if seg.len == 0 {
             return;
         }
-        let newer = |seq: u32| seg.seq.wrapping_sub(seq) < u32::MAX / 2 && seg.seq != seq;
-        if self.caller_seq.is_none_or(newer) {
+        if self.is_new_data(seg) {
             self.caller_seq = Some(seg.seq);
-            self.awaiting_answer = true;
+            self.request = RequestProgress::after_data(seg, now);
         }
     }
 
     pub fn close_if_both_ended(&mut self) {
         if self.caller_ended && self.upstream_ended {
             self.stage = Stage::Closed;
-            self.awaiting_answer = false;
+            self.request = RequestProgress::Idle;
         }
     }
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -14,6 +14,9 @@
 //! - [`ColdLimit`] holds back the new flows that a cold upstream does not bear.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
+//! - [`RequestQueue`] holds the requests on open flows that wait for the same slots.
+//! - [`LinkAdmission`] decides which new flows may use a balancer's link now, and which
+//!   wait for it or are refused.
 //!
 //! The crate has no sockets, clock, randomness or encoding: the user passes the
 //! current time and a [`Segment`] that a codec has decoded.
@@ -45,14 +48,16 @@
 
 pub mod connection;
 pub mod process;
+mod request;
 
 pub use connection::{FlowRecord, FlowTuple, RecordedStage, Segment};
 pub use process::{
     AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason, FlowListId,
     FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
     FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates,
-    KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, Load, OpeningQueue,
-    OpeningQueueSettings, Origin, RateLimiter, RecoveredFlows, ReleasedDatagram, ResetReason,
-    SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings, TrialArbiter,
-    TrialArbiterSettings, TrialRequest, UpstreamAction, UpstreamStatus,
+    KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, LinkAdmission, Load,
+    OpeningQueue, OpeningQueueSettings, Origin, RateLimiter, RecoveredFlows, ReleasedDatagram,
+    RequestQueue, ResetReason, SearchResults, ServicePace, Steering, SteeringDecision,
+    SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest, UpstreamAction,
+    UpstreamStatus,
 };
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -15,6 +15,7 @@
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
+    request::RequestProgress,
 };
 
 /// Requests that an upstream is given at once, as a multiple of its slots: one in
@@ -186,8 +187,8 @@
 /// Load of an upstream, as its agent measures it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests that wait for the first byte of their answer, and new flows
-    /// that have not sent a request yet.
+    /// Requests that have arrived completely and wait for the first byte of their
+    /// answer, and new flows that have not sent a request yet.
     pub busy_requests: u32,
     /// Number of open flows.
     pub open_flows: u32,
@@ -249,7 +250,7 @@
         if former.is_some() && current.is_some() && former != current {
             for flow in self.flows.values_mut() {
                 flow.stage = Stage::Lost;
-                flow.awaiting_answer = false;
+                flow.request = RequestProgress::Idle;
             }
             self.unanswered_since = None;
         }
@@ -362,7 +363,7 @@
             }
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
                 flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
-                flow.record_caller_data(seg);
+                flow.record_caller_data(seg, now);
                 flow.close_if_both_ended();
                 CallerAction::Deliver
             }
@@ -441,7 +442,7 @@
             unconfirmed_data: u8::from(seg.len > 0),
             ..Flow::new(Stage::Unconfirmed, now)
         };
-        flow.record_caller_data(seg);
+        flow.record_caller_data(seg, now);
         self.flows.insert(seg.key_from_caller(), flow);
         CallerAction::Deliver
     }
@@ -530,14 +531,14 @@
             flow.stage = Stage::Open;
         }
         flow.record_upstream_data(seg);
-        let answers = seg.len > 0 && flow.awaiting_answer;
+        let answers = seg.len > 0 && flow.request.is_pending();
         if seg.len > 0 {
-            flow.awaiting_answer = false;
+            flow.request = RequestProgress::Idle;
         }
         flow.upstream_ended |= seg.ends;
         if seg.resets {
             flow.stage = Stage::Closed;
-            flow.awaiting_answer = false;
+            flow.request = RequestProgress::Idle;
         }
         flow.close_if_both_ended();
         if answers {
@@ -553,7 +554,7 @@
             return UpstreamAction::Drop;
         };
         flow.last_datagram_at = now;
-        flow.awaiting_answer = false;
+        flow.request = RequestProgress::Idle;
         if seg.is_opening() {
             if flow.stage == Stage::Opening {
                 self.flows.remove(&key);
@@ -651,6 +652,22 @@
         (slots, load)
     }
 
+    /// Whether a datagram is a whole further request on an open flow, while the upstream
+    /// has as many requests as it can be given. The first request of a flow has been
+    /// admitted with its opening, and more of a large request may be on its way.
+    #[must_use]
+    pub fn exceeds_admissions(&self, seg: &Segment, now: Instant) -> bool {
+        let Some(flow) = self.flows.get(&seg.key_from_caller()) else {
+            return false;
+        };
+        let is_further = flow.stage == Stage::Open
+            && flow.caller_seq.is_some()
+            && !flow.request.is_pending()
+            && flow.is_new_data(seg)
+            && flow.acknowledges_upstream(seg);
+        is_further && !(seg.is_full() || seg.ends || seg.resets) && self.free_admissions(now) == 0
+    }
+
     /// Average time until the upstream frees a slot while it is saturated.
     #[must_use]
     pub fn pace(&self) -> Duration {
@@ -672,7 +689,7 @@
                 Stage::Open => {
                     load.open_flows += 1;
                     load.busy_requests += u32::from(
-                        flow.awaiting_answer || (is_recent && flow.opening_seq.is_some()),
+                        flow.request.needs_slot(now) || (is_recent && flow.opening_seq.is_some()),
                     );
                 }
                 _ => {}
@@ -686,7 +703,7 @@
     #[must_use]
     pub fn in_progress(&self) -> usize {
         let active = |flow: &&Flow| {
-            flow.awaiting_answer || (flow.stage == Stage::Opening && flow.caller_seq.is_none())
+            flow.request.is_pending() || (flow.stage == Stage::Opening && flow.caller_seq.is_none())
         };
         self.flows.values().filter(active).count()
     }
--- a/crates/flow/src/process/flow_table/handover.rs
+++ b/crates/flow/src/process/flow_table/handover.rs
@@ -9,6 +9,7 @@
 use crate::{
     FlowRecord, RecordedStage, RecoveredFlows,
     connection::{Flow, Stage},
+    request::RequestProgress,
 };
 
 /// Bytes that an upstream may have sent on a flow while no agent recorded them: between
@@ -49,7 +50,7 @@
                 opening_seq: flow.opening_seq,
                 upstream_range: flow.upstream_range,
                 caller_seq: flow.caller_seq,
-                awaiting_answer: flow.awaiting_answer,
+                awaiting_answer: flow.request.is_pending(),
                 caller_ended: flow.caller_ended,
                 upstream_ended: flow.upstream_ended,
                 idle,
@@ -95,7 +96,11 @@
         upstream_range: record.upstream_range,
         unrecorded_bytes: UNRECORDED_BYTES,
         caller_seq: record.caller_seq,
-        awaiting_answer: record.awaiting_answer && !is_lost,
+        request: if record.awaiting_answer && !is_lost {
+            RequestProgress::Waiting
+        } else {
+            RequestProgress::Idle
+        },
         caller_ended: record.caller_ended,
         upstream_ended: record.upstream_ended,
         last_datagram_at: idle_since(record.idle),
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -4,8 +4,10 @@
 mod cold_limit;
 mod flow_list;
 mod flow_table;
+mod link_admission;
 mod opening_queue;
 mod rate_limiter;
+mod request_queue;
 mod service_pace;
 mod steering;
 mod trial_arbiter;
@@ -20,8 +22,10 @@
 pub use flow_table::{
     CallerAction, Claim, FlowTable, FlowTableSettings, Load, Origin, UpstreamAction, UpstreamStatus,
 };
+pub use link_admission::LinkAdmission;
 pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
+pub use request_queue::RequestQueue;
 pub use service_pace::ServicePace;
 pub use steering::{
     DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -22,8 +22,9 @@
 impl<C: Codec> Agent<C> {
     /// Sends a report of the state and load to the recipients for which it is due.
     pub(super) async fn send_due_reports(&mut self, now: Instant) {
+        // What waits here and goes before new flows counts as load.
         let pace = self.flow_table.pace();
-        let waiting = self.opening_queue.waiting_in_time(pace, now);
+        let waiting = self.opening_queue.waiting_in_time(pace, now) + self.request_queue.len();
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         let (slots, load) = self.flow_table.reported_load(waiting, now);
         let accepting = self.accepts_flows(now);
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, FlowQuery, KeptFlowLists, KeptFlowListsSettings, Load, Origin,
-    ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision, SteeringSettings,
-    TrialRequest,
+    AgentStatus, Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists, KeptFlowListsSettings,
+    LinkAdmission, Load, Origin, ReleasedDatagram, SearchResults, Segment, Steering,
+    SteeringDecision, SteeringSettings, TrialRequest,
 };
 use prometheus::Registry;
 use tokio::{
@@ -21,7 +21,7 @@
 };
 use types::{BytesPerSecond, DataCentre, ServiceName, Slots, UpstreamId};
 
-use super::{ControlUpdate, EgressQueue, metrics::RelayMetrics};
+use super::{ControlUpdate, EgressQueue, Traffic, metrics::RelayMetrics};
 use crate::{AgentReport, Codec, Error, Message, Result, ServiceTag};
 
 /// Interval between removals of expired state.
@@ -64,6 +64,13 @@
     pub steering: SteeringSettings,
 }
 
+/// An opening datagram that waits for the link.
+#[derive(Debug)]
+struct HeldOpening {
+    payload: Bytes,
+    arrived_at: Instant,
+}
+
 /// The task of a balancer, which owns its sockets and steering state.
 pub struct Balancer<C> {
     cfg: BalancerSettings,
@@ -72,6 +79,8 @@
     ingress_socket: UdpSocket,
     peer_socket: UdpSocket,
     egress_queue: EgressQueue,
+    /// New flows that wait for the link.
+    link_admission: LinkAdmission<HeldOpening>,
     updates: mpsc::Receiver<ControlUpdate>,
     /// Whether new flows can be placed.
     ready: watch::Sender<bool>,
@@ -114,6 +123,7 @@
             ingress_socket: bind(cfg.ingress_address)?,
             peer_socket: bind(cfg.peer_listen_address)?,
             egress_queue: EgressQueue::new(cfg.link_rate, Instant::now()),
+            link_admission: LinkAdmission::new(cfg.link_rate),
             steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
             codec,
@@ -133,6 +143,8 @@
         loop {
             let search_deadline = self.steering.next_deadline().unwrap_or(self.next_expiry_at);
             let deadline = self.next_expiry_at.min(search_deadline);
+            let link_deadline = self.link_admission.next_deadline();
+            let deadline = link_deadline.map_or(deadline, |at| at.min(deadline));
             let egress_deadline = self.egress_queue.next_deadline();
             tokio::select! {
                 received = self.ingress_socket.recv_from(&mut from_callers) => {
@@ -167,11 +179,78 @@
             return;
         };
         let payload = Bytes::copy_from_slice(datagram);
-        let steer = self.steering.steer(&seg, &payload, Instant::now());
+        let now = Instant::now();
+        if !seg.is_opening() {
+            self.link_admission.observe(&seg, now);
+        } else if !self.steering.was_placed(&seg) {
+            return self.admit_to_link(&seg, payload, now).await;
+        }
+        let steer = self.steering.steer(&seg, &payload, now);
         self.apply_decision(steer, &seg, payload).await;
+        self.serve_link(now).await;
+    }
+
+    /// Places a new flow, or keeps its opening datagram until the link has room.
+    async fn admit_to_link(&mut self, seg: &Segment, payload: Bytes, now: Instant) {
+        let key = seg.key_from_caller();
+        let targets = self.steering.targets(key.service);
+        let opening = HeldOpening {
+            payload,
+            arrived_at: now,
+        };
+        if let Some(opening) = self.link_admission.admit(seg, targets, opening, now) {
+            return self.place_opening(seg, opening, now).await;
+        }
+        log::info!(
+            event = "held_by_link", flow:% = key, copy = seg.ack,
+            waiting = self.link_admission.waiting(),
+            transfers = self.link_admission.transfers(now);
+            "the link has no room for another large flow; the new flow waits"
+        );
+        self.metrics
+            .flow_events
+            .with_label_values(&["held_by_link"])
+            .inc();
+        self.serve_link(now).await;
+    }
+
+    async fn place_opening(&mut self, seg: &Segment, opening: HeldOpening, now: Instant) {
+        let steer = self.steering.steer(seg, &opening.payload, now);
+        let waited = now.saturating_duration_since(opening.arrived_at);
+        self.apply_decision_after(steer, seg, opening.payload, waited)
+            .await;
+    }
+
+    /// Places the flows that the link has room for now, and resets those that it cannot
+    /// serve in time.
+    async fn serve_link(&mut self, now: Instant) {
+        while let Some(opening) = self.link_admission.take_admitted(now) {
+            if let Some(seg) = self.codec.parse(&opening.payload) {
+                self.place_opening(&seg, opening, now).await;
+            }
+        }
+        for opening in self.link_admission.take_refused(now) {
+            self.metrics
+                .flow_events
+                .with_label_values(&["refused_by_link"])
+                .inc();
+            self.reset_flow(&opening.payload, "link_saturated").await;
+        }
     }
 
     async fn apply_decision(&mut self, steer: SteeringDecision, seg: &Segment, payload: Bytes) {
+        self.apply_decision_after(steer, seg, payload, Duration::ZERO)
+            .await;
+    }
+
+    /// Applies a decision about a datagram that waited here for `waited`.
+    async fn apply_decision_after(
+        &mut self,
+        steer: SteeringDecision,
+        seg: &Segment,
+        payload: Bytes,
+        waited: Duration,
+    ) {
         let key = seg.key_from_caller();
         match steer {
             SteeringDecision::Forward {
@@ -190,10 +269,11 @@
                     );
                 }
                 if seg.is_opening() {
-                    self.send_opening(agent, origin, &service, key.service, payload)
+                    self.send_opening(agent, origin, &service, key, waited, payload)
                         .await;
                 } else {
-                    self.send_to_agent(agent, origin, &service, payload).await;
+                    self.send_to_agent(agent, origin, &service, key, payload)
+                        .await;
                 }
             }
             SteeringDecision::Query(agents) => {
@@ -240,8 +320,8 @@
         for (agent, service) in agents {
             let tag = ServiceTag::of(&service);
             let header = header.clone();
-            self.send_message(agent, &Message::ClaimQuery { tag, header })
-                .await;
+            let query = Message::ClaimQuery { tag, header };
+            self.send_message(agent, Traffic::Control, &query).await;
         }
     }
 
@@ -265,6 +345,7 @@
         agent: SocketAddrV4,
         origin: Origin,
         service: &ServiceName,
+        key: FlowTuple,
         payload: Bytes,
     ) {
         self.metrics
@@ -278,7 +359,12 @@
             declined_by: Vec::new(),
             payload,
         };
-        self.send_message(agent, &message).await;
+        self.send_message(agent, self.traffic_of(key), &message)
+            .await;
+    }
+
+    fn traffic_of(&self, key: FlowTuple) -> Traffic {
+        Traffic::Flow(key, self.steering.targets(key.service).priority)
     }
 
     /// Sends an opening datagram to an agent, with the targets of its route.
@@ -287,7 +373,8 @@
         agent: SocketAddrV4,
         origin: Origin,
         service: &ServiceName,
-        address: SocketAddrV4,
+        key: FlowTuple,
+        waited: Duration,
         payload: Bytes,
     ) {
         self.metrics
@@ -299,22 +386,23 @@
             origin,
             via: self.cfg.peer_address,
             declined_by: Vec::new(),
-            targets: self.steering.targets(address),
-            waited_ms: 0,
+            targets: self.steering.targets(key.service),
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
             payload,
         };
-        self.send_message(agent, &message).await;
+        self.send_message(agent, self.traffic_of(key), &message)
+            .await;
     }
 
-    async fn send_message(&mut self, agent: SocketAddrV4, message: &Message) {
+    async fn send_message(&mut self, agent: SocketAddrV4, traffic: Traffic, message: &Message) {
         match wire::encode(message) {
             Ok(datagram) => {
-                if !self.egress_queue.push(agent, datagram) {
+                if let Some((to, _)) = self.egress_queue.push(traffic, agent, datagram) {
                     self.metrics
                         .dropped_datagrams
                         .with_label_values(&["link_full"])
                         .inc();
-                    log::warn!(event = "link_full", agent:% = agent; "egress queue is full; dropping a datagram to an agent");
+                    log::warn!(event = "link_full", agent:% = to; "egress queue is full; dropping a datagram to an agent");
                 }
                 self.flush().await;
             }
@@ -340,7 +428,12 @@
                 service,
                 payload,
             } = release;
-            self.send_to_agent(agent, origin, &service, payload).await;
+            let Some(seg) = self.codec.parse(&payload) else {
+                continue;
+            };
+            let key = seg.key_from_caller();
+            self.send_to_agent(agent, origin, &service, key, payload)
+                .await;
         }
     }
 
@@ -395,13 +488,14 @@
             Message::KeepFlows(part) => {
                 let (id, index) = (part.id, part.index);
                 if self.kept_flow_lists.store(from, part, now) {
-                    self.send_message(from, &Message::FlowsKept { id, index })
+                    self.send_message(from, Traffic::Control, &Message::FlowsKept { id, index })
                         .await;
                 }
             }
             Message::KeptFlowsQuery { incarnation, index } => {
                 let part = self.kept_flow_lists.part(from, incarnation, index);
-                self.send_message(from, &Message::KeptFlows(part)).await;
+                self.send_message(from, Traffic::Control, &Message::KeptFlows(part))
+                    .await;
             }
             Message::TrialAnswer { key, granted } => {
                 let results = self.steering.handle_trial_answer(key, from, granted, now);
@@ -533,7 +627,7 @@
             self.reset_flow(&payload, "held_by_no_agent").await;
         }
         for TrialRequest { key, arbiter } in results.trial_requests {
-            self.send_message(arbiter, &Message::TrialRequest { key })
+            self.send_message(arbiter, Traffic::Control, &Message::TrialRequest { key })
                 .await;
         }
         for release in &results.released {
@@ -548,6 +642,7 @@
     }
 
     async fn handle_deadlines(&mut self, now: Instant) {
+        self.serve_link(now).await;
         let ended = self.steering.end_searches(now);
         self.apply_search_results(ended).await;
         if now < self.next_expiry_at {
@@ -556,6 +651,7 @@
         self.next_expiry_at = now + EXPIRY_INTERVAL;
         self.steering.expire(now);
         self.kept_flow_lists.expire(now);
+        self.link_admission.expire(now);
         let listed_agents = &self.listed_agents;
         for pool in self.steering.pools_mut() {
             pool.retain(|address, agent| {
