Form the first control group by consensus among the seeds

Cause: the control host with the lowest seed address formed the first group from whichever hosts it had heard after 1.2 s. Cut off at the first start, it formed a group of itself and acknowledged a change on one disk. Killed in its first 1.2 s, it left a deployment that never formed a group.

Change: the seeds agree on the first group by single-decree Paxos. An acceptor saves its state before it answers, and never answers again once it has lost it. A group has at least 2f + 1 voters, of which at least f + 1 are hosts with a disk that were heard. It is filled up with seeds that were not heard, whose member ids at the first start now follow from their addresses, and after 3 s with placeholders. The leader no longer removes a replaced voter if majorities would fall below f + 1 disks. Observers of the directory ignore placeholders.

The tests with a single control host now state that no loss is tolerated: one host that tolerates a loss may not acknowledge anything.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -30,6 +30,6 @@
     Coverage, Directory, GroupView, NODE_LEASE, Node, NodeRole, Roster, View, ViewChanges,
 };
 pub use version::{
-    ControlMessage, DirectoryDelta, DirectoryVersion, Hello, HelloReply, ROSTER_PATH, ROUTES_PATH,
-    RosterReply,
+    Ballot, ControlMessage, DirectoryDelta, DirectoryVersion, FirstGroup, FormationMessage, Hello,
+    HelloReply, ROSTER_PATH, ROUTES_PATH, RosterReply,
 };
--- a/crates/directory/src/version/mod.rs
+++ b/crates/directory/src/version/mod.rs
@@ -4,10 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use types::{MemberId, PlacementPolicy, RoutingSetNumber};
+use types::{PlacementPolicy, RoutingSetNumber};
 
 use crate::{Node, Roster};
 
+mod formation;
+
+pub use formation::{Ballot, FirstGroup, FormationMessage};
+
 /// Version of a control host's directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct DirectoryVersion {
@@ -67,10 +71,17 @@
     /// since then in milliseconds.
     #[serde(rename = "Heard")]
     Relayed(Vec<(Node, u64)>),
-    /// From the control host that forms the first group: the members of the
+    /// From a control host that knows the first group: the members of the
     /// group.
     #[serde(rename = "Form")]
-    FormGroup(Vec<(MemberId, Ipv4Addr)>),
+    FormGroup(FirstGroup),
+    /// From a seed: agreement on the first group.
+    Formation {
+        /// Address by which other hosts reach the sender.
+        from: Ipv4Addr,
+        /// The message.
+        message: FormationMessage,
+    },
 }
 
 /// Reply of a control host to a hello.
--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -17,6 +17,9 @@
     /// The thread that writes to the disk has ended.
     #[error("the thread that writes to the data folder has ended")]
     DiskThreadEnded,
+    /// The acceptor state of a seed cannot be encoded.
+    #[error("cannot encode the acceptor state: {0}")]
+    EncodeAcceptor(#[from] wire::Error),
     /// A thread cannot be started.
     #[error("cannot start a thread: {0}")]
     Thread(io::Error),
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | group | the consensus, the configuration, the channel to the disk thread |
 //! | nodes | the socket for node discovery, the directory |
+//! | formation | the state by which the seeds agree on the first group |
 //! | transport | the sockets for messages between members |
 //!
 //! The tasks communicate by messages. A front end for operators uses a
@@ -26,4 +27,8 @@
 pub use error::{Error, Result};
 pub use process::{ReplicaHandle, Settings, start, start_observer, start_on};
 pub use request::{ChangeOutcome, ReadOutcome};
-pub use version::{ControlHostContact, MembershipPolicy, MembershipSettings, RouteHistory};
+pub use version::{
+    AcceptorState, ControlHostContact, FirstGroupPolicy, Formation, FormationOutput,
+    FormationSchedule, HeardHosts, MembershipPolicy, MembershipSettings, RouteHistory,
+    first_member_id,
+};
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -230,7 +230,9 @@
         let voters = status.group.as_ref().map_or(0, |group| group.voters.len());
         self.metrics.voters.set(gauge(voters as u64));
         let members = status.group.iter().flat_map(Group::members);
-        let others = members.filter(|(id, _)| *id != status.id);
+        // A placeholder in the first group has no host.
+        let others =
+            members.filter(|(id, address)| *id != status.id && !address.ip().is_unspecified());
         let membership_status = MembershipStatus {
             formed: !status.is_blank(),
             current: status.leader.is_some(),
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! Types that live as long as the process: tasks, settings and the handle.
 
+mod formation;
+mod formation_file;
 mod group;
 mod http;
 mod metrics;
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -14,8 +14,8 @@
 
 use consensus::Group;
 use directory::{
-    ControlMessage, Coverage, Directory, DirectoryVersion, Hello, HelloReply, NODE_LEASE, Node,
-    NodeRole, Roster,
+    ControlMessage, Coverage, Directory, DirectoryVersion, FirstGroup, Hello, HelloReply,
+    NODE_LEASE, Node, NodeRole, Roster,
 };
 use roster::FetchedRoster;
 pub(crate) use roster::SharedRoster;
@@ -28,6 +28,7 @@
 
 use super::{
     Settings,
+    formation::{FormationHandle, FormationInput},
     group::{GroupCommand, MembershipStatus, gauge},
     metrics::Metrics,
 };
@@ -61,10 +62,6 @@
 /// A node whose last hello is more recent than this is notified of changes.
 const SUBSCRIPTION_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Delay after a first start before the group is formed, so that all hosts can be
-/// discovered. Hosts that appear later are added to the group.
-const BOOTSTRAP_DELAY: Duration = Duration::from_millis(1200);
-
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -100,10 +97,10 @@
     member: Option<LocalMember>,
     /// Addresses of the known control hosts, for observers.
     control_hosts: watch::Sender<Vec<Ipv4Addr>>,
-    /// The members of the first group, once this host has chosen them.
-    first_group: Option<Vec<(MemberId, Ipv4Addr)>>,
-    /// When to form the first group, if this host is responsible for that.
-    form_at: Option<Instant>,
+    /// The first group, once this host knows it.
+    first_group: Option<FirstGroup>,
+    /// The task that agrees on the first group; `None` on a host that is no acceptor.
+    formation: Option<FormationHandle>,
     /// Set when the process is asked to stop.
     stop: watch::Receiver<bool>,
     metrics: Metrics,
@@ -145,6 +142,7 @@
     pub roster_writer: Option<std::sync::mpsc::Sender<Roster>>,
     pub member: Option<LocalMember>,
     pub control_hosts: watch::Sender<Vec<Ipv4Addr>>,
+    pub formation: Option<FormationHandle>,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -175,9 +173,6 @@
             SocketAddr::V6(_) => None,
         });
         let restored_addresses = restored_addresses.collect();
-        // Only one host forms the first group; several could form different groups.
-        let forms = cfg.bootstrap && cfg.seeds.borrow().iter().min() == Some(&cfg.ip);
-        let form_at = forms.then(|| now + BOOTSTRAP_DELAY);
         let coverage = {
             let shared = channels.roster.borrow();
             let own_roster = shared.vouched.then_some(&shared.roster);
@@ -202,7 +197,7 @@
             member: channels.member,
             control_hosts: channels.control_hosts,
             first_group: None,
-            form_at,
+            formation: channels.formation,
             stop: channels.stop,
             metrics,
             gossip_at: now,
@@ -233,6 +228,9 @@
                     self.apply_member_updates();
                     self.notify_subscribers(true).await;
                 }
+                event = form::next_event(&mut self.formation) => {
+                    self.handle_formation_event(event).await;
+                }
                 Some(fetched) = self.fetched_rosters.recv() => {
                     let now = Instant::now();
                     self.handle_fetched_roster(fetched, now);
@@ -301,7 +299,10 @@
                     self.update_coverage(now).await;
                 }
             }
-            Ok(ControlMessage::FormGroup(members)) => self.bootstrap_group(&members),
+            Ok(ControlMessage::FormGroup(group)) => self.learn_first_group(group),
+            Ok(ControlMessage::Formation { from, message }) => {
+                self.pass_to_formation(FormationInput::Message(from, message));
+            }
             Err(e) => {
                 log::debug!(event = "bad_hello", error:% = e; "cannot decode datagram as a discovery message");
             }
@@ -453,7 +454,7 @@
             records.extend(others.map(|(node, age)| (node, millis(age))));
         }
         self.relay_records(records).await;
-        self.form_first_group(now).await;
+        self.form_first_group().await;
         let gone = self.directory.expire(now);
         for node in &gone {
             log::info!(event = "node_gone", address:% = node.address; "removed a node whose lease expired");
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -14,7 +14,9 @@
 };
 
 use super::{
-    ReplicaHandle, Settings, group,
+    ReplicaHandle, Settings, formation, formation_file,
+    formation_file::{DiskStorage, NoStorage},
+    group,
     group::MembershipStatus,
     http::HttpInterface,
     metrics::Metrics,
@@ -22,7 +24,10 @@
     nodes::{NodeTask, SharedRoster},
     roster_file, transport,
 };
-use crate::{Error, Result, version::RouteHistory};
+use crate::{
+    Error, Result,
+    version::{RouteHistory, first_member_id},
+};
 
 /// Capacity of the command queue of the group task, and of the queue of outgoing
 /// messages.
@@ -56,17 +61,23 @@
     stop: watch::Receiver<bool>,
 ) -> Result<(ReplicaHandle, impl Future<Output = Result<()>> + use<D>)> {
     let metrics = Metrics::new(registry)?;
-    let (store, found) = store::open(disk.clone())?;
+    let (store, found) = if cfg.bootstrap {
+        store::open_with_first_id(disk.clone(), first_member_id(cfg.ip))?
+    } else {
+        store::open(disk.clone())?
+    };
     let restored_roster = roster_file::read(&disk);
     let roster = Rc::new(RefCell::new(SharedRoster {
         vouched: restored_roster.is_some(),
         members: Vec::new(),
         roster: restored_roster.unwrap_or_default(),
     }));
-    let roster_writer = roster_file::spawn_writer(disk)?;
-    let disk = store::spawn(store)?;
+    let roster_writer = roster_file::spawn_writer(disk.clone())?;
     let member = found.member;
     let blank = found.restored.snapshot.is_none();
+    let acceptor = formation_file::open(&disk, &cfg, blank)?;
+    let acceptor_storage = DiskStorage(disk);
+    let disk = store::spawn(store)?;
     log::info!(
         event = "control_started", member:% = member, address:% = cfg.member_address(),
         blank = u64::from(blank), bootstrap = u64::from(cfg.bootstrap); "control host started"
@@ -117,6 +128,7 @@
             group: commands_tx.clone(),
         }),
         control_hosts: watch::channel(Vec::new()).0,
+        formation: acceptor.map(|state| formation::spawn(&cfg, state, acceptor_storage)),
         stop,
     };
     let node_task = NodeTask::new(
@@ -173,6 +185,8 @@
         roster_writer: None,
         member: None,
         control_hosts: members_tx,
+        formation: formation_file::initial(&cfg)
+            .map(|state| formation::spawn(&cfg, state, NoStorage)),
         stop,
     };
     let run = rand::rng().random_range(1..=u64::MAX);
--- a/crates/replica/src/version/membership.rs
+++ b/crates/replica/src/version/membership.rs
@@ -65,7 +65,8 @@
     ///
     /// 1. a learner that has caught up becomes a voter;
     /// 2. a member whose address is now used by another member is removed: its
-    ///    disk is lost, so it can never return;
+    ///    disk is lost, so it can never return. A voter is removed only if majorities
+    ///    stay as large as those of the minimum number of voters;
     /// 3. a host that is not in the group becomes a learner;
     /// 4. a silent member is removed, as long as enough voters remain.
     #[must_use]
@@ -113,8 +114,11 @@
         let (id, _) = group
             .members()
             .find(|(id, address)| *id != local_id && is_replaced(*id, *address))?;
-        let last_voter = group.is_voter(id) && group.voters.len() == 1;
-        (!last_voter).then_some(GroupChange::Remove(id))
+        // The remaining voters must have majorities of at least as many disks as the
+        // minimum number of voters.
+        let remaining = group.voters.len().saturating_sub(1);
+        let has_enough = remaining > 0 && remaining / 2 >= self.settings.min_voters / 2;
+        (!group.is_voter(id) || has_enough).then_some(GroupChange::Remove(id))
     }
 
     fn new_host(
--- a/crates/replica/tests/membership.rs
+++ b/crates/replica/tests/membership.rs
@@ -145,6 +145,44 @@
     );
 }
 
+/// Guards against majorities of too few disks: with two tolerated losses, two removals in
+/// a row left three voters, and a change was acknowledged on two disks.
+#[test]
+fn a_replaced_voter_is_removed_only_if_majorities_stay_large_enough() {
+    let four = Case {
+        voters: &[1, 2, 3, 4],
+        caught_up: &[2, 3],
+        heard: &[(1, 1, 0), (2, 2, 0), (3, 3, 0), (4, 4, 500), (9, 4, 0)],
+        min_voters: 5,
+        ..CASE
+    };
+    check(
+        "of four, two losses tolerated: its successor joins first",
+        &Case {
+            expected: Some(GroupChange::AddLearner(MemberId(9), address(4))),
+            ..four
+        },
+    );
+    check(
+        "of five, two losses tolerated",
+        &Case {
+            voters: &[1, 2, 3, 4, 5],
+            caught_up: &[2, 3, 5],
+            expected: Some(GroupChange::Remove(MemberId(4))),
+            ..four
+        },
+    );
+    check(
+        "a learner",
+        &Case {
+            voters: &[1, 2, 3],
+            learners: &[4],
+            expected: Some(GroupChange::Remove(MemberId(4))),
+            ..four
+        },
+    );
+}
+
 /// Guards against a permanently lost host that still counts towards the majority.
 #[test]
 fn silent_voters_are_removed_while_enough_remain() {
--- a/crates/replica/tests/roster.rs
+++ b/crates/replica/tests/roster.rs
@@ -12,7 +12,7 @@
 };
 use directory::{ControlMessage, DirectoryVersion, Hello, HelloReply, Node, NodeRole};
 use prometheus::Registry;
-use replica::{Settings, start};
+use replica::{MembershipSettings, Settings, start};
 use tokio::{net::UdpSocket, sync::watch};
 
 /// Less than the time after which a directory is complete without a roster.
@@ -29,6 +29,11 @@
     let (_, seeds) = watch::channel(vec![ip]);
     let settings = Settings {
         bootstrap,
+        // A single host can tolerate no loss.
+        membership: MembershipSettings {
+            min_voters: 1,
+            ..MembershipSettings::default()
+        },
         ..Settings::new(ip, "dc".parse().unwrap(), dir.to_owned(), seeds)
     };
     let node_address = settings.node_address();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -50,5 +50,6 @@
 
 pub use error::{Category, Error, Result};
 pub use process::{
-    DataDir, Disk, RecoveredMember, Store, StoreHandle, WriteReport, open, replace_file, spawn,
+    DataDir, Disk, RecoveredMember, Store, StoreHandle, WriteReport, open, open_with_first_id,
+    replace_file, spawn,
 };
--- a/crates/store/src/process/mod.rs
+++ b/crates/store/src/process/mod.rs
@@ -7,6 +7,6 @@
 mod thread;
 
 pub use dir::{DataDir, Disk};
-pub use open::{RecoveredMember, open};
+pub use open::{RecoveredMember, open, open_with_first_id};
 pub use store::{Store, replace_file};
 pub use thread::{StoreHandle, WriteReport, spawn};
--- a/crates/store/src/process/open.rs
+++ b/crates/store/src/process/open.rs
@@ -27,13 +27,26 @@
 /// Fails if the folder cannot be read or written, has another layout, or if data
 /// that was synced earlier is damaged or missing.
 pub fn open<D: Disk>(disk: D) -> Result<(Store<D>, RecoveredMember)> {
+    open_with_first_id(disk, MemberId(rand::random()))
+}
+
+/// Like [`open`], but an empty folder is initialized with the member id `first_id`. The
+/// caller ensures that no other data folder gets this id.
+///
+/// # Errors
+///
+/// See [`open`].
+pub fn open_with_first_id<D: Disk>(
+    disk: D,
+    first_id: MemberId,
+) -> Result<(Store<D>, RecoveredMember)> {
     let mut names = disk.list().map_err(Error::io("list", "the data folder"))?;
     names.sort();
     check_layout(&disk, &names)?;
     for name in names.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
         disk.remove(name).map_err(Error::io("remove", name))?;
     }
-    let member = load_or_create_member(&disk, &names)?;
+    let member = load_or_create_member(&disk, &names, first_id)?;
     let snapshots = numbered_files(&names, "snapshot-");
     let snapshot = match snapshots.last() {
         Some((index, name)) => Some(read_snapshot(&disk, *index, name)?),
@@ -88,9 +101,13 @@
     Ok(())
 }
 
-/// Reads the member id, or creates one if the folder has neither log nor
+/// Reads the member id, or stores `first_id` if the folder has neither log nor
 /// snapshot.
-fn load_or_create_member<D: Disk>(disk: &D, names: &[String]) -> Result<MemberId> {
+fn load_or_create_member<D: Disk>(
+    disk: &D,
+    names: &[String],
+    first_id: MemberId,
+) -> Result<MemberId> {
     let has_log = names.iter().any(|name| name.starts_with("log-"));
     if names.iter().any(|name| name == MEMBER_FILE) {
         if !has_log {
@@ -116,10 +133,9 @@
     }
     // The first segment is created before the id. An id without a log then means
     // that the log was lost, and the host must not vote under this id again.
-    let id = MemberId(rand::random());
     Store::<D>::create_segment(disk, 1, &Vec::new())?;
-    write_file_atomically(disk, MEMBER_FILE, id.to_string().as_bytes())?;
-    Ok(id)
+    write_file_atomically(disk, MEMBER_FILE, first_id.to_string().as_bytes())?;
+    Ok(first_id)
 }
 
 /// Files named `prefix` and a hexadecimal number, sorted by the number.
