--- a/crates/replica/tests/full_disks.rs
+++ b/crates/replica/tests/full_disks.rs
@@ -235,3 +235,23 @@
 fn changes_are_accepted_after_each_disk_refused_all_changes() {
     System::new().block_on(fill_in_turn(34, true));
 }
+
+/// Guards against a deployment that waits for the first seed: its disk is full when it
+/// would propose the first group, so it cannot save a promise and stays silent.
+#[test]
+fn a_group_forms_while_the_disk_of_the_first_seed_is_full() {
+    System::new().block_on(async {
+        let hosts = start_hosts(35, true).await;
+        hosts[0].full.store(true, Ordering::SeqCst);
+        let outcome = change(&hosts[1], 1, Duration::from_secs(15)).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted);
+        hosts[0].full.store(false, Ordering::SeqCst);
+        let outcome = change(&hosts[0], 2, ACCEPT_TIMEOUT).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted);
+        // The first host is a member: without one of the others, it is needed.
+        sleep(Duration::from_secs(1)).await;
+        hosts[2].full.store(true, Ordering::SeqCst);
+        let outcome = change(&hosts[1], 3, ACCEPT_TIMEOUT).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted);
+    });
+}
