--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | group | the consensus, the configuration, the channel to the disk thread |
 //! | nodes | the socket for node discovery, the directory |
+//! | formation | the state by which the seeds agree on the first group |
 //! | transport | the sockets for messages between members |
 //!
 //! The tasks communicate by messages. A front end for operators uses a
@@ -27,6 +28,7 @@
 pub use process::{ReplicaHandle, Settings, start, start_observer, start_on};
 pub use request::{ChangeOutcome, ReadOutcome};
 pub use version::{
-    ControlHostContact, MembershipPolicy, MembershipSettings, Placement, RouteHistory,
-    services_without_upstreams,
+    AcceptorState, ControlHostContact, FirstGroupPolicy, Formation, FormationOutput,
+    FormationSchedule, HeardHosts, MembershipPolicy, MembershipSettings, Placement, RouteHistory,
+    first_member_id, services_without_upstreams,
 };
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -1,6 +1,8 @@
 //! Types that live as long as the process: tasks, settings and the handle.
 
 mod evacuation;
+mod formation;
+mod formation_file;
 mod group;
 mod http;
 mod metrics;
--- a/crates/store/src/process/open.rs
+++ b/crates/store/src/process/open.rs
@@ -32,6 +32,19 @@
 /// Fails if the folder cannot be read or written, has another layout, or if data
 /// that was synced earlier is damaged or missing.
 pub fn open<D: Disk>(disk: D) -> Result<(Store<D>, RecoveredMember)> {
+    open_with_first_id(disk, MemberId(rand::random()))
+}
+
+/// Like [`open`], but an empty folder is initialized with the member id `first_id`. The
+/// caller ensures that no other data folder gets this id.
+///
+/// # Errors
+///
+/// See [`open`].
+pub fn open_with_first_id<D: Disk>(
+    disk: D,
+    first_id: MemberId,
+) -> Result<(Store<D>, RecoveredMember)> {
     // A process that was killed may have created files without a sync of the folder.
     // What is recovered from them may be acknowledged, so their names must last.
     sync_names(&disk)?;
@@ -45,7 +58,7 @@
     }
     let (member, names) = match load_member(&disk, &names)? {
         Some(member) => (member, names),
-        None => (create_member(&disk)?, FileNames::list(&disk)?),
+        None => (create_member(&disk, first_id)?, FileNames::list(&disk)?),
     };
     let (snapshot, first_segment) = match names.snapshots.last() {
         Some((index, name)) => {
@@ -203,8 +216,7 @@
 /// Creates the first segment and a member id. The segment is created before the id:
 /// an id without a log then means that the log was lost, and the host must not vote
 /// under this id again.
-fn create_member<D: Disk>(disk: &D) -> Result<MemberId> {
-    let id = MemberId(rand::random());
+fn create_member<D: Disk>(disk: &D, id: MemberId) -> Result<MemberId> {
     Store::<D>::create_segment(disk, FIRST_SEGMENT, &Vec::new())?;
     write_file_atomically(disk, MEMBER_FILE, id.to_string().as_bytes())?;
     Ok(id)
