--- a/crates/config/src/request/apply.rs
+++ b/crates/config/src/request/apply.rs
@@ -1,11 +1,10 @@
 //! Application of a change to the configuration.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use types::{
     Answer, Change, ChangeRequest, CidKey, ClassName, Conflict, HostName, KeyGeneration, KeySet,
-    OperatorName, Refusal, Revision, RoutingRule, RoutingSet, Service, ServiceName, Target,
-    UnixMillis,
+    OperatorName, Refusal, Revision, RoutingSet, Service, ServiceName, Target, UnixMillis,
 };
 
 use super::{
@@ -255,12 +254,8 @@
     /// Routing sets are ordered by their own numbers instead of a base
     /// revision. A set whose number is not higher than the current one is
     /// accepted without effect, because it is superseded.
-    fn replace_routes(&mut self, set: &RoutingSet) -> Result<(), Rejection> {
-        let has_only_zero_parts =
-            |rule: &RoutingRule| rule.weights.values().all(|part| part.0 == 0);
-        if let Some((address, _)) = set.rules.iter().find(|(_, rule)| has_only_zero_parts(rule)) {
-            return Err(Refusal::EmptyRule(set.number, *address).into());
-        }
+    fn replace_routes(&mut self, set: &Arc<RoutingSet>) -> Result<(), Rejection> {
+        set.check()?;
         if self
             .routes()
             .is_none_or(|current| current.number < set.number)
--- a/crates/config/src/version/versioned_objects.rs
+++ b/crates/config/src/version/versioned_objects.rs
@@ -116,8 +116,8 @@
 
     /// Replaces the routing set. It has no revision, because nodes compare its
     /// own number.
-    pub(crate) fn put_routes(&mut self, set: RoutingSet) {
-        self.objects.routes = Some(Arc::new(set));
+    pub(crate) fn put_routes(&mut self, set: Arc<RoutingSet>) {
+        self.objects.routes = Some(set);
     }
 
     pub(crate) fn service(&self, name: &ServiceName) -> Option<&Service> {
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use config::ConfigState;
+use std::sync::Arc;
 use types::{
     Answer, Change, ChangeId, ChangeRequest, CidKey, ClassName, KeyGeneration, Revision,
     RouteWeight, RoutingRule, RoutingSet, RoutingSetNumber, Slots, Target, UnixMillis,
@@ -72,7 +73,7 @@
         weights: [(service.parse().unwrap(), RouteWeight(part))].into(),
         ..RoutingRule::default()
     };
-    Change::ReplaceRoutes(Box::new(RoutingSet {
+    Change::ReplaceRoutes(Arc::new(RoutingSet {
         number: RoutingSetNumber(number),
         rules: [(([198, 18, 0, 1], 443).into(), rule)].into(),
         ..RoutingSet::default()
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,6 +10,8 @@
 //! 2. [`Output::messages`] may be sent at once. Messages that depend on
 //!    a term, a vote or an entry are held back until the write that contains it
 //!    is reported as synced.
+//!    A message with a [`Transfer`] is large: the caller sends it until its deadline and
+//!    reports the end with [`Input::TransferEnded`].
 //! 3. [`Output::installed_snapshot`], then [`Output::committed_entries`], go to the state
 //!    machine, in this order.
 //! 4. [`Output::completions`] answer proposals, group changes and reads. A read is
@@ -57,7 +59,7 @@
 
 pub use process::{
     AppendOutcome, Consensus, DiskWrite, Envelope, Input, MemberIdentity, Message, MessageBody,
-    Output, RestoredState, Role, Settings, Status, WriteId,
+    Output, RestoredState, Role, Settings, Status, Transfer, TransferId, WriteId,
 };
 pub use request::{Completion, GroupChange, Rejection, RequestToken};
 pub use version::{EntryPayload, Group, LogEntry, LogPosition, Snapshot};
--- a/crates/consensus/src/process/io.rs
+++ b/crates/consensus/src/process/io.rs
@@ -1,6 +1,6 @@
 //! Inputs, outputs and disk writes.
 
-use super::{Envelope, Message};
+use super::{Envelope, Message, TransferId};
 use crate::request::{Completion, GroupChange, RequestToken};
 use crate::version::{Group, LogEntry, Snapshot};
 use bytes::Bytes;
@@ -31,6 +31,14 @@
     WriteSynced(WriteId),
     /// The write failed; any part of it may be on disk.
     WriteFailed(WriteId),
+    /// A [`Transfer`](super::Transfer) was delivered to the member's process, or was
+    /// given up.
+    TransferEnded {
+        /// The transfer.
+        id: TransferId,
+        /// Whether the member's process has received it.
+        delivered: bool,
+    },
     /// Forms the first group. Every member must get the same group.
     Bootstrap(Group),
     /// Proposes a command.
--- a/crates/consensus/src/process/leader.rs
+++ b/crates/consensus/src/process/leader.rs
@@ -1,5 +1,6 @@
 //! The leader's state: commits, reads and quorum checks.
 
+use super::transfer::TransferInFlight;
 use super::{Consensus, RoleState};
 use crate::request::{Completion, GroupChange, PendingReads, Rejection, RequestToken};
 use crate::version::{EntryPayload, Group};
@@ -45,8 +46,10 @@
     pub round: u64,
     /// Whether its disk accepts writes.
     pub writable: bool,
-    /// Index of the snapshot that was sent, and when to send it again.
-    pub snapshot_in_flight: Option<(Revision, Instant)>,
+    /// A large message that is not acknowledged yet.
+    pub transfer: Option<TransferInFlight>,
+    /// Number of transfers that failed since the last acknowledged one.
+    pub failed_transfers: u32,
 }
 
 impl LeaderState {
@@ -85,7 +88,7 @@
         !groups.is_empty() && groups.iter().all(|group| group.has_majority(&agrees))
     }
 
-    fn heard_recently(&self, peer: &Peer) -> bool {
+    pub(super) fn heard_recently(&self, peer: &Peer) -> bool {
         self.now < peer.last_heard + self.settings.election_timeout_max
     }
 
@@ -143,6 +146,10 @@
     }
 
     pub(super) fn propose(&mut self, token: RequestToken, command: Bytes) {
+        let (bytes, limit) = (command.len(), self.settings.max_command_bytes);
+        if bytes > limit {
+            return self.reject(token, Rejection::TooLarge { bytes, limit });
+        }
         match self.check_can_append() {
             Ok(()) => self.append_proposal(token, EntryPayload::Command(command)),
             Err(reason) => self.reject(token, reason),
--- a/crates/consensus/src/process/message.rs
+++ b/crates/consensus/src/process/message.rs
@@ -1,5 +1,6 @@
 //! Messages between members.
 
+use super::Transfer;
 use crate::version::{LogEntry, LogPosition, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -12,6 +13,9 @@
     pub address: SocketAddr,
     /// The message.
     pub message: Message,
+    /// Set if the message is large. Other messages fit in a datagram, apart from group
+    /// changes of large groups.
+    pub transfer: Option<Transfer>,
 }
 
 /// A message from one member to another.
--- a/crates/consensus/src/process/mod.rs
+++ b/crates/consensus/src/process/mod.rs
@@ -10,11 +10,13 @@
 mod replication;
 mod settings;
 mod status;
+mod transfer;
 
 pub use io::{DiskWrite, Input, Output, RestoredState, WriteId};
 pub use message::{AppendOutcome, Envelope, Message, MessageBody};
 pub use settings::{MemberIdentity, Settings};
 pub use status::{Role, Status};
+pub use transfer::{Transfer, TransferId};
 
 use crate::request::{Completion, Rejection, RequestToken};
 use crate::version::Log;
@@ -51,6 +53,8 @@
     role_state: RoleState,
     /// When an election or the next heartbeat round is due.
     deadline: Instant,
+    /// Id of the next transfer.
+    next_transfer: TransferId,
     out: Output,
 }
 
@@ -92,6 +96,7 @@
             applied,
             role_state: RoleState::Follower(FollowerState::default()),
             deadline: now,
+            next_transfer: TransferId(1),
             out: Output::default(),
         };
         member.reset_election_deadline();
@@ -110,6 +115,7 @@
             Input::Message(message) => self.receive(message),
             Input::WriteSynced(id) => self.write_synced(id),
             Input::WriteFailed(id) => self.write_failed(id),
+            Input::TransferEnded { id, delivered } => self.transfer_ended(id, delivered),
             Input::Bootstrap(group) => self.bootstrap(group),
             Input::Propose { token, command } => self.propose(token, command),
             Input::ChangeGroup { token, change } => self.change_group(token, change),
@@ -257,7 +263,16 @@
         }
     }
 
-    fn send(&mut self, (to, address): (MemberId, SocketAddr), body: MessageBody) {
+    fn send(&mut self, to: (MemberId, SocketAddr), body: MessageBody) {
+        self.send_as(to, body, None);
+    }
+
+    fn send_as(
+        &mut self,
+        (to, address): (MemberId, SocketAddr),
+        body: MessageBody,
+        transfer: Option<Transfer>,
+    ) {
         let message = Message {
             from: self.identity.id,
             from_address: self.identity.address,
@@ -265,7 +280,11 @@
             term: self.term,
             body,
         };
-        self.disk.hold_until_synced(Envelope { address, message });
+        self.disk.hold_until_synced(Envelope {
+            address,
+            message,
+            transfer,
+        });
     }
 
     fn reject(&mut self, token: RequestToken, reason: Rejection) {
--- a/crates/consensus/src/process/settings.rs
+++ b/crates/consensus/src/process/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use types::MemberId;
+use types::{BytesPerSecond, MemberId};
 
 /// Id and address of this member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +30,16 @@
     pub max_append_bytes: usize,
     /// Maximum number of unacknowledged entries sent to a member.
     pub max_inflight_entries: u64,
+    /// Maximum size of the entries in a message that is no transfer, in bytes. The
+    /// encoded message must fit in a datagram.
+    pub max_inline_bytes: usize,
+    /// Maximum size of all transfers in flight, in bytes; a single larger one is still
+    /// sent.
+    pub max_transfer_bytes: usize,
+    /// Rate of a member's link, from which the deadlines of transfers are derived.
+    pub link_rate: BytesPerSecond,
+    /// Maximum size of a command in bytes; a larger one is rejected.
+    pub max_command_bytes: usize,
 }
 
 impl Default for Settings {
@@ -40,6 +50,15 @@
             election_timeout_max: Duration::from_millis(800),
             max_append_bytes: 64 * 1024,
             max_inflight_entries: 1024,
+            // The encoding of 33 empty entries and of a message's other fields takes
+            // less than 400 bytes, and a datagram 1,200.
+            max_inline_bytes: 800,
+            // One command of the maximum size: each transfer needs a buffer.
+            max_transfer_bytes: 4 << 20,
+            // 100 Mbit/s, the link of a control host.
+            link_rate: BytesPerSecond(12_500_000),
+            // 16,000 routes take 3.2 MB, and a receiver may use 64 MB of memory.
+            max_command_bytes: 4 << 20,
         }
     }
 }
--- a/crates/consensus/src/request/completion.rs
+++ b/crates/consensus/src/request/completion.rs
@@ -63,6 +63,14 @@
     /// The last write to the leader's disk failed.
     #[error("the disk of the leader is full, read-only or failing")]
     DiskFailed,
+    /// The command exceeds [`Settings::max_command_bytes`](crate::Settings::max_command_bytes).
+    #[error("the command has {bytes} bytes; at most {limit} are allowed")]
+    TooLarge {
+        /// Size of the command.
+        bytes: usize,
+        /// The largest allowed size.
+        limit: usize,
+    },
     /// The leader has not yet committed an entry of its own term.
     #[error("the new leader has not yet committed an entry")]
     LeaderNotReady,
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -1,9 +1,10 @@
 //! In-memory cluster with simulated disks and a message queue, and the
 //! invariants that are checked after every step.
+#![allow(dead_code)]
 
 use consensus::{
     Completion, Consensus, DiskWrite, EntryPayload, Envelope, Group, GroupChange, Input, LogEntry,
-    MemberIdentity, Output, RequestToken, RestoredState, Settings, Status,
+    MemberIdentity, MessageBody, Output, RequestToken, RestoredState, Settings, Status, Transfer,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -12,6 +13,12 @@
 
 pub const STEP_DURATION: Duration = Duration::from_millis(20);
 
+/// One proposal in this many has a large command.
+const LARGE_COMMAND_PERIOD: u64 = 3;
+
+/// Size of a large command, in bytes.
+const LARGE_COMMAND_BYTES: usize = 100_000;
+
 pub fn address(id: MemberId) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1000 + u16::try_from(id.0).unwrap()))
 }
@@ -38,6 +45,7 @@
 }
 
 pub struct Cluster {
+    settings: Settings,
     pub now: Instant,
     pub processes: BTreeMap<MemberId, SimulatedProcess>,
     pub queue: Vec<Envelope>,
@@ -51,13 +59,31 @@
     /// For each pending read, the highest accepted index when it was requested.
     accepted_before_read: BTreeMap<RequestToken, Revision>,
     leader_by_term: BTreeMap<Term, MemberId>,
+    /// Transfers that were sent and have not ended, by sender and receiver.
+    in_transit: BTreeMap<(MemberId, MemberId), InTransit>,
+    /// Number of heartbeats sent to a member with a transfer in transit.
+    pub heartbeats_beside_transfers: u64,
+    /// Transfers that are withheld, while that is set.
+    pub withheld: Option<Vec<Envelope>>,
     rng_state: u64,
     last_token: u64,
 }
 
+/// A transfer in transit.
+struct InTransit {
+    term: Term,
+    deadline: Instant,
+    /// The position before its entries; `None` for a snapshot.
+    before: Option<Revision>,
+}
+
 impl Cluster {
     pub fn new(count: u64, seed: u64) -> Self {
-        let mut cluster = Cluster::blank(count, seed);
+        Cluster::with_settings(count, seed, Settings::default())
+    }
+
+    pub fn with_settings(count: u64, seed: u64, settings: Settings) -> Self {
+        let mut cluster = Cluster::blank(count, seed, settings);
         let group = Group::from_voters((1..=count).map(|id| (MemberId(id), address(MemberId(id)))));
         for id in 1..=count {
             cluster.input(MemberId(id), Input::Bootstrap(group.clone()));
@@ -65,8 +91,9 @@
         cluster
     }
 
-    fn blank(count: u64, seed: u64) -> Self {
+    fn blank(count: u64, seed: u64, settings: Settings) -> Self {
         let mut cluster = Cluster {
+            settings,
             now: Instant::now(),
             processes: BTreeMap::new(),
             queue: Vec::new(),
@@ -77,6 +104,9 @@
             accepted: BTreeMap::new(),
             accepted_before_read: BTreeMap::new(),
             leader_by_term: BTreeMap::new(),
+            in_transit: BTreeMap::new(),
+            heartbeats_beside_transfers: 0,
+            withheld: None,
             rng_state: seed | 1,
             last_token: 0,
         };
@@ -116,6 +146,7 @@
         let node = self.processes.get_mut(&id).unwrap();
         node.member = None;
         node.queued_inputs.clear();
+        self.in_transit.retain(|(from, _), _| *from != id);
         if let Some(write) = node.pending_write.take().filter(|_| survives) {
             write_to(&mut node.disk, &write);
         }
@@ -134,13 +165,7 @@
             .snapshot
             .as_ref()
             .map_or(Revision(0), |s| s.position.index);
-        node.member = Some(Consensus::new(
-            Settings::default(),
-            me,
-            restored,
-            seed,
-            self.now,
-        ));
+        node.member = Some(Consensus::new(self.settings, me, restored, seed, self.now));
     }
 
     pub fn block_link(&mut self, from: MemberId, to: MemberId) {
@@ -203,7 +228,7 @@
                 if let EntryPayload::Command(command) = &self.committed[&index].payload {
                     assert_eq!(
                         command[..],
-                        token.0.to_be_bytes(),
+                        command_of(token),
                         "another proposal at {index}"
                     );
                 }
@@ -222,6 +247,9 @@
             }
             self.events.push((id, event));
         }
+        for envelope in &out.messages {
+            self.check_transfer(envelope);
+        }
         self.queue.extend(out.messages);
         let status = self.status(id);
         let node = self.processes.get_mut(&id).unwrap();
@@ -232,6 +260,37 @@
         }
     }
 
+    /// Asserts that a member gets no second copy of a transfer in transit, and that no
+    /// other message refers to its entries.
+    fn check_transfer(&mut self, envelope: &Envelope) {
+        let message = &envelope.message;
+        let pair = (message.from, message.to);
+        let before = match &message.body {
+            MessageBody::Append {
+                prev_log_position, ..
+            } => Some(prev_log_position.index),
+            _ => None,
+        };
+        let (now, term) = (self.now, message.term);
+        let in_transit = self.in_transit.get(&pair);
+        let in_transit = in_transit.filter(|sent| sent.term == term && now < sent.deadline);
+        if let Some(Transfer { deadline, .. }) = envelope.transfer {
+            assert!(in_transit.is_none(), "a second copy for {}", message.to);
+            let sent = InTransit {
+                term,
+                deadline,
+                before,
+            };
+            self.in_transit.insert(pair, sent);
+        } else if let (Some(sent), Some(before)) = (in_transit, before) {
+            self.heartbeats_beside_transfers += 1;
+            assert!(
+                sent.before.is_none_or(|sent| before <= sent),
+                "a message refers to an entry in transit"
+            );
+        }
+    }
+
     /// Asserts that an accepted entry is on the disks of more than half of the
     /// voters of the group before this step: a group change appended later in the
     /// same step does not apply yet.
@@ -288,12 +347,19 @@
         self.input(id, Input::WriteSynced(write.id));
     }
 
-    fn deliver(&mut self, envelope: Envelope) {
+    pub fn deliver(&mut self, envelope: Envelope) {
         let message = &envelope.message;
         let (from, to) = (message.from, message.to);
         assert_eq!(envelope.address, address(to));
+        if let Some(withheld) = &mut self.withheld
+            && envelope.transfer.is_some()
+        {
+            withheld.push(envelope);
+            return;
+        }
         let lost = self.message_faults.drop && self.random_below(5) == 0;
         if lost || self.blocked_links.contains(&(from, to)) {
+            self.report_end(&envelope, false);
             return;
         }
         if self.message_faults.delay && self.random_below(3) == 0 {
@@ -304,11 +370,22 @@
         if self.message_faults.duplicate && self.random_below(3) == 0 {
             self.queue.push(envelope.clone());
         }
+        self.report_end(&envelope, self.processes.contains_key(&to));
         if self.processes.contains_key(&to) {
             self.input(to, Input::Message(envelope.message));
         }
     }
 
+    pub fn report_end(&mut self, envelope: &Envelope, delivered: bool) {
+        if let Some(Transfer { id, .. }) = envelope.transfer {
+            let sender = envelope.message.from;
+            self.in_transit.remove(&(sender, envelope.message.to));
+            if self.processes.contains_key(&sender) {
+                self.input(sender, Input::TransferEnded { id, delivered });
+            }
+        }
+    }
+
     pub fn run_steps(&mut self, count: u64) {
         for _ in 0..count {
             self.run_step();
@@ -355,11 +432,17 @@
 
     pub fn propose(&mut self, id: MemberId) -> RequestToken {
         let token = self.next_token();
-        let command = token.0.to_be_bytes().to_vec().into();
+        let command = command_of(token).into();
         self.input(id, Input::Propose { token, command });
         token
     }
 
+    /// Proposes a command that is sent by a transfer.
+    pub fn propose_large(&mut self, id: MemberId) -> RequestToken {
+        self.last_token = (self.last_token / LARGE_COMMAND_PERIOD + 1) * LARGE_COMMAND_PERIOD - 1;
+        self.propose(id)
+    }
+
     pub fn propose_change(&mut self, id: MemberId, change: GroupChange) -> RequestToken {
         let token = self.next_token();
         self.input(id, Input::ChangeGroup { token, change });
@@ -457,6 +540,15 @@
     }
 }
 
+/// The command of a proposal. Some are large, so that they are sent by a transfer.
+fn command_of(token: RequestToken) -> Vec<u8> {
+    let mut command = token.0.to_be_bytes().to_vec();
+    if token.0.is_multiple_of(LARGE_COMMAND_PERIOD) {
+        command.resize(LARGE_COMMAND_BYTES, 0);
+    }
+    command
+}
+
 pub fn write_to(disk: &mut RestoredState, write: &DiskWrite) {
     if let Some((term, vote)) = write.term_and_vote {
         assert!(term >= disk.term, "the term on disk goes back");
--- a/crates/control/src/process/group.rs
+++ b/crates/control/src/process/group.rs
@@ -156,6 +156,9 @@
                     Some(command) => self.handle(command)?,
                     None => return Ok(()),
                 },
+                Some((id, delivered)) = self.peers.transfer_ended() => {
+                    self.step(Input::TransferEnded { id, delivered })?;
+                }
                 () = sleep_until(deadline.into()) => self.step(Input::Tick)?,
             }
             self.run_due_work(Instant::now())?;
--- a/crates/control/src/request/mod.rs
+++ b/crates/control/src/request/mod.rs
@@ -4,7 +4,7 @@
 
 use consensus::{GroupChange, Rejection};
 use tokio::sync::oneshot;
-use types::ChangeRequest;
+use types::{Answer, ChangeRequest, Refusal};
 use wire::{
     SyncReply, SyncRequest,
     request::{
@@ -71,10 +71,12 @@
         // The requester may have disconnected.
         match self {
             PendingRequest::Internal => {}
-            PendingRequest::Change(tx) => drop(tx.send(if not_leader {
-                ChangeReply::NotLeader { leader }
-            } else {
-                ChangeReply::Unavailable
+            PendingRequest::Change(tx) => drop(tx.send(match reason {
+                Rejection::NotLeader { .. } => ChangeReply::NotLeader { leader },
+                Rejection::TooLarge { bytes, limit } => {
+                    ChangeReply::Final(Answer::Refused(Refusal::TooLarge { bytes, limit }))
+                }
+                _ => ChangeReply::Unavailable,
             })),
             PendingRequest::Group(_, tx) => drop(tx.send(match group_refusal(reason) {
                 Some(refusal) => GroupReply::Refused(refusal),
@@ -107,7 +109,8 @@
 /// operator. `None` if another host has to be asked.
 pub(crate) fn group_refusal(reason: Rejection) -> Option<GroupRefusal> {
     match reason {
-        Rejection::NotLeader { .. } => None,
+        // Not a rejection of a membership change.
+        Rejection::NotLeader { .. } | Rejection::TooLarge { .. } => None,
         Rejection::DiskFailed => Some(GroupRefusal::DiskFailed),
         Rejection::LeaderNotReady | Rejection::ChangePending => Some(GroupRefusal::Busy),
         Rejection::NotCaughtUp => Some(GroupRefusal::NotCaughtUp),
--- a/crates/limpetctl/src/request/routes.rs
+++ b/crates/limpetctl/src/request/routes.rs
@@ -1,6 +1,6 @@
 //! Routing sets: the services that take the new flows of each address.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use serde::Serialize;
 use types::{
@@ -62,7 +62,7 @@
                 command_args.extend(command_args!["--rule", rule]);
             }
             let submission = Submission {
-                change: Change::ReplaceRoutes(Box::new(routing_set(*number, rules))),
+                change: Change::ReplaceRoutes(Arc::new(routing_set(*number, rules))),
                 flags,
                 // Routing sets are ordered by number, not by revision.
                 base: flags.base.unwrap_or(Revision(0)),
@@ -87,9 +87,21 @@
         number,
         ..RoutingSet::default()
     };
+    let mut weights: BTreeMap<SocketAddr, BTreeMap<ServiceName, RouteWeight>> = BTreeMap::new();
     for rule in rules {
-        let weights = &mut set.rules.entry(rule.address).or_default().weights;
+        let weights = weights.entry(rule.address).or_default();
         weights.insert(rule.service.clone(), RouteWeight(rule.weight));
     }
+    let rule = |(address, weights): (_, BTreeMap<_, _>)| {
+        let weights = weights.into();
+        (
+            address,
+            RoutingRule {
+                weights,
+                ..RoutingRule::default()
+            },
+        )
+    };
+    set.rules = weights.into_iter().map(rule).collect();
     set
 }
--- a/crates/net/src/process/serve.rs
+++ b/crates/net/src/process/serve.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -40,6 +44,9 @@
     }
 }
 
+/// Maximum number of bytes read of a body that is too large.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
+
 /// Delay before the next accept after a failed one. Most failures are a lack of file
 /// descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -97,10 +104,15 @@
 ) -> Response<Full<Bytes>> {
     let buffered_response = async {
         let (head, body) = req.into_parts();
+        let max_body_bytes = u64::try_from(limits.max_body_bytes).unwrap_or(u64::MAX);
+        if body.size_hint().lower() > max_body_bytes {
+            discard(body).await;
+            return too_large(limits.max_body_bytes);
+        }
         let body = match Limited::new(body, limits.max_body_bytes).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) if e.is::<LengthLimitError>() => {
-                return BufferedResponse::empty(StatusCode::PAYLOAD_TOO_LARGE);
+                return too_large(limits.max_body_bytes);
             }
             Err(_) => return BufferedResponse::empty(StatusCode::BAD_REQUEST),
         };
@@ -128,3 +140,25 @@
     }
     response
 }
+
+/// Response to a request whose body exceeds the limit.
+fn too_large(limit: usize) -> BufferedResponse {
+    let reason = format!(r#"{{"error":"the request body exceeds {limit} bytes"}}"#);
+    BufferedResponse {
+        status: StatusCode::PAYLOAD_TOO_LARGE,
+        ..BufferedResponse::ok("application/json", reason)
+    }
+}
+
+/// Reads a body without keeping it, up to a limit. A connection that is closed while the
+/// client still sends is reset, and the client may not see the response.
+async fn discard(mut body: Incoming) {
+    let mut rest = MAX_DISCARDED_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        match rest.checked_sub(bytes) {
+            Some(left) => rest = left,
+            None => return,
+        }
+    }
+}
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -11,19 +11,19 @@
 use config::ConfigState;
 use consensus::{
     Completion, Consensus, EntryPayload, Envelope, Group, GroupChange, Input, LogEntry, Message,
-    Output, Rejection, RequestToken, Snapshot, Status,
+    Output, Rejection, RequestToken, Snapshot, Status, TransferId,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{Answer, ChangeRequest, MemberId, Revision, RoutingSet, UnixMillis};
+use types::{Answer, MemberId, Refusal, Revision, RoutingSet, UnixMillis};
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{Settings, metrics::Metrics};
 use crate::{
     Error, Result,
-    request::{Command, PendingRequest},
+    request::{Command, EncodedChange, PendingRequest, SetId},
     version::{ControlHostContact, MembershipPolicy},
 };
 
@@ -35,8 +35,10 @@
 pub(crate) enum GroupCommand {
     /// A message of another member.
     Message(Message),
+    /// The transport has delivered a large message to another member, or has given up.
+    TransferEnded { id: TransferId, delivered: bool },
     /// An operator's change.
-    Change(Box<ChangeRequest>, oneshot::Sender<ChangeReply>),
+    Change(EncodedChange, oneshot::Sender<ChangeReply>),
     /// A read of the routing set.
     Read(oneshot::Sender<QueryReply>),
     /// The known control hosts and the last contact with each.
@@ -55,6 +57,8 @@
     next_token: u64,
     /// Answers to applied entries, until their proposals are reported as accepted.
     answers: BTreeMap<Revision, Answer>,
+    /// The routing set in force.
+    set_in_force: Option<SetId>,
     control_hosts: BTreeMap<MemberId, ControlHostContact>,
     review_at: Instant,
     /// When the log is compacted next; `None` if it has not grown.
@@ -107,6 +111,7 @@
             pending: BTreeMap::new(),
             next_token: 0,
             answers: BTreeMap::new(),
+            set_in_force: None,
             control_hosts: BTreeMap::new(),
             review_at: Instant::now(),
             compact_at: None,
@@ -157,7 +162,10 @@
     fn handle(&mut self, command: GroupCommand) -> Result<()> {
         match command {
             GroupCommand::Message(message) => self.step(Input::Message(message)),
-            GroupCommand::Change(req, tx) => self.propose(*req, tx),
+            GroupCommand::TransferEnded { id, delivered } => {
+                self.step(Input::TransferEnded { id, delivered })
+            }
+            GroupCommand::Change(change, tx) => self.change(change, tx),
             GroupCommand::Read(tx) => {
                 let token = self.register_pending(PendingRequest::Read(tx));
                 self.step(Input::ConfirmRead { token })
@@ -177,17 +185,51 @@
         token
     }
 
-    fn propose(&mut self, req: ChangeRequest, tx: oneshot::Sender<ChangeReply>) -> Result<()> {
-        let command = Command {
-            proposed_at: unix_now(),
-            req,
+    /// Proposes a change. A routing set is proposed only once a read is confirmed, which
+    /// shows that the entries of earlier leaders are applied: one of them may contain it.
+    fn change(&mut self, change: EncodedChange, tx: oneshot::Sender<ChangeReply>) -> Result<()> {
+        let Some(set) = change.set else {
+            return self.propose(&change, tx);
         };
-        let Ok(command) = wire::encode(&command) else {
-            // Not expected: the change was decoded from the same encoding.
+        let token = self.register_pending(PendingRequest::Replacement(change, set, tx));
+        self.step(Input::ConfirmRead { token })
+    }
+
+    /// Proposes a routing set, unless it is in force or a proposal of it is pending.
+    fn replace_routes(
+        &mut self,
+        change: &EncodedChange,
+        id: SetId,
+        tx: oneshot::Sender<ChangeReply>,
+    ) -> Result<()> {
+        if self.set_in_force == Some(id) {
+            let accepted = Answer::Accepted(self.state.last_applied());
+            // The requester may have disconnected.
+            let _ = tx.send(ChangeReply::Final(accepted));
+            return Ok(());
+        }
+        for pending in self.pending.values_mut() {
+            if let PendingRequest::Change { set, replies } = pending
+                && *set == Some(id)
+            {
+                log::info!(event = "change_joined", set:% = id; "the same routing set is already proposed");
+                replies.push(tx);
+                return Ok(());
+            }
+        }
+        self.propose(change, tx)
+    }
+
+    fn propose(&mut self, change: &EncodedChange, tx: oneshot::Sender<ChangeReply>) -> Result<()> {
+        let Ok(command) = wire::encode_pair(&unix_now(), &change.bytes) else {
+            // Not expected: the change has the same encoding.
             let _ = tx.send(ChangeReply::Unavailable);
             return Ok(());
         };
-        let token = self.register_pending(PendingRequest::Change(tx));
+        let token = self.register_pending(PendingRequest::Change {
+            set: change.set,
+            replies: vec![tx],
+        });
         let command = Bytes::from(command);
         self.step(Input::Propose { token, command })
     }
@@ -217,7 +259,7 @@
             self.apply(&entry)?;
         }
         for event in output.completions {
-            self.complete_request(&event);
+            self.complete_request(&event)?;
         }
         Ok(())
     }
@@ -279,6 +321,7 @@
                     "applied a newer routing set"
                 );
                 *published = Some(set.clone());
+                self.set_in_force = Some(SetId::of(set));
             }
             newer
         });
@@ -313,30 +356,36 @@
         Ok(())
     }
 
-    fn complete_request(&mut self, event: &Completion) {
+    fn complete_request(&mut self, event: &Completion) -> Result<()> {
         match *event {
             Completion::Accepted { token, index } => {
                 let answer = self.answers.remove(&index);
-                if let Some(PendingRequest::Change(tx)) = self.pending.remove(&token) {
+                if let Some(PendingRequest::Change { replies, .. }) = self.pending.remove(&token) {
                     let reply = answer.map_or(ChangeReply::Unknown, ChangeReply::Final);
-                    // The requester may have disconnected.
-                    let _ = tx.send(reply);
+                    reply_to_all(replies, &reply);
                 }
             }
             Completion::Rejected { token, reason } => self.reject(token, reason),
             Completion::OutcomeUnknown { token } => match self.pending.remove(&token) {
-                Some(PendingRequest::Change(tx)) => drop(tx.send(ChangeReply::Unknown)),
+                Some(PendingRequest::Change { replies, .. }) => {
+                    reply_to_all(replies, &ChangeReply::Unknown);
+                }
                 Some(PendingRequest::Read(tx)) => {
                     drop(tx.send(QueryReply::NotLeader { leader: None }));
                 }
-                Some(PendingRequest::Group) | None => {}
+                Some(PendingRequest::Replacement(..) | PendingRequest::Group) | None => {}
             },
-            Completion::ReadConfirmed { token, .. } => {
-                if let Some(PendingRequest::Read(tx)) = self.pending.remove(&token) {
+            Completion::ReadConfirmed { token, .. } => match self.pending.remove(&token) {
+                Some(PendingRequest::Read(tx)) => {
                     let _ = tx.send(QueryReply::Routes(self.state.routes().cloned()));
                 }
-            }
+                Some(PendingRequest::Replacement(change, id, tx)) => {
+                    return self.replace_routes(&change, id, tx);
+                }
+                _ => {}
+            },
         }
+        Ok(())
     }
 
     fn reject(&mut self, token: RequestToken, reason: Rejection) {
@@ -346,13 +395,18 @@
         };
         // The requester may have disconnected.
         match self.pending.remove(&token) {
-            Some(PendingRequest::Change(tx)) => {
-                let not_leader = matches!(reason, Rejection::NotLeader { .. });
-                drop(tx.send(if not_leader {
-                    ChangeReply::NotLeader { leader }
-                } else {
-                    ChangeReply::Unavailable
-                }));
+            Some(PendingRequest::Change { replies, .. }) => {
+                let reply = match reason {
+                    Rejection::NotLeader { .. } => ChangeReply::NotLeader { leader },
+                    Rejection::TooLarge { bytes, limit } => {
+                        ChangeReply::Final(Answer::Refused(Refusal::TooLarge { bytes, limit }))
+                    }
+                    _ => ChangeReply::Unavailable,
+                };
+                reply_to_all(replies, &reply);
+            }
+            Some(PendingRequest::Replacement(_, _, tx)) => {
+                drop(tx.send(ChangeReply::NotLeader { leader }));
             }
             Some(PendingRequest::Read(tx)) => drop(tx.send(QueryReply::NotLeader { leader })),
             Some(PendingRequest::Group) => {
@@ -407,11 +461,19 @@
         let through = self.state.last_applied();
         let mut state = Vec::new();
         self.state.encode(&mut state)?;
-        let state = Bytes::from(state);
+        // Without the spare capacity, which the snapshot would keep.
+        let state = Bytes::from(state.into_boxed_slice());
         self.step(Input::Compact { through, state })
     }
 }
 
+fn reply_to_all(replies: Vec<oneshot::Sender<ChangeReply>>, reply: &ChangeReply) {
+    for tx in replies {
+        // The requester may have disconnected.
+        let _ = tx.send(reply.clone());
+    }
+}
+
 fn unix_now() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since.unwrap_or_default().as_millis();
--- a/crates/replica/src/process/http.rs
+++ b/crates/replica/src/process/http.rs
@@ -13,7 +13,7 @@
 use wire::request::{ChangeReply, QueryReply};
 
 use super::{group::GroupCommand, nodes::SharedRoster};
-use crate::version::RouteHistory;
+use crate::{request::EncodedChange, version::RouteHistory};
 
 /// Accepts a message of a member.
 pub(crate) const CONSENSUS_PATH: &str = "/v1/consensus";
@@ -40,7 +40,7 @@
     async fn handle(&self, req: BufferedRequest) -> BufferedResponse {
         match (&req.method, req.path.as_str()) {
             (&Method::POST, CONSENSUS_PATH) => self.receive_message(&req.body),
-            (&Method::POST, CHANGE_PATH) => self.propose_change(&req.body).await,
+            (&Method::POST, CHANGE_PATH) => self.propose_change(req.body).await,
             (&Method::POST, READ_PATH) => self.read_routes().await,
             (&Method::POST, DELTA_PATH) => self.routing_delta(&req.body),
             (&Method::POST, ROSTER_PATH) => self.roster(),
@@ -54,17 +54,19 @@
         let Ok(message) = wire::decode(body) else {
             return BufferedResponse::empty(StatusCode::BAD_REQUEST);
         };
-        // Dropped if the queue is full; the consensus sends it again.
-        let _ = self.group.try_send(GroupCommand::Message(message));
-        BufferedResponse::empty(StatusCode::NO_CONTENT)
+        // The consensus sends it again if the queue is full.
+        match self.group.try_send(GroupCommand::Message(message)) {
+            Ok(()) => BufferedResponse::empty(StatusCode::NO_CONTENT),
+            Err(_) => BufferedResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
     }
 
-    async fn propose_change(&self, body: &Bytes) -> BufferedResponse {
-        let Ok(req) = wire::decode(body) else {
+    async fn propose_change(&self, body: Bytes) -> BufferedResponse {
+        let Ok(change) = EncodedChange::decode(body) else {
             return BufferedResponse::empty(StatusCode::BAD_REQUEST);
         };
         let (tx, rx) = oneshot::channel();
-        let command = GroupCommand::Change(Box::new(req), tx);
+        let command = GroupCommand::Change(change, tx);
         if self.group.send(command).await.is_err() {
             return BufferedResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/replica/src/process/mod.rs
+++ b/crates/replica/src/process/mod.rs
@@ -2,12 +2,14 @@
 
 mod group;
 mod http;
+mod leader;
 mod metrics;
 mod nodes;
 mod replica;
 mod roster_file;
 mod run;
 mod settings;
+mod submissions;
 mod transport;
 
 pub use replica::ReplicaHandle;
--- a/crates/replica/src/process/replica.rs
+++ b/crates/replica/src/process/replica.rs
@@ -2,41 +2,33 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http::{Method, StatusCode};
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::timeout_at,
 };
-use types::{Answer, Change, ChangeId, ChangeRequest, OperatorName, Revision, RoutingSet};
-use wire::request::{ChangeReply, QueryReply};
+use types::{Change, ChangeId, ChangeRequest, OperatorName, Refusal, Revision, RoutingSet};
+use wire::request::QueryReply;
 
 use super::{
-    group::{GroupCommand, MembershipStatus},
-    http::{CHANGE_PATH, READ_PATH},
-    metrics::Metrics,
+    group::MembershipStatus, leader::LeaderClient, metrics::Metrics, submissions::Submission,
 };
-use crate::request::{ChangeOutcome, ReadOutcome};
+use crate::request::{ChangeOutcome, EncodedChange, ReadOutcome};
 
 /// Delay before a change or read is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Timeout of one attempt, after which there may be another leader. Above the
-/// usual duration of a commit on a slow disk.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Maximum size of a reply between members, in bytes.
-const MAX_REPLY_BYTES: usize = 16 << 20;
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A handle to a control host for operators' front ends. Clones refer to the same
 /// host.
 #[derive(Debug, Clone)]
 pub struct ReplicaHandle {
-    pub(crate) group: mpsc::Sender<GroupCommand>,
+    pub(crate) leader: LeaderClient,
+    pub(crate) submissions: mpsc::Sender<Submission>,
+    /// Limit on an encoded request, below that on the command in the log.
+    pub(crate) max_request_bytes: usize,
     pub(crate) membership_status: watch::Receiver<MembershipStatus>,
     pub(crate) metrics: Metrics,
 }
@@ -44,50 +36,53 @@
 impl ReplicaHandle {
     /// Replaces the routing set. Works on any member; the request is forwarded to
     /// the leader. Idempotent: sets are ordered by their numbers, so the same set
-    /// may be sent again after a lost reply.
+    /// may be sent again after a lost reply. The host pursues the request for some time
+    /// after `deadline`, and a repeated one joins it.
     pub async fn replace_routes(
         &self,
         author: OperatorName,
         set: RoutingSet,
         deadline: Instant,
     ) -> ChangeOutcome {
-        let timer = self.metrics.change_seconds.start_timer();
-        let change = Change::ReplaceRoutes(Box::new(set));
-        let mut outcome_unknown = false;
-        let outcome = loop {
-            let req = ChangeRequest {
-                // Each attempt has its own id; the set number makes retries
-                // idempotent.
-                id: ChangeId::generate(),
-                author: author.clone(),
-                base: Revision(0),
-                change: change.clone(),
-            };
-            match self
-                .try_change(req, deadline.min(Instant::now() + LEADER_TIMEOUT))
-                .await
-            {
-                ChangeReply::Final(Answer::Accepted(_)) => break ChangeOutcome::Accepted,
-                ChangeReply::Final(Answer::Refused(refusal)) => {
-                    break ChangeOutcome::Refused(refusal);
-                }
-                // Routing sets have no base revision, so a conflict is not
-                // expected.
-                ChangeReply::Final(Answer::Conflict(_)) => break ChangeOutcome::Unknown,
-                ChangeReply::Unknown => outcome_unknown = true,
-                ChangeReply::NotLeader { .. } | ChangeReply::Unavailable => {}
-            }
-            if Instant::now() + RETRY_DELAY >= deadline {
-                break if outcome_unknown {
-                    ChangeOutcome::Unknown
-                } else {
-                    ChangeOutcome::Unavailable
-                };
+        if let Err(refusal) = set.check() {
+            return ChangeOutcome::Refused(refusal);
+        }
+        let rules = set.rules.len();
+        let request = ChangeRequest {
+            id: ChangeId::generate(),
+            author,
+            base: Revision(0),
+            change: Change::ReplaceRoutes(Arc::new(set)),
+        };
+        let change = match EncodedChange::encode(&request) {
+            Ok(change) => change,
+            Err(e) => {
+                log::error!(event = "unencodable_change", error:% = e; "cannot encode a routing set");
+                return ChangeOutcome::Unavailable;
             }
-            actix_rt::time::sleep(RETRY_DELAY).await;
         };
+        drop(request);
+        let (bytes, limit) = (change.bytes.len(), self.max_request_bytes);
+        if bytes > limit {
+            return ChangeOutcome::Refused(Refusal::TooLarge { bytes, limit });
+        }
+        let timer = self.metrics.change_seconds.start_timer();
+        let (reply, outcome) = oneshot::channel();
+        let submission = Submission {
+            change,
+            rules,
+            reply,
+            deadline,
+        };
+        if self.submissions.send(submission).await.is_err() {
+            return ChangeOutcome::Unavailable;
+        }
+        let outcome = timeout_at(deadline.into(), outcome).await;
         timer.observe_duration();
-        outcome
+        match outcome {
+            Ok(outcome) => outcome.unwrap_or(ChangeOutcome::Unknown),
+            Err(_) => ChangeOutcome::Unknown,
+        }
     }
 
     /// Addresses of the other members in this member's view of the group, learners
@@ -103,69 +98,14 @@
         self.metrics.voters.get()
     }
 
-    async fn try_change(&self, req: ChangeRequest, deadline: Instant) -> ChangeReply {
-        let (tx, rx) = oneshot::channel();
-        let command = GroupCommand::Change(Box::new(req.clone()), tx);
-        if self.group.send(command).await.is_err() {
-            return ChangeReply::Unavailable;
-        }
-        let reply = timeout_at(deadline.into(), rx).await;
-        match reply.map(|reply| reply.unwrap_or(ChangeReply::Unknown)) {
-            Ok(ChangeReply::NotLeader {
-                leader: Some(leader),
-            }) => {
-                let reply = call_member(leader, CHANGE_PATH, &req, deadline).await;
-                reply.unwrap_or(ChangeReply::Unknown)
-            }
-            Ok(reply) => reply,
-            Err(_) => ChangeReply::Unknown,
-        }
-    }
-
     /// Reads the current routing set, confirmed by a quorum after this call began.
     pub async fn read_routes(&self, deadline: Instant) -> ReadOutcome {
         loop {
-            match self
-                .try_read(deadline.min(Instant::now() + LEADER_TIMEOUT))
-                .await
-            {
+            match self.leader.read(deadline).await {
                 Some(QueryReply::Routes(set)) => return ReadOutcome::Confirmed(set),
                 _ if Instant::now() + RETRY_DELAY >= deadline => return ReadOutcome::Unavailable,
                 _ => actix_rt::time::sleep(RETRY_DELAY).await,
             }
         }
     }
-
-    async fn try_read(&self, deadline: Instant) -> Option<QueryReply> {
-        let (tx, rx) = oneshot::channel();
-        self.group.send(GroupCommand::Read(tx)).await.ok()?;
-        match timeout_at(deadline.into(), rx).await.ok()?.ok()? {
-            QueryReply::NotLeader { leader } => {
-                call_member(leader?, READ_PATH, &(), deadline).await
-            }
-            reply => Some(reply),
-        }
-    }
-}
-
-/// Sends a request to another member. Returns `None` if it fails.
-async fn call_member<Q: Serialize, A: DeserializeOwned>(
-    member: SocketAddr,
-    path: &str,
-    request: &Q,
-    deadline: Instant,
-) -> Option<A> {
-    let body = Bytes::from(wire::encode(request).ok()?);
-    let answer =
-        net::send_request(member, Method::POST, path, body, MAX_REPLY_BYTES, deadline).await;
-    let failed = match answer {
-        Ok((StatusCode::OK, body)) => match wire::decode(&body) {
-            Ok(answer) => return Some(answer),
-            Err(e) => e.to_string(),
-        },
-        Ok((status, _)) => status.to_string(),
-        Err(e) => e.to_string(),
-    };
-    log::info!(event = "leader_unreachable", leader:% = member, path = path, error = failed.as_str(); "the leader did not answer");
-    None
 }
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -1,6 +1,6 @@
 //! Starting a control host.
 
-use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, time::Instant};
+use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, sync::Arc, time::Instant};
 
 use consensus::{Consensus, MemberIdentity};
 use directory::Roster;
@@ -12,15 +12,19 @@
     net::TcpListener,
     sync::{mpsc, watch},
 };
+use types::RoutingSet;
 
 use super::{
     ReplicaHandle, Settings, group,
     group::MembershipStatus,
     http::HttpInterface,
+    leader::LeaderClient,
     metrics::Metrics,
     nodes,
     nodes::{NodeTask, SharedRoster},
-    roster_file, transport,
+    roster_file,
+    settings::{MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT},
+    submissions, transport,
 };
 use crate::{Error, Result, version::RouteHistory};
 
@@ -28,6 +32,9 @@
 /// messages.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
 
+/// Upper bound on the size of what the leader adds to a request in the log: its clock.
+const COMMAND_OVERHEAD_BYTES: usize = 16;
+
 /// Starts a control host with its state in the data folder of the settings. See
 /// [`start_on`].
 ///
@@ -104,6 +111,7 @@
         channels,
         metrics.clone(),
     )?;
+    let consensus_settings = cfg.consensus;
     let history = Rc::new(RefCell::new(RouteHistory::default()));
     let channels = nodes::Channels {
         socket: node_socket,
@@ -112,7 +120,7 @@
         roster_writer: Some(roster_writer),
         member: Some(nodes::LocalMember {
             id: member,
-            routes: routes_rx,
+            routes: routes_rx.clone(),
             membership_status: membership_status_rx.clone(),
             group: commands_tx.clone(),
         }),
@@ -137,15 +145,49 @@
         commands_tx.clone(),
     ));
     actix_rt::spawn(node_task.run());
-    actix_rt::spawn(net::serve(listener, interface, ServerLimits::default()));
-    let replica = ReplicaHandle {
-        group: commands_tx,
-        membership_status: membership_status_rx,
+    let replica = start_interfaces(
+        listener,
+        interface,
+        consensus_settings,
+        routes_rx,
+        membership_status_rx,
         metrics,
-    };
+    );
     Ok((replica, group_task.run()))
 }
 
+/// Starts the HTTP interface for other processes and the task of the operators' requests.
+fn start_interfaces(
+    listener: TcpListener,
+    interface: HttpInterface,
+    settings: consensus::Settings,
+    routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    membership_status: watch::Receiver<MembershipStatus>,
+    metrics: Metrics,
+) -> ReplicaHandle {
+    let leader = LeaderClient {
+        group: interface.group.clone(),
+        link_rate: settings.link_rate,
+    };
+    let limits = ServerLimits {
+        max_body_bytes: MAX_MESSAGE_BYTES,
+        request_timeout: MESSAGE_TIMEOUT,
+        ..ServerLimits::default()
+    };
+    actix_rt::spawn(net::serve(listener, interface, limits));
+    let (submissions, submissions_rx) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
+    actix_rt::spawn(submissions::run(submissions_rx, leader.clone(), routes));
+    ReplicaHandle {
+        leader,
+        submissions,
+        max_request_bytes: settings
+            .max_command_bytes
+            .saturating_sub(COMMAND_OVERHEAD_BYTES),
+        membership_status,
+        metrics,
+    }
+}
+
 /// Starts an observer: a control host without a disk that only serves node
 /// discovery. Returns the addresses of the known control hosts.
 ///
--- a/crates/replica/src/process/settings.rs
+++ b/crates/replica/src/process/settings.rs
@@ -11,6 +11,14 @@
 
 use crate::version::MembershipSettings;
 
+/// Maximum size of a message between members, in bytes: a snapshot with the largest
+/// routing set, 10,000 audit records of about 100 bytes and the answers to 17,000 changes
+/// of about 60 bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// Time to receive a message between members: as long as the longest transfer.
+pub(crate) const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Settings of a control host.
 #[derive(Debug, Clone)]
 pub struct Settings {
--- a/crates/replica/src/process/transport.rs
+++ b/crates/replica/src/process/transport.rs
@@ -1,34 +1,17 @@
 //! Transport of messages between members.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::net::SocketAddr;
 
 use actix_rt::spawn;
 use bytes::Bytes;
-use consensus::Envelope;
-use http::Method;
-use tokio::{
-    net::UdpSocket,
-    sync::{Semaphore, mpsc},
-};
+use consensus::{Envelope, Transfer};
+use http::{Method, StatusCode};
+use tokio::{net::UdpSocket, sync::mpsc};
 
 use super::{group::GroupCommand, http::CONSENSUS_PATH};
 
-/// Maximum size of a message sent as a datagram, in bytes: below the smallest
-/// common MTU. Larger ones, with large entries or a snapshot, are sent over HTTP.
-const MAX_DATAGRAM_BYTES: usize = 1200;
-
-/// Timeout for sending a message over HTTP. Below an election timeout, because
-/// newer messages replace it.
-const HTTP_SEND_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Maximum number of concurrent HTTP messages to a member. Further ones are
-/// dropped, and the consensus sends them again.
-const MAX_INFLIGHT_HTTP_MESSAGES: usize = 2;
+/// Maximum size of a response to a message, in bytes. It has no body.
+const MAX_RESPONSE_BYTES: usize = 1024;
 
 /// Sends and receives the messages between members, until the group task ends.
 pub(crate) async fn run(
@@ -36,12 +19,11 @@
     mut outgoing: mpsc::Receiver<Envelope>,
     group: mpsc::Sender<GroupCommand>,
 ) {
-    let mut http_permits: BTreeMap<SocketAddr, Arc<Semaphore>> = BTreeMap::new();
     let mut buf = vec![0; 64 * 1024];
     loop {
         tokio::select! {
             envelope = outgoing.recv() => match envelope {
-                Some(envelope) => send(&socket, &mut http_permits, &envelope).await,
+                Some(envelope) => send(&socket, envelope, &group).await,
                 None => return,
             },
             received = socket.recv_from(&mut buf) => {
@@ -57,35 +39,51 @@
     }
 }
 
-async fn send(
-    socket: &UdpSocket,
-    http_permits: &mut BTreeMap<SocketAddr, Arc<Semaphore>>,
-    envelope: &Envelope,
-) {
+/// Sends a transfer over HTTP in a task of its own, and any other message as a datagram.
+async fn send(socket: &UdpSocket, envelope: Envelope, group: &mpsc::Sender<GroupCommand>) {
     let address = envelope.address;
     let Ok(message) = wire::encode(&envelope.message) else {
         log::error!(event = "unencodable_message", to:% = address; "cannot encode message to a member");
         return;
     };
-    if message.len() <= MAX_DATAGRAM_BYTES {
+    match envelope.transfer {
+        Some(transfer) => {
+            let body = Bytes::from(message);
+            spawn(send_transfer(address, body, transfer, group.clone()));
+        }
         // Errors are ignored: the network may lose datagrams as well.
-        let _ = socket.send_to(&message, address).await;
-        return;
+        None => drop(socket.send_to(&message, address).await),
     }
-    let permits = http_permits
-        .entry(address)
-        .or_insert_with(|| Arc::new(Semaphore::new(MAX_INFLIGHT_HTTP_MESSAGES)));
-    let Ok(permit) = permits.clone().try_acquire_owned() else {
-        return;
+}
+
+/// Sends a transfer at the rate of the link, as TCP finds it, and reports its end.
+async fn send_transfer(
+    address: SocketAddr,
+    body: Bytes,
+    transfer: Transfer,
+    group: mpsc::Sender<GroupCommand>,
+) {
+    let bytes = body.len();
+    let sent = net::send_request(
+        address,
+        Method::POST,
+        CONSENSUS_PATH,
+        body,
+        MAX_RESPONSE_BYTES,
+        transfer.deadline,
+    );
+    let failed = match sent.await {
+        Ok((StatusCode::NO_CONTENT, _)) => None,
+        Ok((status, _)) => Some(status.to_string()),
+        Err(e) => Some(e.to_string()),
     };
-    spawn(async move {
-        let deadline = Instant::now() + HTTP_SEND_TIMEOUT;
-        let body = Bytes::from(message);
-        let sent =
-            net::send_request(address, Method::POST, CONSENSUS_PATH, body, 1024, deadline).await;
-        if let Err(e) = sent {
-            log::debug!(event = "member_unreachable", member:% = address, error:% = e; "cannot send message over HTTP; message dropped");
-        }
-        drop(permit);
-    });
+    if let Some(error) = &failed {
+        log::debug!(event = "transfer_failed", member:% = address, bytes = bytes, error = error.as_str(); "cannot deliver a large message to a member");
+    }
+    let command = GroupCommand::TransferEnded {
+        id: transfer.id,
+        delivered: failed.is_none(),
+    };
+    // The receiver is only dropped when the process ends.
+    let _ = group.send(command).await;
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -37,6 +37,6 @@
 pub use version::{
     BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, KeyGeneration, KeySet, PathPrefix,
     PlacementPolicy, Priority, RequestTargets, Revision, RouteWeight, RoutingDelta, RoutingRule,
-    RoutingSet, RoutingSetNumber, Service, ServiceId, ServiceLimits, ServiceState, Share, Target,
-    Term, UpstreamAnnouncement, UpstreamMember, UpstreamState, Version,
+    RoutingSet, RoutingSetNumber, Service, ServiceId, ServiceLimits, ServiceState, ServiceWeights,
+    Share, Target, Term, UpstreamAnnouncement, UpstreamMember, UpstreamState, Version,
 };
--- a/crates/types/src/request/change.rs
+++ b/crates/types/src/request/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the configuration and their answers.
 
-use std::{fmt, net::SocketAddr, str::FromStr};
+use std::{fmt, net::SocketAddr, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -97,7 +97,7 @@
     ActivateKey,
     /// Replaces the routing set. If the present set has the same or a higher
     /// number, the change is accepted and has no effect.
-    ReplaceRoutes(Box<RoutingSet>),
+    ReplaceRoutes(Arc<RoutingSet>),
     /// Records in the audit trail that a change of the control group was made
     /// or refused. Only the leader proposes it; it has no other effect.
     NoteGroup {
@@ -183,4 +183,26 @@
     /// The base revision is not a known revision of the object.
     #[error("revision {0} is not known for what the change concerns")]
     UnknownBase(Revision),
+    /// A rule of the routing set has a timeout of 0.
+    #[error("routing set {0} has a rule for {1} with a time-out of 0")]
+    ZeroTimeout(RoutingSetNumber, SocketAddr),
+    /// The routing set has more rules than a host has memory for.
+    #[error("routing set {0} has {1} rules; at most {2} are allowed")]
+    TooManyRules(RoutingSetNumber, usize, usize),
+    /// The change is too large for a message between control hosts.
+    #[error("the change has {bytes} bytes; at most {limit} are allowed")]
+    TooLarge {
+        /// Size of the encoded change.
+        bytes: usize,
+        /// The largest allowed size.
+        limit: usize,
+    },
+}
+
+impl Refusal {
+    /// Whether the change exceeds a limit on its size.
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        matches!(self, Refusal::TooManyRules(..) | Refusal::TooLarge { .. })
+    }
 }
--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -6,6 +6,7 @@
 mod policy;
 mod routes;
 mod service;
+mod weights;
 
 pub use key::{CidKey, KeyGeneration, KeySet};
 pub use membership::{
@@ -18,3 +19,4 @@
     Priority, RequestTargets, RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber,
 };
 pub use service::{PathPrefix, Service, ServiceId, Share, Target};
+pub use weights::ServiceWeights;
--- a/crates/types/src/version/policy.rs
+++ b/crates/types/src/version/policy.rs
@@ -8,7 +8,7 @@
 use crate::{DataCentre, RequestRate};
 
 /// Limits of a service that its upstreams do not announce themselves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct ServiceLimits {
     /// New flows that an upstream bears while it is cold; `None` if operators state no
     /// limit.
--- a/crates/types/src/version/routes.rs
+++ b/crates/types/src/version/routes.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::ServiceLimits;
-use crate::ServiceName;
+use super::{ServiceLimits, ServiceWeights};
+use crate::{Refusal, ServiceName};
 
 decimal! {
     /// Number of a routing set, chosen by its author. The set with the highest
@@ -54,11 +54,11 @@
 }
 
 /// The services that receive the new flows to one address.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 #[serde(from = "EncodedRule", into = "EncodedRule")]
 pub struct RoutingRule {
     /// Weight of each service. In an accepted set, at least one is above 0.
-    pub weights: BTreeMap<ServiceName, RouteWeight>,
+    pub weights: ServiceWeights,
     /// Targets of the requests on these flows.
     pub targets: RequestTargets,
 }
@@ -68,8 +68,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 enum EncodedRule {
-    Weights(BTreeMap<ServiceName, RouteWeight>),
-    WithTargets(BTreeMap<ServiceName, RouteWeight>, RequestTargets),
+    Weights(ServiceWeights),
+    WithTargets(ServiceWeights, RequestTargets),
 }
 
 impl From<EncodedRule> for RoutingRule {
@@ -127,7 +127,7 @@
 
 /// The routing rules of all addresses, replaced as a whole.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RoutingSet {
     /// Number by which sets are ordered.
     pub number: RoutingSetNumber,
@@ -175,6 +175,33 @@
 }
 
 impl RoutingSet {
+    /// Largest number of rules. A rule takes about 250 bytes of memory, and a host that
+    /// replaces a set holds several at a time.
+    pub const MAX_RULES: usize = 20_000;
+
+    /// Checks that the set is valid. The replicated log, the operators' interfaces and
+    /// `limpetctl` all use this decision; the log records a refusal in the audit trail.
+    ///
+    /// # Errors
+    ///
+    /// The set has too many rules, or a rule without a weight above 0 or with a timeout
+    /// of 0.
+    pub fn check(&self) -> Result<(), Refusal> {
+        if self.rules.len() > Self::MAX_RULES {
+            let (rules, limit) = (self.rules.len(), Self::MAX_RULES);
+            return Err(Refusal::TooManyRules(self.number, rules, limit));
+        }
+        for (address, rule) in &self.rules {
+            if rule.weights.values().all(|weight| weight.0 == 0) {
+                return Err(Refusal::EmptyRule(self.number, *address));
+            }
+            if rule.targets.timeout.is_zero() {
+                return Err(Refusal::ZeroTimeout(self.number, *address));
+            }
+        }
+        Ok(())
+    }
+
     /// Difference between `base` and this set, or the whole set if `base` is
     /// `None`.
     #[must_use]
--- a/crates/types/tests/routes_encoding.rs
+++ b/crates/types/tests/routes_encoding.rs
@@ -14,7 +14,7 @@
 fn a_rule_without_targets_is_read_and_written_as_its_weights() {
     let earlier = rmp_serde::to_vec(&weights()).unwrap();
     let rule: RoutingRule = rmp_serde::from_slice(&earlier).unwrap();
-    assert_eq!(rule.weights, weights());
+    assert_eq!(rule.weights, weights().into());
     assert_eq!(rule.targets, RequestTargets::default());
     assert_eq!(rmp_serde::to_vec(&rule).unwrap(), earlier);
 }
@@ -23,7 +23,7 @@
 #[test]
 fn targets_are_encoded_with_the_weights() {
     let rule = RoutingRule {
-        weights: weights(),
+        weights: weights().into(),
         targets: RequestTargets {
             objective: Duration::from_millis(120),
             timeout: Duration::from_millis(1500),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -37,6 +37,6 @@
     ServiceTag,
 };
 pub use error::{Category, Error, Result};
-pub use process::{CONTENT_TYPE, MAX_MESSAGE_LEN, decode, encode};
+pub use process::{CONTENT_TYPE, MAX_MESSAGE_LEN, decode, encode, encode_pair};
 pub use request::{ClaimHeader, OfferRequest, ReserveReply, ReserveRequest};
 pub use version::{ServiceSubset, SyncReply, SyncRequest, Update};
--- a/crates/wire/src/process/mod.rs
+++ b/crates/wire/src/process/mod.rs
@@ -24,6 +24,32 @@
     Ok(buf)
 }
 
+/// Encodes a message of two fields, of which the second one is encoded already. The
+/// result equals that of [`encode`] for both fields, without decoding the second one.
+///
+/// ```
+/// let second = wire::encode(&("a", 7))?;
+/// assert_eq!(wire::encode_pair(&5, &second)?, wire::encode(&(5, ("a", 7)))?);
+/// # Ok::<(), wire::Error>(())
+/// ```
+///
+/// # Errors
+///
+/// Fails if the first field cannot be represented in `MessagePack`, or the second one has
+/// another protocol version.
+pub fn encode_pair<T: Serialize>(first: &T, second: &[u8]) -> Result<Vec<u8>> {
+    /// `MessagePack` header of an array of two elements.
+    const ARRAY_OF_TWO: u8 = 0x92;
+    let body = match second.split_first() {
+        None => return Err(ErrorKind::Truncated(0).into()),
+        Some((&PROTOCOL_VERSION, body)) => body,
+        Some((&version, _)) => return Err(ErrorKind::Version(version, PROTOCOL_VERSION).into()),
+    };
+    let mut head = vec![PROTOCOL_VERSION, ARRAY_OF_TWO];
+    rmp_serde::encode::write(&mut head, first).map_err(ErrorKind::Encode)?;
+    Ok([&head, body].concat())
+}
+
 /// Decodes a control message.
 ///
 /// # Errors
