Bound the memory for requests in progress

Cause: a host pursued any number of different large requests at a time, and the leader kept any number of large proposals in memory. A transfer that was delivered still counted against the bytes in flight until the member's disk had it, so that a slow disk delayed the entry for other members.

Change: a host pursues requests of 8 MiB at most, and a leader has proposals of 8 MiB at most; others get 503 and are sent again. A change is repeated at most at a fourth of the rate of the link. A delivered transfer no longer counts.

--- a/crates/consensus/src/process/transfer.rs
+++ b/crates/consensus/src/process/transfer.rs
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(super) struct TransferInFlight {
     pub id: TransferId,
-    /// Size of its contents in bytes.
+    /// Size of its contents in bytes; 0 once it is delivered.
     pub bytes: usize,
     /// The last index that it contains.
     pub last: Revision,
@@ -126,7 +126,9 @@
                 continue;
             };
             let rest = if delivered {
-                settings.transfer_time(transfer.bytes, 0, peer.failed_transfers)
+                // It no longer uses the link, so another one may start.
+                let bytes = std::mem::take(&mut transfer.bytes);
+                settings.transfer_time(bytes, 0, peer.failed_transfers)
             } else {
                 settings.heartbeat_interval
             };
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -30,6 +30,10 @@
 /// Interval at which the leader checks whether a membership change is needed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum size of all proposals that are not committed yet, in bytes: two of the maximum
+/// size. The log keeps them in memory.
+const MAX_PENDING_BYTES: usize = 8 << 20;
+
 /// A message to the task.
 #[derive(Debug)]
 pub(crate) enum GroupCommand {
@@ -209,7 +213,7 @@
             return Ok(());
         }
         for pending in self.pending.values_mut() {
-            if let PendingRequest::Change { set, replies } = pending
+            if let PendingRequest::Change { set, replies, .. } = pending
                 && *set == Some(id)
             {
                 log::info!(event = "change_joined", set:% = id; "the same routing set is already proposed");
@@ -217,6 +221,15 @@
                 return Ok(());
             }
         }
+        let changes = self.pending.values().map(|pending| match pending {
+            PendingRequest::Change { bytes, .. } => *bytes,
+            _ => 0,
+        });
+        if changes.sum::<usize>() + change.bytes.len() > MAX_PENDING_BYTES {
+            // The requester may have disconnected.
+            let _ = tx.send(ChangeReply::Unavailable);
+            return Ok(());
+        }
         self.propose(change, tx)
     }
 
@@ -228,6 +241,7 @@
         };
         let token = self.register_pending(PendingRequest::Change {
             set: change.set,
+            bytes: change.bytes.len(),
             replies: vec![tx],
         });
         let command = Bytes::from(command);
--- a/crates/replica/src/process/leader.rs
+++ b/crates/replica/src/process/leader.rs
@@ -29,6 +29,12 @@
 /// from there to the members of a group of eight, with a spare one.
 const LINK_PASSES: u32 = 10;
 
+/// Delay before a change or read is retried.
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// A change that is sent again and again uses at most one part in this many of the link.
+const RETRY_LINK_SHARE: u32 = 4;
+
 /// Maximum size of a reply between members, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 
@@ -41,6 +47,11 @@
 }
 
 impl LeaderClient {
+    /// Delay before a change is sent again: a small share of the link for large ones.
+    pub fn retry_delay(&self, change: &EncodedChange) -> Duration {
+        RETRY_DELAY + self.link_rate.transmission_time(change.bytes.len()) * RETRY_LINK_SHARE
+    }
+
     /// Requests a change.
     pub async fn change(&self, change: &EncodedChange, until: Instant) -> ChangeReply {
         let time = self.link_rate.transmission_time(change.bytes.len());
--- a/crates/replica/src/process/replica.rs
+++ b/crates/replica/src/process/replica.rs
@@ -1,10 +1,6 @@
 //! The handle for front ends of a control host.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -14,13 +10,13 @@
 use wire::request::QueryReply;
 
 use super::{
-    group::MembershipStatus, leader::LeaderClient, metrics::Metrics, submissions::Submission,
+    group::MembershipStatus,
+    leader::{LeaderClient, RETRY_DELAY},
+    metrics::Metrics,
+    submissions::Submission,
 };
 use crate::request::{ChangeOutcome, EncodedChange, ReadOutcome};
 
-/// Delay before a change or read is retried.
-pub(super) const RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// A handle to a control host for operators' front ends. Clones refer to the same
 /// host.
 #[derive(Debug, Clone)]
--- a/crates/replica/src/process/submissions.rs
+++ b/crates/replica/src/process/submissions.rs
@@ -14,7 +14,7 @@
 use types::{Answer, RoutingSet};
 use wire::request::ChangeReply;
 
-use super::{leader::LeaderClient, replica::RETRY_DELAY};
+use super::leader::LeaderClient;
 use crate::request::{ChangeOutcome, EncodedChange, SetId};
 
 /// Time within which operators get a confirmation, without the time for each rule.
@@ -23,6 +23,16 @@
 /// Additional time within which operators get a confirmation, for each rule.
 const CONFIRMATION_TIME_PER_RULE: Duration = Duration::from_millis(3);
 
+/// Maximum size of all requests that a host pursues, in bytes: two of the maximum size.
+/// Further operators get 503 and send their requests again.
+const MAX_PURSUED_BYTES: usize = 8 << 20;
+
+/// The operators that wait for a request in progress, and its size.
+struct Pursued {
+    bytes: usize,
+    replies: Vec<oneshot::Sender<ChangeOutcome>>,
+}
+
 /// A request of an operator to replace the routing set.
 #[derive(Debug)]
 pub(crate) struct Submission {
@@ -41,18 +51,26 @@
     routes: watch::Receiver<Option<Arc<RoutingSet>>>,
 ) {
     // One result for each submission in progress, so that sending never waits for long.
-    let (ended_tx, mut ended) = mpsc::channel(1);
-    let mut waiting: BTreeMap<SetId, Vec<oneshot::Sender<ChangeOutcome>>> = BTreeMap::new();
+    let (ended_tx, mut ended_rx) = mpsc::channel(1);
+    let mut pursued: BTreeMap<SetId, Pursued> = BTreeMap::new();
     loop {
         tokio::select! {
             submission = submissions.recv() => {
                 let Some(submission) = submission else { return };
                 let Some(id) = submission.change.set else { continue };
-                if let Some(replies) = waiting.get_mut(&id) {
-                    replies.push(submission.reply);
+                if let Some(pursued) = pursued.get_mut(&id) {
+                    pursued.replies.push(submission.reply);
+                    continue;
+                }
+                let bytes = submission.change.bytes.len();
+                let others: usize = pursued.values().map(|pursued| pursued.bytes).sum();
+                if others + bytes > MAX_PURSUED_BYTES {
+                    // The operator may have gone.
+                    let _ = submission.reply.send(ChangeOutcome::Unavailable);
                     continue;
                 }
-                waiting.insert(id, vec![submission.reply]);
+                let replies = vec![submission.reply];
+                pursued.insert(id, Pursued { bytes, replies });
                 let rules = u32::try_from(submission.rules).unwrap_or(u32::MAX);
                 let time = CONFIRMATION_TIME + CONFIRMATION_TIME_PER_RULE * rules;
                 let until = submission.deadline.max(Instant::now() + time);
@@ -67,8 +85,9 @@
                     let _ = ended_tx.send((id, outcome)).await;
                 });
             }
-            Some((id, outcome)) = ended.recv() => {
-                for reply in waiting.remove(&id).into_iter().flatten() {
+            Some((id, outcome)) = ended_rx.recv() => {
+                let ended = pursued.remove(&id);
+                for reply in ended.into_iter().flat_map(|ended| ended.replies) {
                     // The operator may have gone.
                     let _ = reply.send(outcome.clone());
                 }
@@ -91,14 +110,15 @@
             ChangeReply::Unknown => outcome_unknown = true,
             ChangeReply::NotLeader { .. } | ChangeReply::Unavailable => {}
         }
-        if Instant::now() + RETRY_DELAY >= until {
+        let delay = leader.retry_delay(change);
+        if Instant::now() + delay >= until {
             return if outcome_unknown {
                 ChangeOutcome::Unknown
             } else {
                 ChangeOutcome::Unavailable
             };
         }
-        actix_rt::time::sleep(RETRY_DELAY).await;
+        actix_rt::time::sleep(delay).await;
     }
 }
 
--- a/crates/replica/src/request/mod.rs
+++ b/crates/replica/src/request/mod.rs
@@ -101,6 +101,8 @@
     Change {
         /// Set if the change replaces the routing set.
         set: Option<SetId>,
+        /// Size of the encoded change.
+        bytes: usize,
         replies: Vec<oneshot::Sender<ChangeReply>>,
     },
     /// A replacement of the routing set that is proposed once all earlier entries are
