--- a/crates/config/src/version/versioned_objects.rs
+++ b/crates/config/src/version/versioned_objects.rs
@@ -145,12 +145,12 @@
 
     /// Replaces the routing set at `revision`. It does not count as a change of the
     /// objects, because nodes compare its own number.
-    pub(crate) fn put_routes(&mut self, set: RoutingSet, revision: Revision) {
+    pub(crate) fn put_routes(&mut self, set: Arc<RoutingSet>, revision: Revision) {
         let limits = self.objects.routes.as_ref().map(|set| &set.services);
         if !limits.map_or(set.services.is_empty(), |limits| *limits == set.services) {
             self.objects.placement.revision = revision;
         }
-        self.objects.routes = Some(Arc::new(set));
+        self.objects.routes = Some(set);
     }
 
     pub(crate) fn evacuations(&self) -> &BTreeMap<DataCentre, EvacuationMark> {
--- a/crates/config/tests/evacuations.rs
+++ b/crates/config/tests/evacuations.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use common::{Log, drain, evacuate, replace_routes, snapshot};
 use config::{ChangeSummary, ConfigState, MAX_EVACUATION_MARKS};
@@ -84,7 +84,7 @@
         if let Some(rate) = rate {
             let cold_rate = RequestRate::from_per_second(rate);
             let limits = ServiceLimits { cold_rate };
-            set.services = [("a".parse().unwrap(), limits)].into();
+            Arc::make_mut(&mut set).services = [("a".parse().unwrap(), limits)].into();
         }
         log.apply_new("ana", 0, Change::ReplaceRoutes(set));
         log.state.placement_revision()
--- a/crates/replica/src/process/evacuation.rs
+++ b/crates/replica/src/process/evacuation.rs
@@ -10,8 +10,8 @@
 use types::{Answer, Change, ChangeId, ChangeRequest, DataCentre, OperatorName, ServiceName};
 use wire::request::{ChangeReply, QueryReply};
 
-use super::replica::{LEADER_TIMEOUT, RETRY_DELAY, ReplicaHandle};
-use crate::request::{ChangeOutcome, ReadTarget, UnservedServicesRequest};
+use super::{leader::RETRY_DELAY, replica::ReplicaHandle};
+use crate::request::{ChangeOutcome, EncodedChange, ReadTarget, UnservedServicesRequest};
 
 impl ReplicaHandle {
     /// Starts or ends the evacuation of a data centre. Works on any member. It may be
@@ -41,8 +41,11 @@
                     evacuated,
                 },
             };
-            let attempt_deadline = deadline.min(Instant::now() + LEADER_TIMEOUT);
-            match self.try_change(req, attempt_deadline).await {
+            let Ok(change) = EncodedChange::encode(&req) else {
+                // Not expected: all changes can be encoded.
+                break ChangeOutcome::Unavailable;
+            };
+            match self.leader.change(&change, deadline).await {
                 ChangeReply::Final(Answer::Accepted(_)) => break ChangeOutcome::Accepted,
                 ChangeReply::Final(Answer::Refused(refusal)) => {
                     break ChangeOutcome::Refused(refusal);
@@ -76,9 +79,7 @@
         deadline: Instant,
     ) -> Option<BTreeMap<DataCentre, EvacuationMark>> {
         loop {
-            let attempt_deadline = deadline.min(Instant::now() + LEADER_TIMEOUT);
-            let reply = self.try_read(ReadTarget::Evacuations, attempt_deadline);
-            match reply.await {
+            match self.leader.read(ReadTarget::Evacuations, deadline).await {
                 Some(QueryReply::Evacuations(marks)) => return Some(marks),
                 _ if Instant::now() + RETRY_DELAY >= deadline => return None,
                 _ => actix_rt::time::sleep(RETRY_DELAY).await,
--- a/crates/replica/src/process/run.rs
+++ b/crates/replica/src/process/run.rs
@@ -1,6 +1,6 @@
 //! Starting a control host.
 
-use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, time::Instant};
+use std::{cell::RefCell, future::Future, net::Ipv4Addr, rc::Rc, sync::Arc, time::Instant};
 
 use consensus::{Consensus, MemberIdentity};
 use directory::Roster;
@@ -12,6 +12,7 @@
     net::TcpListener,
     sync::{mpsc, watch},
 };
+use types::RoutingSet;
 
 use super::{
     ReplicaHandle, Settings, formation, formation_file,
@@ -19,13 +20,17 @@
     group,
     group::MembershipStatus,
     http::HttpInterface,
+    leader::LeaderClient,
     metrics::Metrics,
     nodes,
     nodes::{NodeTask, SharedRoster},
-    roster_file, transport,
+    roster_file,
+    settings::{MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT},
+    submissions, transport,
 };
 use crate::{
     Error, Result,
+    request::UnservedServicesRequest,
     version::{Placement, RouteHistory, first_member_id},
 };
 
@@ -33,6 +38,9 @@
 /// messages.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
 
+/// Upper bound on the size of what the leader adds to a request in the log: its clock.
+const COMMAND_OVERHEAD_BYTES: usize = 16;
+
 /// Starts a control host with its state in the data folder of the settings. See
 /// [`start_on`].
 ///
@@ -113,6 +121,7 @@
         channels,
         metrics.clone(),
     )?;
+    let consensus_settings = cfg.consensus;
     let history = Rc::new(RefCell::new(RouteHistory::default()));
     let channels = nodes::Channels {
         socket: node_socket,
@@ -121,7 +130,7 @@
         roster_writer: Some(roster_writer),
         member: Some(nodes::LocalMember {
             id: member,
-            routes: routes_rx,
+            routes: routes_rx.clone(),
             placement: placement_rx.clone(),
             membership_status: membership_status_rx.clone(),
             group: commands_tx.clone(),
@@ -149,14 +158,14 @@
         commands_tx.clone(),
     ));
     actix_rt::spawn(node_task.run());
-    actix_rt::spawn(net::serve(listener, interface, ServerLimits::default()));
-    let replica = ReplicaHandle {
-        group: commands_tx,
+    let interfaces = Interfaces {
+        routes: routes_rx,
         membership_status: membership_status_rx,
         placement: placement_rx,
         unserved_services: unserved_services_tx,
         metrics,
     };
+    let replica = start_interfaces(listener, interface, consensus_settings, interfaces);
     Ok((replica, group_task.run()))
 }
 
@@ -170,6 +179,51 @@
     }))
 }
 
+/// What the interfaces of a control host learn from its other tasks.
+struct Interfaces {
+    routes: watch::Receiver<Option<Arc<RoutingSet>>>,
+    membership_status: watch::Receiver<MembershipStatus>,
+    placement: watch::Receiver<Placement>,
+    unserved_services: mpsc::Sender<UnservedServicesRequest>,
+    metrics: Metrics,
+}
+
+/// Starts the HTTP interface for other processes and the task of the operators' requests.
+fn start_interfaces(
+    listener: TcpListener,
+    interface: HttpInterface,
+    settings: consensus::Settings,
+    interfaces: Interfaces,
+) -> ReplicaHandle {
+    let leader = LeaderClient {
+        group: interface.group.clone(),
+        link_rate: settings.link_rate,
+    };
+    let limits = ServerLimits {
+        max_body_bytes: MAX_MESSAGE_BYTES,
+        request_timeout: MESSAGE_TIMEOUT,
+        ..ServerLimits::default()
+    };
+    actix_rt::spawn(net::serve(listener, interface, limits));
+    let (submissions, submissions_rx) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
+    actix_rt::spawn(submissions::run(
+        submissions_rx,
+        leader.clone(),
+        interfaces.routes,
+    ));
+    ReplicaHandle {
+        leader,
+        submissions,
+        max_request_bytes: settings
+            .max_command_bytes
+            .saturating_sub(COMMAND_OVERHEAD_BYTES),
+        membership_status: interfaces.membership_status,
+        placement: interfaces.placement,
+        unserved_services: interfaces.unserved_services,
+        metrics: interfaces.metrics,
+    }
+}
+
 /// Starts an observer: a control host without a disk that only serves node
 /// discovery. Returns the addresses of the known control hosts.
 ///
