hedge: decide when a request is also sent to a second upstream

Cause: one slow upstream or one slow moment determines the late share of a class, although another upstream of the service could have answered in time.

Change: a crate of pure decisions. The delay of a class is a high percentile of its latencies, learned with hdrhistogram over 30 to 60 s; the percentile is the one that half of the budget exceeds, within 90 and 99. The budget is a share of the requests: in the ten seconds that end with a hedge, hedges are at most that share of the requests that arrived in them, and in any interval at most the share plus 4. Hedges stop for a second after each sign of saturation (75% of the service's slots, a refusal, a peer without a free slot) and go only to warm, serving upstreams with a free slot. `types::HedgeBudget` is the budget in percent. Nothing uses the crate yet.

--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,8 +35,8 @@
     GroupRequest, Refusal, RequestId, RequestRate, ReservationId, Slots, UnixMillis,
 };
 pub use version::{
-    BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, KeyGeneration, KeySet, PathPrefix,
-    PlacementPolicy, Priority, RequestTargets, Revision, RouteWeight, RoutingDelta, RoutingRule,
-    RoutingSet, RoutingSetNumber, Service, ServiceId, ServiceLimits, ServiceState, Share, Target,
-    Term, UpstreamAnnouncement, UpstreamMember, UpstreamState, Version,
+    BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, HedgeBudget, KeyGeneration, KeySet,
+    PathPrefix, PlacementPolicy, Priority, RequestTargets, Revision, RouteWeight, RoutingDelta,
+    RoutingRule, RoutingSet, RoutingSetNumber, Service, ServiceId, ServiceLimits, ServiceState,
+    Share, Target, Term, UpstreamAnnouncement, UpstreamMember, UpstreamState, Version,
 };
--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! Types of the configuration and the membership, which change with their version.
 
+mod hedge;
 mod key;
 mod membership;
 mod number;
@@ -7,6 +8,7 @@
 mod routes;
 mod service;
 
+pub use hedge::HedgeBudget;
 pub use key::{CidKey, KeyGeneration, KeySet};
 pub use membership::{
     BalancerAnnouncement, ClassLoad, ClassLoads, ServiceState, UpstreamAnnouncement,
