agent: hedge slow requests at a peer, within a budget of the class

Cause: a request that runs at a slow upstream waits for it, although another upstream of the service could answer sooner. The decisions exist in `hedge`.

A GET, HEAD, OPTIONS or TRACE request without a body that runs at the agent's own upstream beyond the learned delay is also sent to a peer, over a reservation and the hand-off path. The first response that is complete, or of which 64 KB have arrived, goes to the caller; the other request is cancelled by closing its connection and counts as cancelled, not as failed. A 5xx response of the peer does not win. The agent counts `limpet_agent_hedges_total` by class and result.

The stand-in's /slow can be limited to one upstream.

--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -11,6 +11,7 @@
     ReservationAnswer, RetryBudget, decide_retry,
 };
 use client::HttpClient;
+use hedge::Repeatable;
 use rand::Rng;
 use serde::Serialize;
 use tokio::{
@@ -22,8 +23,9 @@
 use wire::{OfferRequest, ReserveReply, ReserveRequest};
 
 use super::{
-    AdmissionCommand, AdmissionHandle, AdmissionReply,
+    AdmissionCommand, AdmissionHandle, AdmissionReply, HedgeReply, HedgeTimer, PeerSlot,
     commands::{AdmissionConfig, UpstreamStatus},
+    hedging::PeerHedging,
     peer::{OFFER_PATH, RELEASE_PATH, RESERVE_PATH},
 };
 use crate::version::Peer;
@@ -53,14 +55,22 @@
     upstream_address: SocketAddr,
     service: Option<ServiceId>,
     peers: BTreeMap<UpstreamId, Peer>,
-    /// Requests without a reply yet, with their class and reply channel.
-    pending_requests: BTreeMap<RequestId, (ClassName, oneshot::Sender<AdmissionReply>)>,
+    /// Requests without a reply yet.
+    pending_requests: BTreeMap<RequestId, PendingRequest>,
+    hedging: PeerHedging,
     open_connections: Connections,
     http: HttpClient,
     handle: AdmissionHandle,
     rx: mpsc::UnboundedReceiver<AdmissionCommand>,
 }
 
+/// A request without a reply.
+struct PendingRequest {
+    class: ClassName,
+    hedge: Option<HedgeTimer>,
+    tx: oneshot::Sender<AdmissionReply>,
+}
+
 impl AdmissionTask {
     /// Creates the task.
     #[must_use]
@@ -81,6 +91,7 @@
             service: None,
             peers: BTreeMap::new(),
             pending_requests: BTreeMap::new(),
+            hedging: PeerHedging::new(Instant::now()),
             open_connections: Connections(0),
             http,
             handle,
@@ -119,7 +130,10 @@
     fn handle_command(&mut self, now: Instant, command: AdmissionCommand) {
         use AdmissionCommand as C;
         match command {
-            C::Arrive(info, tx) => self.arrive(now, info, tx),
+            C::Arrive(info, repeatable, tx) => self.arrive(now, info, repeatable, tx),
+            C::Answered(class, latency) => self.hedging.answered(now, &class, latency),
+            C::Hedge(class, tx) => self.hedge(now, class, tx),
+            C::HedgeReserved(slot, granted, tx) => self.answer_hedge(now, slot, granted, tx),
             C::Finish(id, outcome) => {
                 let deferred = self.admission.finish(now, id, outcome);
                 self.carry_out_all(deferred);
@@ -166,7 +180,9 @@
                 for (peer, loads) in loads.into_iter().filter(|(id, _)| *id != own_id) {
                     let deferred = self.admission.update_peer_loads(now, peer, &loads);
                     self.carry_out_all(deferred);
+                    self.hedging.update_loads(peer, loads);
                 }
+                self.hedging.observe_loads(now, &self.admission.loads());
             }
             C::PeerAnswered(id, peer, reservation, answer) => {
                 if let Some(decision) = self.admission.handle_peer_answer(now, id, peer, answer) {
@@ -179,10 +195,19 @@
         }
     }
 
-    fn arrive(&mut self, now: Instant, info: RequestInfo, tx: oneshot::Sender<AdmissionReply>) {
+    fn arrive(
+        &mut self,
+        now: Instant,
+        info: RequestInfo,
+        repeatable: Option<Repeatable>,
+        tx: oneshot::Sender<AdmissionReply>,
+    ) {
         let id = info.id;
         self.retry_budget.deposit();
-        self.pending_requests.insert(id, (info.class.clone(), tx));
+        let class = info.class.clone();
+        let hedge = repeatable.and_then(|r| self.hedging.arrive(now, &class, r));
+        self.pending_requests
+            .insert(id, PendingRequest { class, hedge, tx });
         let decision = self.admission.arrive(now, info);
         self.carry_out(id, decision, None);
     }
@@ -197,8 +222,11 @@
     /// if the decision follows a peer's answer.
     fn carry_out(&mut self, id: RequestId, decision: Decision, reservation: Option<ReservationId>) {
         match (decision, reservation) {
-            (Decision::Run, _) => self.reply(id, AdmissionReply::Run),
-            (Decision::Refuse(reason), _) => self.reply(id, AdmissionReply::Refuse(reason)),
+            (Decision::Run, _) => self.reply_run(id),
+            (Decision::Refuse(reason), _) => {
+                self.hedging.mark_saturated(Instant::now());
+                self.reply(id, AdmissionReply::Refuse(reason));
+            }
             (Decision::AskPeer { peer }, _) => self.request_peer_slot(id, peer),
             (Decision::Forward { peer }, Some(reservation)) => self.hand_off(id, peer, reservation),
             (Decision::Release { peer }, Some(reservation)) => self.release(peer, reservation),
@@ -208,14 +236,19 @@
         }
     }
 
+    fn reply_run(&mut self, id: RequestId) {
+        let hedge = self.pending_requests.get(&id).and_then(|p| p.hedge);
+        self.reply(id, AdmissionReply::Run { hedge });
+    }
+
     fn reply(&mut self, id: RequestId, reply: AdmissionReply) {
-        let Some((_, tx)) = self.pending_requests.remove(&id) else {
+        let Some(pending) = self.pending_requests.remove(&id) else {
             return;
         };
         // If the request was cancelled meanwhile, its slot is released.
-        match tx.send(reply) {
+        match pending.tx.send(reply) {
             Ok(()) | Err(AdmissionReply::Refuse(_)) => {}
-            Err(AdmissionReply::Run) => self.handle.send(AdmissionCommand::Cancel(id)),
+            Err(AdmissionReply::Run { .. }) => self.handle.send(AdmissionCommand::Cancel(id)),
             Err(AdmissionReply::HandOff {
                 upstream,
                 reservation,
@@ -245,7 +278,7 @@
             self.service,
             self.pending_requests
                 .get(&id)
-                .map(|(class, _)| class.clone()),
+                .map(|pending| pending.class.clone()),
         ) else {
             let answer = PeerAnswer::Unreachable;
             return handle.send(AdmissionCommand::PeerAnswered(
@@ -281,6 +314,61 @@
         });
     }
 
+    /// Decides about a hedge and requests a reservation for it; the answer arrives
+    /// as a command.
+    fn hedge(&mut self, now: Instant, class: ClassName, tx: oneshot::Sender<HedgeReply>) {
+        let upstream = match self.hedging.choose(now, &class, &self.admission.loads()) {
+            Ok(upstream) => upstream,
+            Err(denial) => {
+                let _ = tx.send(HedgeReply::Denied(denial));
+                return;
+            }
+        };
+        let (Some(peer), Some(service)) = (self.peers.get(&upstream).cloned(), self.service) else {
+            let _ = tx.send(HedgeReply::PeerRefused);
+            return;
+        };
+        let reservation = ReservationId(rand::rng().random());
+        let req = ReserveRequest {
+            id: reservation,
+            service,
+            upstream,
+            from: self.own_id,
+            class,
+            hold: RESERVATION_HOLD,
+        };
+        let http = self.http.clone();
+        let handle = self.handle.clone();
+        actix_rt::spawn(async move {
+            let deadline = Instant::now() + PEER_REPLY_TIMEOUT;
+            let reply = http.post(peer.address, RESERVE_PATH, &req, deadline).await;
+            let granted = matches!(reply, Ok(ReserveReply::Granted));
+            let slot = PeerSlot {
+                upstream,
+                peer,
+                reservation,
+            };
+            handle.send(AdmissionCommand::HedgeReserved(slot, granted, tx));
+        });
+    }
+
+    /// Tells a request whether its hedge has a slot. A slot that it no longer needs
+    /// is released.
+    fn answer_hedge(
+        &mut self,
+        now: Instant,
+        slot: PeerSlot,
+        granted: bool,
+        tx: oneshot::Sender<HedgeReply>,
+    ) {
+        if !granted {
+            self.hedging.mark_saturated(now);
+            let _ = tx.send(HedgeReply::PeerRefused);
+        } else if let Err(HedgeReply::Send(slot)) = tx.send(HedgeReply::Send(slot)) {
+            self.release(slot.upstream, slot.reservation);
+        }
+    }
+
     /// Releases a reservation at a peer. If the message is lost, the reservation
     /// expires at its deadline.
     fn release(&self, peer: UpstreamId, reservation: ReservationId) {
@@ -379,6 +467,7 @@
             .map(|(&id, peer)| (id, peer.data_centre.clone()))
             .collect();
         self.peers = config.peers;
+        self.hedging.configure(&config.targets, config.hedge_states);
         self.admission.set_peers(&self.data_centre, &data_centres);
         let deferred = self.admission.set_targets(now, &config.targets);
         self.carry_out_all(deferred);
--- a/crates/agent/src/process/commands.rs
+++ b/crates/agent/src/process/commands.rs
@@ -1,11 +1,15 @@
 //! Commands to the admission task.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use admit::{
     Attempt, ClaimAnswer, LoadReport, PeerAnswer, RefusalReason, RequestInfo, RequestOutcome,
     RetryDecision,
 };
+use hedge::{CandidateState, Denial, Repeatable};
 use tokio::sync::{mpsc, oneshot};
 use types::{
     ClassLoads, ClassName, Connections, RequestId, ReservationId, ServiceId, Target, UpstreamId,
@@ -19,7 +23,10 @@
 #[derive(Debug)]
 pub enum AdmissionReply {
     /// Send it to the agent's own upstream; a slot is taken.
-    Run,
+    Run {
+        /// When to hedge it; `None` if it cannot be hedged.
+        hedge: Option<HedgeTimer>,
+    },
     /// Hand it off to a peer, which has reserved a slot.
     HandOff {
         /// Id of the peer's upstream.
@@ -33,6 +40,36 @@
     Refuse(RefusalReason),
 }
 
+/// When to hedge a request that runs at the agent's own upstream. The time of its
+/// response is reported with [`AdmissionCommand::Answered`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HedgeTimer {
+    /// When to ask for a hedge; `None` until the delay of the class is known.
+    pub due: Option<Instant>,
+}
+
+/// A slot that a peer has reserved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerSlot {
+    /// Id of the peer's upstream.
+    pub upstream: UpstreamId,
+    /// The peer.
+    pub peer: Peer,
+    /// Reservation of the slot.
+    pub reservation: ReservationId,
+}
+
+/// Reply to a request that asks for a hedge.
+#[derive(Debug)]
+pub enum HedgeReply {
+    /// Send it to this peer too.
+    Send(PeerSlot),
+    /// It is not hedged.
+    Denied(Denial),
+    /// The chosen peer did not reserve a slot.
+    PeerRefused,
+}
+
 /// Configuration of the admission task, from the version in force.
 #[derive(Debug)]
 pub struct AdmissionConfig {
@@ -42,6 +79,8 @@
     pub targets: BTreeMap<ClassName, Target>,
     /// The other upstreams of the service.
     pub peers: BTreeMap<UpstreamId, Peer>,
+    /// Whether the peers may get hedges.
+    pub hedge_states: BTreeMap<UpstreamId, CandidateState>,
     /// Whether the upstream is draining.
     pub leaving: bool,
 }
@@ -60,8 +99,19 @@
 /// A command to the admission task.
 #[derive(Debug)]
 pub enum AdmissionCommand {
-    /// A request arrived. The reply is sent once admission has decided.
-    Arrive(RequestInfo, oneshot::Sender<AdmissionReply>),
+    /// A request arrived. The reply is sent once admission has decided. Retries have
+    /// no `Repeatable`; they are neither hedged nor counted for the hedge budget.
+    Arrive(
+        RequestInfo,
+        Option<Repeatable>,
+        oneshot::Sender<AdmissionReply>,
+    ),
+    /// The response of a request with a [`HedgeTimer`] arrived after this time.
+    Answered(ClassName, Duration),
+    /// A request has waited until its [`HedgeTimer`] was due.
+    Hedge(ClassName, oneshot::Sender<HedgeReply>),
+    /// A peer answered the reservation request for a hedge.
+    HedgeReserved(PeerSlot, bool, oneshot::Sender<HedgeReply>),
     /// A request that ran at the agent's own upstream ended.
     Finish(RequestId, RequestOutcome),
     /// A request that was queued or running was cancelled.
--- a/crates/agent/src/process/metrics.rs
+++ b/crates/agent/src/process/metrics.rs
@@ -23,6 +23,7 @@
     pub requests: IntCounterVec,
     /// Time from the headers of a request to the headers of its response, by class.
     pub answer_seconds: HistogramVec,
+    hedges: IntCounterVec,
     dropped_datagrams: IntCounterVec,
 }
 
@@ -79,6 +80,11 @@
                 &["class", "result"],
             )?,
             answer_seconds,
+            hedges: counters(
+                "limpet_agent_hedges_total",
+                "Requests that waited longer than the delay of their class, by class and what became of the hedge.",
+                &["class", "result"],
+            )?,
             dropped_datagrams: counters(
                 "limpet_agent_dropped_datagrams_total",
                 "Datagrams that were dropped, by cause.",
@@ -92,6 +98,11 @@
         self.dropped_datagrams.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a request that waited until its hedge was due.
+    pub fn count_hedge(&self, class: &str, result: &str) {
+        self.hedges.with_label_values(&[class, result]).inc();
+    }
+
     /// Counts a completed request.
     pub fn count_request(&self, class: &str, result: &str) {
         self.requests.with_label_values(&[class, result]).inc();
--- a/crates/agent/src/process/node.rs
+++ b/crates/agent/src/process/node.rs
@@ -120,6 +120,7 @@
                 service: view.service.as_ref().map(|state| state.service.id),
                 targets: view.targets(&self.cfg.served_classes),
                 peers: view.peers(own_id),
+                hedge_states: view.hedge_states(own_id),
                 leaving,
             }));
         self.leaving.send_if_modified(|current| {
--- a/crates/agent/src/process/peer.rs
+++ b/crates/agent/src/process/peer.rs
@@ -22,7 +22,6 @@
 use http::{Method, Request, StatusCode, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::watch;
 use types::{ReservationId, ServiceId, ServiceState, UpstreamId};
@@ -39,8 +38,8 @@
     Error, Result,
     request::{
         ConnectionTask, EndToEndHeaders, ForwardTarget, ForwardedRequest, ForwardedResponse,
-        RequestContext, RequestGuard, RequestIdGenerator, deadline_of, outcome_of_error,
-        outcome_of_status, status_of_error,
+        RequestContext, RequestGuard, RequestIdGenerator, ResponseBody, deadline_of,
+        outcome_of_error, outcome_of_status, status_of_error,
     },
 };
 
@@ -284,7 +283,7 @@
 
 /// State of a response stream. The fields are in drop order: the slot is released
 /// after the connection to the upstream is closed.
-type ResponseState = (Incoming, ConnectionTask, RequestGuard);
+type ResponseState = (ResponseBody, ConnectionTask, RequestGuard);
 
 async fn next_chunk(
     (mut body, connection, mut request_guard): ResponseState,
--- a/crates/agent/src/request/forward.rs
+++ b/crates/agent/src/request/forward.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body::Body;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -24,7 +24,7 @@
 use types::{ReservationId, ServiceId, UpstreamId};
 use wire::ClaimHeader;
 
-use super::EndToEndHeaders;
+use super::{EndToEndHeaders, ResponseBody};
 use crate::version::Peer;
 
 /// Timeout for opening a connection. The upstream is on the same host and a
@@ -114,7 +114,7 @@
 #[derive(Debug)]
 pub struct ForwardedResponse {
     /// The headers, and the body, which is still being received.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// The task that drives the connection.
     connection: ConnectionTask,
 }
@@ -122,7 +122,8 @@
 impl ForwardedResponse {
     /// Splits the response. Dropping the [`ConnectionTask`] closes the
     /// connection.
-    pub fn into_parts(self) -> (http::response::Parts, Incoming, ConnectionTask) {
+    #[must_use]
+    pub fn into_parts(self) -> (http::response::Parts, ResponseBody, ConnectionTask) {
         let (parts, body) = self.response.into_parts();
         (parts, body, self.connection)
     }
@@ -212,7 +213,7 @@
         let received = received.ok_or(AttemptError::started(Failure::Deadline))?;
         let response = received.map_err(|_| AttemptError::started(Failure::Broken))?;
         self.target.check_response(ForwardedResponse {
-            response,
+            response: response.map(ResponseBody::new),
             connection,
         })
     }
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -22,7 +22,8 @@
 
 use super::{
     AttemptError, CallerBody, EndToEndHeaders, ForwardTarget, ForwardedRequest, ForwardedResponse,
-    RequestGuard, RequestIdGenerator, body::RecvStream, deadline_of, idempotency, is_idempotent,
+    RequestGuard, RequestIdGenerator, body::RecvStream, deadline_of, hedge::Winner, idempotency,
+    is_idempotent,
 };
 use crate::{
     connection::{self, H3Connection, StreamCompletions},
@@ -62,15 +63,15 @@
 /// A request of a caller, as received.
 pub(super) struct CallerRequest {
     pub(super) cx: RequestContext,
-    service: ServiceId,
-    class: ClassName,
+    pub(super) service: ServiceId,
+    pub(super) class: ClassName,
     pub(super) method: Method,
     /// Path and query.
     pub(super) uri: Uri,
     headers: EndToEndHeaders,
     deadline: Option<Instant>,
-    body: CallerBody,
-    started_at: Instant,
+    pub(super) body: CallerBody,
+    pub(super) started_at: Instant,
 }
 
 /// Why a request has no response of an upstream.
@@ -174,6 +175,7 @@
         &self,
     ) -> Result<(ForwardedResponse, Option<RequestGuard>), RequestFailure> {
         let mut elsewhere = false;
+        let mut repeatable = Some(self.repeatable());
         loop {
             let id = self.cx.request_ids.next();
             let mut request_guard = RequestGuard::new(id, self.cx.admission.clone());
@@ -182,18 +184,26 @@
                 exclude_local: elsewhere,
                 ..RequestInfo::new(id, self.class.clone())
             };
+            let hedging = repeatable.take();
             let reply = self
                 .cx
                 .admission
-                .ask(|tx| AdmissionCommand::Arrive(info, tx))
+                .ask(|tx| AdmissionCommand::Arrive(info, hedging, tx))
                 .await;
             let attempt_error = match reply {
                 None => return Err(RequestFailure::NotRun(None)),
                 Some(AdmissionReply::Refuse(reason)) => {
                     return Err(RequestFailure::NotRun(Some(reason)));
                 }
-                Some(AdmissionReply::Run) => match self.forward_to_upstream().await {
-                    Ok(forwarded) => return Ok((forwarded, Some(request_guard))),
+                Some(AdmissionReply::Run { hedge }) => match self.forward_or_hedge(hedge).await {
+                    Ok(Winner::Primary(forwarded)) => return Ok((forwarded, Some(request_guard))),
+                    Ok(Winner::Hedge(forwarded, primary_error)) => {
+                        // Without an outcome, the request counts as cancelled.
+                        if let Some(attempt_error) = primary_error {
+                            request_guard.set_outcome(outcome_of_error(attempt_error));
+                        }
+                        return Ok((forwarded, None));
+                    }
                     Err(attempt_error) => {
                         request_guard.set_outcome(outcome_of_error(attempt_error));
                         elsewhere |= attempt_error.failure == Failure::Connect;
@@ -226,7 +236,7 @@
         }
     }
 
-    async fn forward_to_upstream(&self) -> Result<ForwardedResponse, AttemptError> {
+    pub(super) async fn forward_to_upstream(&self) -> Result<ForwardedResponse, AttemptError> {
         let result = self
             .forwarded_request(ForwardTarget::Upstream(self.cx.upstream_address))
             .send()
@@ -235,7 +245,7 @@
         result
     }
 
-    fn forwarded_request(&self, target: ForwardTarget) -> ForwardedRequest<CallerBody> {
+    pub(super) fn forwarded_request(&self, target: ForwardTarget) -> ForwardedRequest<CallerBody> {
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/crates/agent/src/request/mod.rs
+++ b/crates/agent/src/request/mod.rs
@@ -5,9 +5,11 @@
 mod forward;
 mod handle;
 mod headers;
+mod hedge;
 mod idempotency;
 mod key_permit;
 mod request_guard;
+mod response_body;
 
 pub use body::CallerBody;
 pub use forward::{
@@ -18,3 +20,4 @@
 pub use headers::{EndToEndHeaders, deadline_of, is_hop_by_hop, is_idempotent};
 pub use key_permit::KeyPermit;
 pub use request_guard::{RequestGuard, RequestIdGenerator};
+pub use response_body::ResponseBody;
--- a/crates/agent/src/version/mod.rs
+++ b/crates/agent/src/version/mod.rs
@@ -6,8 +6,10 @@
     net::SocketAddr,
 };
 
+use hedge::CandidateState;
 use types::{
-    ClassName, DataCentre, HostName, ServiceName, ServiceState, Slots, Target, UpstreamId,
+    ClassName, DataCentre, HostName, ServiceName, ServiceState, Share, Slots, Target, UpstreamId,
+    UpstreamState,
 };
 use wire::Update;
 
@@ -68,6 +70,29 @@
         targets
     }
 
+    /// Whether the other upstreams of the service may get hedges.
+    ///
+    /// Until the last step of its ramp, an upstream has at most half of a full
+    /// share. One that is just as far below it because of its load gets no hedges
+    /// either.
+    #[must_use]
+    pub fn hedge_states(&self, own_id: UpstreamId) -> BTreeMap<UpstreamId, CandidateState> {
+        let members = self.service.iter().flat_map(|state| &state.members);
+        members
+            .filter(|(id, _)| **id != own_id)
+            .map(|(&id, member)| {
+                let state = match member.state {
+                    UpstreamState::Ready if member.share.0 * 2 > Share::FULL.0 => {
+                        CandidateState::Warm
+                    }
+                    UpstreamState::Ready => CandidateState::Cold,
+                    UpstreamState::Leaving | UpstreamState::Down => CandidateState::Draining,
+                };
+                (id, state)
+            })
+            .collect()
+    }
+
     /// The agents of the other upstreams of the service.
     #[must_use]
     pub fn peers(&self, own_id: UpstreamId) -> BTreeMap<UpstreamId, Peer> {
--- a/crates/config/src/request/audit.rs
+++ b/crates/config/src/request/audit.rs
@@ -88,7 +88,11 @@
                 "set target of {service} {class}: carry {}, connections {}, leave within {:?}, \
                  path prefix {}",
                 target.carry, target.connections, target.leave_within, target.path_prefix
-            ),
+            )
+            .and_then(|()| match target.hedge_budget {
+                Some(budget) => write!(f, ", hedge budget {budget}%"),
+                None => Ok(()),
+            }),
             ChangeSummary::DeleteTarget(service, class) => {
                 write!(f, "delete target of {service} {class}")
             }
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -6,8 +6,8 @@
 use clap::{ArgGroup, Args, CommandFactory, Parser, Subcommand, error::ErrorKind, value_parser};
 use http::{HeaderName, HeaderValue, Method};
 use types::{
-    ChangeId, ClassName, HostName, MemberId, OperatorName, PathPrefix, Revision, RoutingSetNumber,
-    ServiceName,
+    ChangeId, ClassName, HedgeBudget, HostName, MemberId, OperatorName, PathPrefix, Revision,
+    RoutingSetNumber, ServiceName,
 };
 use url::Url;
 
@@ -254,6 +254,10 @@
             default_value = "/"
         )]
         path_prefix: PathPrefix,
+        /// Extra requests that may be sent to a second upstream when the first one is
+        /// slow, in percent of the requests; none if unset, for example --hedge-budget 2
+        #[arg(long, env = "LIMPET_HEDGE_BUDGET", value_name = "PERCENT")]
+        hedge_budget: Option<HedgeBudget>,
         #[command(flatten)]
         flags: ChangeFlags,
     },
--- a/crates/limpetctl/src/request/audit.rs
+++ b/crates/limpetctl/src/request/audit.rs
@@ -115,11 +115,13 @@
         }
         ChangeSummary::DeleteService(name) => format!("delete service {name}"),
         ChangeSummary::SetTarget(service, class, t) => format!(
-            "set target {service} {class}: carry {}, connections {}, leave within {} ms, prefix {}",
+            "set target {service} {class}: carry {}, connections {}, leave within {} ms, prefix {}{}",
             t.carry,
             t.connections,
             t.leave_within.as_millis(),
-            t.path_prefix
+            t.path_prefix,
+            t.hedge_budget
+                .map_or_else(String::new, |budget| format!(", hedge budget {budget}%"))
         ),
         ChangeSummary::DeleteTarget(service, class) => format!("delete target {service} {class}"),
         ChangeSummary::SetDrain(host, true) => format!("drain {host}"),
--- a/crates/limpetctl/src/request/target.rs
+++ b/crates/limpetctl/src/request/target.rs
@@ -1,6 +1,6 @@
 //! Targets of classes of work.
 
-use types::{Change, Connections, Slots, Target};
+use types::{Change, Connections, HedgeBudget, Slots, Target};
 
 use super::{Context, change::Submission, resend::command_args, service::service_base};
 use crate::{
@@ -17,6 +17,7 @@
             connections,
             leave_within,
             path_prefix,
+            hedge_budget,
             flags,
         } => Submission {
             change: Change::SetTarget {
@@ -27,24 +28,28 @@
                     connections: Connections(*connections),
                     leave_within: *leave_within,
                     path_prefix: path_prefix.clone(),
+                    hedge_budget: *hedge_budget,
                 },
             },
             flags,
             base: service_base(cx, flags, service).await?,
-            command_args: command_args![
-                "target",
-                "set",
-                service,
-                class,
-                "--carry",
-                carry,
-                "--connections",
-                connections,
-                "--leave-within",
-                format!("{}ms", leave_within.as_millis()),
-                "--path-prefix",
-                path_prefix,
-            ],
+            command_args: with_hedge_budget(
+                command_args![
+                    "target",
+                    "set",
+                    service,
+                    class,
+                    "--carry",
+                    carry,
+                    "--connections",
+                    connections,
+                    "--leave-within",
+                    format!("{}ms", leave_within.as_millis()),
+                    "--path-prefix",
+                    path_prefix,
+                ],
+                *hedge_budget,
+            ),
         },
         TargetCommand::Delete {
             service,
@@ -62,3 +67,10 @@
     };
     Ok(cx.submit_and_show(submission).await)
 }
+
+fn with_hedge_budget(mut args: Vec<String>, budget: Option<HedgeBudget>) -> Vec<String> {
+    if let Some(budget) = budget {
+        args.extend(command_args!["--hedge-budget", budget]);
+    }
+    args
+}
--- a/crates/limpetctl/src/version/service.rs
+++ b/crates/limpetctl/src/version/service.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::Serialize;
-use types::{Service, Target};
+use types::{HedgeBudget, Service, Target};
 
 use crate::process::{Report, table};
 
@@ -25,6 +25,8 @@
     pub connections: u32,
     pub leave_within_ms: u128,
     pub path_prefix: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_budget_percent: Option<f64>,
 }
 
 /// Every service.
@@ -40,6 +42,7 @@
             connections: target.connections.0,
             leave_within_ms: target.leave_within.as_millis(),
             path_prefix: target.path_prefix.to_string(),
+            hedge_budget_percent: target.hedge_budget.map(HedgeBudget::percent),
         }
     }
 }
@@ -76,13 +79,18 @@
                 t.path_prefix.clone(),
             ]
         });
+        let budgets = self.targets.iter().filter_map(|(class, t)| {
+            let percent = t.hedge_budget_percent?;
+            Some(format!("\nhedge budget of {class}: {percent}%"))
+        });
         format!(
-            "service {} at {}, revision {} by {}\n\n{}",
+            "service {} at {}, revision {} by {}\n\n{}{}",
             self.name,
             self.address,
             self.revision,
             self.author,
-            table(&head, targets)
+            table(&head, targets),
+            budgets.collect::<String>()
         )
     }
 }
--- a/crates/limpetctl/tests/dialogues.rs
+++ b/crates/limpetctl/tests/dialogues.rs
@@ -39,6 +39,21 @@
     assert_snapshot!(s.text);
 }
 
+/// Guards against a hedge budget that is not stored, shown, audited or cleared.
+#[test]
+fn hedge_budgets() {
+    let mut s = Session::new(&[Host::default().start()]);
+    s.run("service create vouchers --address 198.51.100.1:443");
+    s.run("target set vouchers default --carry 7 --hedge-budget 0");
+    s.run("target set vouchers default --carry 7 --hedge-budget 2.5");
+    s.run("service show vouchers");
+    s.run("service show vouchers --output json");
+    s.run("target set vouchers default --carry 7");
+    s.run("service show vouchers");
+    s.run("audit --limit 2");
+    assert_snapshot!(s.text);
+}
+
 /// Guards against routing sets that the tool cannot set, split among services or
 /// show.
 #[test]
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -29,7 +29,8 @@
 use standin::{Fabric, FabricHandle, Upstream, UpstreamHandle};
 use tempfile::TempDir;
 use types::{
-    Answer as ChangeAnswer, Change, ChangeId, ChangeRequest, Connections, Revision, Slots, Target,
+    Answer as ChangeAnswer, Change, ChangeId, ChangeRequest, Connections, HedgeBudget, Revision,
+    Share, Slots, Target,
 };
 use wire::request::{ChangeReply, Query, QueryReply, StatusReport};
 
@@ -336,12 +337,22 @@
     }
 
     pub async fn set_target(&self, base: Revision, carry: u32) -> Revision {
+        self.set_hedged_target(base, carry, None).await
+    }
+
+    pub async fn set_hedged_target(
+        &self,
+        base: Revision,
+        carry: u32,
+        hedge_budget: Option<HedgeBudget>,
+    ) -> Revision {
         let change = Change::SetTarget {
             service: SERVICE.parse().expect("name"),
             class: "default".parse().expect("name"),
             target: Target {
                 carry: Slots(carry),
                 connections: Connections(self.plan.connections),
+                hedge_budget,
                 ..Target::default()
             },
         };
@@ -371,10 +382,16 @@
     /// Waits until at least `count` upstreams have a share above zero, so that
     /// they get new flows.
     pub async fn wait_for_upstreams_with_share(&self, count: usize) {
-        wait_for("upstreams with a share", async || {
+        self.wait_for_shares("upstreams with a share", count, Share(1))
+            .await;
+    }
+
+    /// Waits until at least `count` upstreams have a share of `share` or more.
+    pub async fn wait_for_shares(&self, what: &str, count: usize, share: Share) {
+        wait_for(what, async || {
             let status = self.status().await;
             let upstreams = status.services.iter().flat_map(|s| &s.upstreams);
-            upstreams.filter(|u| u.share.0 > 0).count() >= count
+            upstreams.filter(|u| u.share >= share).count() >= count
         })
         .await;
     }
--- a/crates/standin/src/request/mod.rs
+++ b/crates/standin/src/request/mod.rs
@@ -75,14 +75,17 @@
         .streaming(Box::pin(stream))
 }
 
-/// Answers after `ms` milliseconds.
+/// Answers after `ms` milliseconds; at once if `at` names another upstream.
 pub async fn slow(
     name: web::Data<UpstreamName>,
     register: web::Data<RegisterHandle>,
     query: Query,
 ) -> HttpResponse {
     let mut running = register.begin();
-    sleep(millis_parameter(&query, "ms", Duration::from_secs(1))).await;
+    let applies = query.get("at").is_none_or(|at| at.as_bytes() == name.0);
+    if applies {
+        sleep(millis_parameter(&query, "ms", Duration::from_secs(1))).await;
+    }
     running.complete();
     answer_name(name).await
 }
--- a/crates/types/src/version/service.rs
+++ b/crates/types/src/version/service.rs
@@ -7,7 +7,8 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
-    Category, ClassName, Connections, Error, OperatorName, Result, Revision, ServiceName, Slots,
+    Category, ClassName, Connections, Error, HedgeBudget, OperatorName, Result, Revision,
+    ServiceName, Slots,
 };
 
 decimal! {
@@ -68,6 +69,11 @@
     pub leave_within: Duration,
     /// Path prefix of the requests that belong to the class.
     pub path_prefix: PathPrefix,
+    /// Extra requests for hedging; `None` turns it off. It is the last field and
+    /// left out if `None`, so that targets from before it existed can be read and
+    /// targets without it are encoded as before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge_budget: Option<HedgeBudget>,
 }
 
 impl Default for Target {
@@ -77,6 +83,7 @@
             connections: Connections(2000),
             leave_within: Duration::from_secs(3),
             path_prefix: PathPrefix::default(),
+            hedge_budget: None,
         }
     }
 }
