--- a/crates/types/src/version/mod.rs
+++ b/crates/types/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! Types of the configuration and the membership, which change with their version.
 
+mod hedge;
 mod key;
 mod membership;
 mod number;
@@ -8,6 +9,7 @@
 mod service;
 mod weights;
 
+pub use hedge::HedgeBudget;
 pub use key::{CidKey, KeyGeneration, KeySet};
 pub use membership::{
     BalancerAnnouncement, ClassLoad, ClassLoads, ServiceState, UpstreamAnnouncement,
