Estimate the service time of upstreams and report it

Cause: upstreams run at speeds that nobody announces, and reports carry only requests and slots, so balancers take a slow upstream for a fast one.

Change: an agent infers when each request gets a slot of its upstream and keeps a moving median of 15 service times. Answers that are suddenly more than three times faster are believed after 3 s, and only if nearly all are. Three returned openings in a row, or no first byte for eight service times (0.3 s to 0.85 s) with two requests in service, set the share of new flows to none; it comes back by a quarter, half and all. Reports carry both. They are encoded as a map now: rmp-serde rejects an array that is longer than expected, so that an earlier process would lose reports with more fields, while it skips unknown keys of a map.

Reports are decoded in both directions between this and the earlier form (relay/tests/messages.rs).

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -10,7 +10,9 @@
 //!   balancer asks for it while the agent recovers after a restart.
 //! - [`Steering`] holds a balancer's hints about flows. A wrong hint costs a
 //!   retransmission, never a delivery to another upstream.
-//! - [`AgentPool`] chooses the agent of a new flow by data centre and free slots.
+//! - [`AgentPool`] chooses the agent of a new flow by the expected time to the answer.
+//! - [`ServiceTimeTracker`] estimates the service time of an agent's upstream, and
+//!   [`UpstreamHealth`] leaves out an upstream that fails.
 //! - [`ColdLimit`] holds back the new flows that a cold upstream does not bear.
 //! - [`OpeningQueue`] holds the new flows that wait for a slot while all upstreams
 //!   are full, and decides which of them go first and which are refused.
@@ -48,11 +50,12 @@
 
 pub use connection::{FlowRecord, FlowTuple, RecordedStage, Segment};
 pub use process::{
-    AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason, FlowListId,
-    FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
+    AdmittedShare, AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason,
+    FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
     FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates,
     KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, Load, OpeningQueue,
     OpeningQueueSettings, Origin, RateLimiter, RecoveredFlows, ReleasedDatagram, ResetReason,
-    SearchResults, ServicePace, Steering, SteeringDecision, SteeringSettings, TrialArbiter,
-    TrialArbiterSettings, TrialRequest, UpstreamAction, UpstreamStatus,
+    SearchResults, ServicePace, ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering,
+    SteeringDecision, SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest,
+    UpstreamAction, UpstreamHealth, UpstreamStatus,
 };
--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -9,7 +9,7 @@
 use twox_hash::XxHash64;
 use types::{DataCentre, Slots, UpstreamId};
 
-use super::Load;
+use super::{AdmittedShare, Load, ServiceTime};
 
 /// Last known state of an agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +24,10 @@
     pub accepting: bool,
     /// Load in its last report.
     pub load: Load,
+    /// Service time of its upstream; `None` if the agent has not reported one.
+    pub service_time: Option<ServiceTime>,
+    /// Share of new flows that its upstream gets.
+    pub share: AdmittedShare,
     /// When the last report arrived.
     pub reported_at: Instant,
     /// Flows placed on the agent since its last report.
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 use types::{ServiceLimits, Slots};
 
-use super::{ColdBound, ColdLimit, ServicePace};
+use super::{
+    AdmittedShare, ColdBound, ColdLimit, ServicePace, ServiceTime, ServiceTimeTracker,
+    UpstreamHealth,
+};
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
@@ -215,6 +218,8 @@
     last_probe_at: Option<Instant>,
     /// Pace of the upstream while it is saturated.
     pace: ServicePace,
+    service_time: ServiceTimeTracker,
+    health: UpstreamHealth,
     cold_limit: ColdLimit,
     /// The upstream has lost a flow or was unresponsive since its last announcement, so
     /// another run of it may have started.
@@ -236,6 +241,8 @@
             unanswered_since: None,
             last_probe_at: None,
             pace: ServicePace::default(),
+            service_time: ServiceTimeTracker::default(),
+            health: UpstreamHealth::default(),
             cold_limit: ColdLimit::new(settings.cold_bound, now),
             may_have_restarted: false,
         }
@@ -251,6 +258,9 @@
                 flow.stage = Stage::Lost;
                 flow.awaiting_answer = false;
             }
+            // The speed of the new run is unknown.
+            self.service_time = ServiceTimeTracker::default();
+            self.health = UpstreamHealth::default();
             self.unanswered_since = None;
         }
         if upstream.is_some_and(|upstream| !upstream.started_before_agent) {
@@ -364,6 +374,10 @@
                 flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
                 flow.record_caller_data(seg);
                 flow.close_if_both_ended();
+                if seg.len > 0 && flow.awaiting_answer {
+                    let slots = self.upstream.map_or(Slots(0), |upstream| upstream.slots);
+                    self.service_time.record_request(key, slots, now);
+                }
                 CallerAction::Deliver
             }
             Stage::Lost if seg.resets => CallerAction::NotHeld,
@@ -540,7 +554,12 @@
             flow.awaiting_answer = false;
         }
         flow.close_if_both_ended();
+        if !answers && !flow.awaiting_answer {
+            self.service_time.remove(&key, now);
+        }
         if answers {
+            self.service_time.record_answer(&key, now);
+            self.health.record_answer();
             let saturated = self.is_full(now);
             self.pace.record_answer(saturated, now);
         }
@@ -557,6 +576,7 @@
         if seg.is_opening() {
             if flow.stage == Stage::Opening {
                 self.flows.remove(&key);
+                self.health.record_failure(now);
                 return UpstreamAction::PassOn;
             }
             return UpstreamAction::Drop;
@@ -657,6 +677,19 @@
         self.pace.interval()
     }
 
+    /// Estimated service time of the upstream; `None` before enough requests were served.
+    #[must_use]
+    pub fn service_time(&self) -> Option<ServiceTime> {
+        self.service_time.service_time()
+    }
+
+    /// Share of new flows that the upstream gets by its health.
+    pub fn admitted_share(&mut self, now: Instant) -> AdmittedShare {
+        let silent_since = self.service_time.silent_since();
+        let service_time = self.service_time.service_time();
+        self.health.advance(silent_since, service_time, now)
+    }
+
     /// Current load of the upstream.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
@@ -703,5 +736,8 @@
             };
             now < flow.last_datagram_at + retention
         });
+        let flows = &self.flows;
+        let awaits = |key: &FlowTuple| flows.get(key).is_some_and(|flow| flow.awaiting_answer);
+        self.service_time.retain(awaits, now);
     }
 }
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -7,8 +7,10 @@
 mod opening_queue;
 mod rate_limiter;
 mod service_pace;
+mod service_time;
 mod steering;
 mod trial_arbiter;
+mod upstream_health;
 
 pub use agent_pool::{AgentPool, AgentStatus};
 pub use cold_limit::{ColdBound, ColdLimit};
@@ -23,8 +25,10 @@
 pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
 pub use service_pace::ServicePace;
+pub use service_time::{ServiceTime, ServiceTimeEstimate, ServiceTimeTracker};
 pub use steering::{
     DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
     SteeringDecision, SteeringSettings, TrialRequest,
 };
 pub use trial_arbiter::{TrialArbiter, TrialArbiterSettings};
+pub use upstream_health::{AdmittedShare, UpstreamHealth};
--- a/crates/flow/tests/cold_return.rs
+++ b/crates/flow/tests/cold_return.rs
@@ -16,8 +16,8 @@
 
 use common::{address, agreement, answer, data, opening};
 use flow::{
-    AgentPool, AgentStatus, CallerAction, ColdBound, FlowTable, FlowTableSettings, OpeningQueue,
-    OpeningQueueSettings, Origin, Segment, UpstreamStatus,
+    AdmittedShare, AgentPool, AgentStatus, CallerAction, ColdBound, FlowTable, FlowTableSettings,
+    OpeningQueue, OpeningQueueSettings, Origin, Segment, UpstreamStatus,
 };
 use types::{DataCentre, Priority, RequestRate, RequestTargets, ServiceLimits, Slots, UpstreamId};
 
@@ -173,6 +173,8 @@
             slots,
             accepting: self.table.accepts_new_flows(now),
             load,
+            service_time: None,
+            share: AdmittedShare::default(),
             reported_at: now,
             placed_since_report: 0,
         }
--- a/crates/flow/tests/common/mod.rs
+++ b/crates/flow/tests/common/mod.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use flow::{
-    AgentStatus, FlowTable, FlowTableSettings, Load, Segment, Steering, SteeringSettings,
-    UpstreamStatus,
+    AdmittedShare, AgentStatus, FlowTable, FlowTableSettings, Load, Segment, Steering,
+    SteeringSettings, UpstreamStatus,
 };
 use types::{
     RouteWeight, RoutingDelta, RoutingRule, RoutingSet, RoutingSetNumber, Slots, UpstreamId,
@@ -31,6 +31,8 @@
         slots: Slots(4),
         accepting: true,
         load: Load::default(),
+        service_time: None,
+        share: AdmittedShare::default(),
         reported_at: now,
         placed_since_report: 0,
     }
--- a/crates/relay/src/connection/message.rs
+++ b/crates/relay/src/connection/message.rs
@@ -3,8 +3,11 @@
 use std::{net::SocketAddrV4, time::Instant};
 
 use bytes::Bytes;
-use flow::{AgentStatus, Claim, FlowListId, FlowListPart, FlowTuple, Load, Origin};
-use serde::{Deserialize, Serialize};
+use flow::{
+    AdmittedShare, AgentStatus, Claim, FlowListId, FlowListPart, FlowTuple, Load, Origin,
+    ServiceTime,
+};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeMap};
 use twox_hash::XxHash64;
 use types::{DataCentre, RequestTargets, ServiceName, Slots, UpstreamId};
 
@@ -126,8 +129,9 @@
     },
 }
 
-/// State of an agent and load of its upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// State of an agent and load of its upstream. It is encoded as a map: processes of
+/// earlier versions skip unknown fields in a map, but reject an array that is too long.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct AgentReport {
     /// Random incarnation of the agent's process; differs after each restart.
     pub incarnation: u64,
@@ -141,6 +145,27 @@
     pub accepting: bool,
     /// Load of its upstream.
     pub load: Load,
+    /// Service time of its upstream, if it is known.
+    #[serde(default)]
+    pub service_time: Option<ServiceTime>,
+    /// Share of new flows that its upstream gets.
+    #[serde(default)]
+    pub share: AdmittedShare,
+}
+
+impl Serialize for AgentReport {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(8))?;
+        map.serialize_entry("incarnation", &self.incarnation)?;
+        map.serialize_entry("data_centre", &self.data_centre)?;
+        map.serialize_entry("service", &self.service)?;
+        map.serialize_entry("slots", &self.slots)?;
+        map.serialize_entry("accepting", &self.accepting)?;
+        map.serialize_entry("load", &self.load)?;
+        map.serialize_entry("service_time", &self.service_time)?;
+        map.serialize_entry("share", &self.share)?;
+        map.end()
+    }
 }
 
 /// Maximum number of slots that a report can claim. An agent of another build may
@@ -157,6 +182,8 @@
             slots: self.slots.min(MAX_SLOTS),
             accepting: self.accepting,
             load: self.load,
+            service_time: self.service_time,
+            share: self.share,
             reported_at: now,
             placed_since_report: 0,
         }
--- a/crates/relay/src/process/agent/neighbours.rs
+++ b/crates/relay/src/process/agent/neighbours.rs
@@ -27,7 +27,10 @@
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         let (slots, load) = self.flow_table.reported_load(waiting, now);
         let accepting = self.accepts_flows(now);
-        let recipients = self.report_schedule.take_due((slots, load, accepting), now);
+        let share = self.flow_table.admitted_share(now);
+        let recipients = self
+            .report_schedule
+            .take_due((slots, load, accepting, share), now);
         if recipients.is_empty() {
             return;
         }
@@ -41,6 +44,8 @@
             slots,
             accepting,
             load,
+            service_time: self.flow_table.service_time(),
+            share,
         });
         for recipient in recipients {
             self.send_message(recipient, &report).await;
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, FlowQuery, KeptFlowLists, KeptFlowListsSettings, Load, Origin,
-    ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision, SteeringSettings,
-    TrialRequest,
+    AdmittedShare, AgentStatus, Claim, DropReason, FlowQuery, KeptFlowLists, KeptFlowListsSettings,
+    Load, Origin, ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision,
+    SteeringSettings, TrialRequest,
 };
 use prometheus::Registry;
 use tokio::{
@@ -498,6 +498,8 @@
                     // It is eligible for flows once it has sent a report.
                     accepting: false,
                     load: Load::default(),
+                    service_time: None,
+                    share: AdmittedShare::default(),
                     reported_at: now,
                     placed_since_report: 0,
                 },
--- a/crates/relay/src/process/report_schedule.rs
+++ b/crates/relay/src/process/report_schedule.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use flow::Load;
+use flow::{AdmittedShare, Load};
 use types::Slots;
 
 /// Minimum interval between reports of a changed load within the data centre.
@@ -40,8 +40,8 @@
     last_report: Option<ReportedState>,
 }
 
-/// Slots, load, and whether new flows are accepted.
-type ReportedState = (Slots, Load, bool);
+/// Slots, load, whether new flows are accepted, and the upstream's share of them.
+type ReportedState = (Slots, Load, bool, AdmittedShare);
 
 impl ReportSchedule {
     /// Creates a schedule without recipients.
@@ -98,8 +98,8 @@
         let Some(reported) = self.last_report else {
             return true;
         };
-        let (_, _, accepting) = state;
-        let urgent = reported.2 != accepting;
+        let (_, _, accepting, share) = state;
+        let urgent = (reported.2, reported.3) != (accepting, share);
         let changed = reported != state && now >= self.reported_at + self.interval();
         urgent || changed || now >= self.reported_at + HEARTBEAT_INTERVAL
     }
--- a/crates/relay/tests/messages.rs
+++ b/crates/relay/tests/messages.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
-use flow::{FlowListId, FlowListPart, FlowRecord, FlowTuple, RecordedStage};
-use relay::Message;
-use serde::Deserialize;
+use flow::{
+    AdmittedShare, FlowListId, FlowListPart, FlowRecord, FlowTuple, Load, RecordedStage,
+    ServiceTime,
+};
+use relay::{AgentReport, Message};
+use serde::{Deserialize, Serialize};
+use types::{DataCentre, ServiceName, Slots};
 
 /// A record with the longest encoding.
 fn longest_record() -> FlowRecord {
@@ -70,3 +74,53 @@
         assert!(wire::decode::<EarlierMessage>(&encoded).is_err());
     }
 }
+
+/// Guards against balancers that lose their agents while processes of two versions run.
+#[test]
+fn reports_are_understood_by_and_from_processes_without_service_times() {
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    struct EarlierReport {
+        incarnation: u64,
+        data_centre: DataCentre,
+        service: ServiceName,
+        slots: Slots,
+        accepting: bool,
+        load: Load,
+    }
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    enum EarlierMessage {
+        Report(EarlierReport),
+    }
+    let report = AgentReport {
+        incarnation: u64::MAX,
+        data_centre: "dc".parse().unwrap(),
+        service: "vouchers".parse().unwrap(),
+        slots: Slots(3),
+        accepting: true,
+        load: Load {
+            busy_requests: 2,
+            open_flows: 70_000,
+        },
+        service_time: Some(ServiceTime(55_000)),
+        share: AdmittedShare::Quarter,
+    };
+    let earlier = EarlierMessage::Report(EarlierReport {
+        incarnation: u64::MAX,
+        data_centre: report.data_centre.clone(),
+        service: report.service.clone(),
+        slots: report.slots,
+        accepting: true,
+        load: report.load,
+    });
+    let encoded = wire::encode(&Message::Report(report.clone())).unwrap();
+    assert_eq!(wire::decode::<EarlierMessage>(&encoded).unwrap(), earlier);
+    let decoded: Message = wire::decode(&encoded).unwrap();
+    assert_eq!(decoded, Message::Report(report.clone()));
+    let from_earlier: Message = wire::decode(&wire::encode(&earlier).unwrap()).unwrap();
+    let expected = AgentReport {
+        service_time: None,
+        share: AdmittedShare::Full,
+        ..report
+    };
+    assert_eq!(from_earlier, Message::Report(expected));
+}
