Place flows by the expected time to the answer

Cause: requests divided by slots sends a slow upstream as many flows as a fast one, and balancers with old reports all choose the agents that were idle when they reported.

Change: the cost of an agent is the expected time to the answer. It is kept in an ordered index per data centre that reports and placements update, so that a placement looks at up to 48 agents of each. Agents whose upstreams fail are left out, up to half of a service. Path cost and tolerance are the former ones, in units of the mean service time.

--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -9,7 +9,7 @@
 use twox_hash::XxHash64;
 use types::{DataCentre, Slots, UpstreamId};
 
-use super::{AdmittedShare, Load, ServiceTime};
+use super::{AdmittedShare, Load, ServiceTime, cost_index::CostIndex};
 
 /// Last known state of an agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,7 +37,7 @@
 impl AgentStatus {
     /// Requests in its last report and flows placed since. A report may hold any
     /// number.
-    fn requests(&self) -> u32 {
+    pub(super) fn requests(&self) -> u32 {
         self.load
             .busy_requests
             .saturating_add(self.placed_since_report)
@@ -48,19 +48,17 @@
 /// time. An agent whose report is older is chosen only when no other is left.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1100);
 
-/// Cost of an agent in another data centre, as a fraction of its upstream's
-/// slots: a flow goes there only when it saves more queueing time than the
-/// longer path costs.
-const REMOTE_COST: f64 = 0.4;
+/// Cost of the path to another data centre, in percent of the mean service time: a
+/// flow goes there only when it saves more queueing time than the longer path costs.
+const REMOTE_COST_PERCENT: u32 = 40;
 
-/// Cost of an open flow, as a fraction of a request: an open flow brings about
-/// one more request in a second.
-const OPEN_FLOW_COST: f64 = 0.03;
+/// Agents whose costs differ by at most this many percent of the mean service time
+/// count as equal. It is less than one slot of the smallest upstreams, so that none of
+/// them is filled while another is idle.
+const COST_TOLERANCE_PERCENT: u32 = 45;
 
-/// Agents whose costs differ by at most this fraction of an upstream's slots
-/// count as equal. It is less than one slot of the smallest upstreams, so that
-/// none of them is filled while another is idle.
-const COST_TOLERANCE: f64 = 0.45;
+/// Agents of one data centre that a placement looks at.
+const MAX_CANDIDATES: usize = 48;
 
 /// The agents of a service.
 #[derive(Debug, Default)]
@@ -68,17 +66,23 @@
     agents: BTreeMap<SocketAddrV4, AgentStatus>,
     /// Data centres whose agents get no new flows, whatever they report.
     evacuated: BTreeSet<DataCentre>,
+    /// The agents that accept flows, by cost.
+    index: CostIndex,
+    /// Agents whose state has changed since the index was updated.
+    unindexed: BTreeSet<SocketAddrV4>,
 }
 
 impl AgentPool {
     /// Adds an agent or replaces its state.
     pub fn insert(&mut self, address: SocketAddrV4, candidate: AgentStatus) {
         self.agents.insert(address, candidate);
+        self.unindexed.insert(address);
     }
 
     /// Removes an agent.
     pub fn remove(&mut self, address: SocketAddrV4) {
         self.agents.remove(&address);
+        self.unindexed.insert(address);
     }
 
     /// State of an agent.
@@ -89,12 +93,20 @@
 
     /// Mutable state of an agent.
     pub fn get_mut(&mut self, address: SocketAddrV4) -> Option<&mut AgentStatus> {
+        self.unindexed.insert(address);
         self.agents.get_mut(&address)
     }
 
     /// Keeps the agents for which `keep` returns true.
     pub fn retain(&mut self, mut keep: impl FnMut(SocketAddrV4, &AgentStatus) -> bool) {
-        self.agents.retain(|address, agent| keep(*address, agent));
+        let unindexed = &mut self.unindexed;
+        self.agents.retain(|address, agent| {
+            let kept = keep(*address, agent);
+            if !kept {
+                unindexed.insert(*address);
+            }
+            kept
+        });
     }
 
     /// Addresses of all agents.
@@ -105,6 +117,7 @@
     /// Sets the data centres whose agents get no new flows.
     pub fn set_evacuated(&mut self, evacuated: &BTreeSet<DataCentre>) {
         self.evacuated.clone_from(evacuated);
+        self.unindexed.extend(self.agents.keys());
     }
 
     fn is_evacuated(&self, agent: &AgentStatus) -> bool {
@@ -152,7 +165,7 @@
 
     /// Chooses an agent that accepts new flows and is not in `except`, and
     /// counts the flow in `placed_since_report`. Among the agents whose cost is
-    /// within `COST_TOLERANCE` of the lowest, it prefers those in the data
+    /// within the tolerance of the lowest, it prefers those in the data
     /// centre `local`, then the highest rendezvous hash.
     pub fn place(
         &mut self,
@@ -161,37 +174,94 @@
         except: &[SocketAddrV4],
         now: Instant,
     ) -> Option<SocketAddrV4> {
-        let is_eligible = |address: &SocketAddrV4, c: &AgentStatus| {
-            self.accepts_flows(c) && !except.contains(address) && Self::has_recent_report(c, now)
-        };
-        let any_eligible = self.agents.iter().any(|(a, c)| is_eligible(a, c));
-        let candidates: Vec<(SocketAddrV4, f64)> = self
-            .agents
-            .iter()
-            .filter(|(a, c)| {
-                is_eligible(a, c) || (!any_eligible && self.accepts_flows(c) && !except.contains(a))
-            })
-            .map(|(address, c)| (*address, cost(c, local)))
-            .collect();
-        let least = candidates
-            .iter()
-            .map(|(_, cost)| *cost)
-            .min_by(f64::total_cmp)?;
-        let address = candidates
-            .into_iter()
-            .filter(|(_, cost)| *cost <= least + COST_TOLERANCE)
-            .map(|(address, _)| address)
-            .max_by_key(|address| {
-                let agent = self.agents.get(address);
-                let is_local = agent.is_some_and(|agent| agent.data_centre == *local);
-                (is_local, preference(hash, *address))
-            })?;
-        if let Some(candidate) = self.agents.get_mut(&address) {
-            candidate.placed_since_report = candidate.placed_since_report.saturating_add(1);
+        self.update_index();
+        let candidates = self.candidates(local, except, now);
+        let address = match candidates.iter().map(|candidate| candidate.cost).min() {
+            Some(least) => {
+                let most = least.saturating_add(self.cost_tolerance());
+                candidates
+                    .into_iter()
+                    .filter(|candidate| candidate.cost <= most)
+                    .max_by_key(|c| (c.is_local, preference(hash, c.address)))
+                    .map(|candidate| candidate.address)
+            }
+            None => self.last_resort(except, now),
+        }?;
+        if let Some(agent) = self.agents.get_mut(&address) {
+            agent.placed_since_report = agent.placed_since_report.saturating_add(1);
+            self.index.update(address, agent);
         }
         Some(address)
     }
 
+    /// Agents of least cost in each data centre.
+    fn candidates(
+        &mut self,
+        local: &DataCentre,
+        except: &[SocketAddrV4],
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let tolerance = self.cost_tolerance();
+        let path = self.index.mean_service_time() * REMOTE_COST_PERCENT / 100;
+        let mut candidates = Vec::new();
+        let mut out_of_date = Vec::new();
+        for (data_centre, agents) in self.index.data_centres() {
+            let is_local = data_centre == local;
+            let path = if is_local { Duration::ZERO } else { path };
+            let is_eligible = |(_, address): &(Duration, SocketAddrV4)| {
+                let agent = self.agents.get(address);
+                let recent = agent.is_some_and(|agent| Self::has_recent_report(agent, now));
+                if !recent {
+                    out_of_date.push(*address);
+                }
+                recent && !except.contains(address)
+            };
+            let mut most = None;
+            let cheapest = agents
+                .filter(is_eligible)
+                .take_while(|(cost, _)| {
+                    *cost <= *most.get_or_insert_with(|| cost.saturating_add(tolerance))
+                })
+                .take(MAX_CANDIDATES);
+            candidates.extend(cheapest.map(|(cost, address)| Candidate {
+                address,
+                cost: cost.saturating_add(path),
+                is_local,
+            }));
+        }
+        // They return with their next report.
+        for address in out_of_date {
+            self.index.remove(address);
+        }
+        candidates
+    }
+
+    /// An agent whose report is out of date or whose upstream is left out, when no
+    /// other is left.
+    fn last_resort(&self, except: &[SocketAddrV4], now: Instant) -> Option<SocketAddrV4> {
+        let agents = self.agents.iter();
+        let agents = agents
+            .filter(|(address, agent)| self.accepts_flows(agent) && !except.contains(address));
+        let best = agents.min_by_key(|(_, agent)| {
+            let out_of_date = !Self::has_recent_report(agent, now);
+            (out_of_date, agent.requests() / agent.slots.0.max(1))
+        });
+        best.map(|(address, _)| *address)
+    }
+
+    fn cost_tolerance(&self) -> Duration {
+        self.index.mean_service_time() * COST_TOLERANCE_PERCENT / 100
+    }
+
+    fn update_index(&mut self) {
+        for address in std::mem::take(&mut self.unindexed) {
+            match self.agents.get(&address) {
+                Some(agent) if self.accepts_flows(agent) => self.index.update(address, agent),
+                _ => self.index.remove(address),
+            }
+        }
+    }
+
     /// Agents in descending probability of holding a flow with this hash that a
     /// balancer in `local` placed.
     pub fn by_preference(&self, local: &DataCentre, hash: u64) -> Vec<SocketAddrV4> {
@@ -208,7 +278,7 @@
     #[must_use]
     pub fn has_free_slot(&self, except: &[SocketAddrV4], now: Instant) -> bool {
         self.agents.iter().any(|(address, c)| {
-            let has_slot = c.requests() < c.slots.0;
+            let has_slot = c.requests() < c.slots.0 && c.share != AdmittedShare::None;
             has_slot
                 && self.accepts_flows(c)
                 && Self::has_recent_report(c, now)
@@ -217,16 +287,12 @@
     }
 }
 
-fn cost(candidate: &AgentStatus, local: &DataCentre) -> f64 {
-    let slots = f64::from(candidate.slots.0.max(1));
-    let requests = f64::from(candidate.requests());
-    let open_flows = f64::from(candidate.load.open_flows) * OPEN_FLOW_COST;
-    let distance_cost = if candidate.data_centre == *local {
-        0.0
-    } else {
-        REMOTE_COST
-    };
-    (requests + open_flows) / slots + distance_cost
+/// An agent that a placement looks at.
+struct Candidate {
+    address: SocketAddrV4,
+    /// Expected time to the answer, with the path.
+    cost: Duration,
+    is_local: bool,
 }
 
 /// Rendezvous hash of a flow and an agent. It depends on nothing that changes,
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_pool;
 mod cold_limit;
+mod cost_index;
 mod flow_list;
 mod flow_table;
 mod opening_queue;
--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use common::{address, agent, caller, data, opening, ready};
-use flow::{AgentPool, Claim, Load, Origin, SteeringDecision};
+use flow::{AdmittedShare, AgentPool, Claim, Load, Origin, ServiceTime, SteeringDecision};
 use types::Slots;
 
 /// Longer than `search_timeout`.
@@ -154,3 +157,81 @@
     assert!(!pool.has_free_slot(&[], now));
     assert!(pool.place(&data_centre, 7, &[], now).is_some());
 }
+
+/// Guards against a slow upstream that gets as many flows as a fast one.
+#[test]
+fn flows_are_placed_in_proportion_to_speed() {
+    let (mut pool, now) = pool(&[(1, "near", 0), (2, "near", 0)]);
+    for (n, micros) in [(1, 90_000), (2, 30_000)] {
+        pool.get_mut(address(n)).unwrap().service_time = Some(ServiceTime(micros));
+    }
+    let near = "near".parse().unwrap();
+    for hash in 0..80 {
+        pool.place(&near, hash, &[], now).unwrap();
+    }
+    let slow = pool.get(address(1)).unwrap().placed_since_report;
+    assert!((18..=22).contains(&slow), "{slow} of 80 flows");
+}
+
+/// Guards against a service that is left to a few upstreams because most look unhealthy.
+#[test]
+fn at_most_half_of_a_service_is_left_out() {
+    let (mut pool, now) = pool(&[1, 2, 3, 4, 5, 6].map(|n| (n, "near", 0)));
+    let near = "near".parse().unwrap();
+    for (unhealthy, expected) in [(1, 5), (3, 3), (4, 3), (6, 3), (2, 4), (0, 6)] {
+        for n in 1..=6 {
+            let agent = pool.get_mut(address(n)).unwrap();
+            agent.placed_since_report = 0;
+            agent.share = if n <= unhealthy {
+                AdmittedShare::None
+            } else {
+                AdmittedShare::Full
+            };
+        }
+        let placed: BTreeSet<_> = (0..400)
+            .filter_map(|hash| pool.place(&near, hash, &[], now))
+            .collect();
+        assert_eq!(placed.len(), expected, "{unhealthy} unhealthy");
+    }
+}
+
+/// Guards against an order of costs that differs from the agents' states after changes.
+#[test]
+fn placements_after_changes_are_those_of_a_new_pool() {
+    arbtest::arbtest(|u| {
+        let (mut pool, now) = pool(&[1, 2, 3, 4, 5].map(|n| (n, "near", 0)));
+        let near = "near".parse().unwrap();
+        for _ in 0..30 {
+            let changed = address(u.int_in_range(1..=5)?);
+            match u.int_in_range(0..=3)? {
+                0 => drop(pool.place(&near, u.arbitrary()?, &[], now)),
+                1 => pool.remove(changed),
+                2 => {
+                    if let Some(agent) = pool.get_mut(changed) {
+                        agent.accepting = u.arbitrary()?;
+                        let is_healthy: bool = u.arbitrary()?;
+                        agent.share =
+                            [AdmittedShare::None, AdmittedShare::Full][usize::from(is_healthy)];
+                    }
+                }
+                _ => {
+                    let mut status = agent(now);
+                    status.load.busy_requests = u.int_in_range(0..=9)?;
+                    pool.insert(changed, status);
+                }
+            }
+        }
+        let mut fresh = AgentPool::default();
+        for known in pool.addresses().collect::<Vec<_>>() {
+            fresh.insert(known, pool.get(known).unwrap().clone());
+        }
+        let hash = u.arbitrary()?;
+        assert_eq!(
+            pool.place(&near, hash, &[], now),
+            fresh.place(&near, hash, &[], now)
+        );
+        Ok(())
+    })
+    .seed(0x5eed_0000_0040)
+    .budget_ms(500);
+}
