Count expected and observed times to the first byte

Cause: nothing shows whether the times that placement expects are those that callers get.

Change: balancers record the expected time of each placement and count placements in other data centres; agents record the time from a complete request to the first byte of its answer.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -54,8 +54,8 @@
     FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
     FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates,
     KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, Load, OpeningQueue,
-    OpeningQueueSettings, Origin, RateLimiter, RecoveredFlows, ReleasedDatagram, ResetReason,
-    SearchResults, ServicePace, ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering,
-    SteeringDecision, SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest,
+    OpeningQueueSettings, Origin, Placement, RateLimiter, RecoveredFlows, ReleasedDatagram,
+    ResetReason, SearchResults, ServicePace, ServiceTime, ServiceTimeEstimate, ServiceTimeTracker,
+    Steering, SteeringDecision, SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest,
     UpstreamAction, UpstreamHealth, UpstreamStatus,
 };
--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -60,6 +60,15 @@
 /// Agents of one data centre that a placement looks at.
 const MAX_CANDIDATES: usize = 48;
 
+/// Expectation about a flow that was placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// Expected time to the answer, with the path.
+    pub expected: Duration,
+    /// Whether the agent is in the data centre of the balancer.
+    pub is_local: bool,
+}
+
 /// The agents of a service.
 #[derive(Debug, Default)]
 pub struct AgentPool {
@@ -70,6 +79,8 @@
     index: CostIndex,
     /// Agents whose state has changed since the index was updated.
     unindexed: BTreeSet<SocketAddrV4>,
+    /// The last placement by cost, until it is taken.
+    last_placement: Option<Placement>,
 }
 
 impl AgentPool {
@@ -163,6 +174,11 @@
         now < candidate.reported_at + MAX_REPORT_AGE
     }
 
+    /// The last placement by cost, if it was not taken before.
+    pub fn take_placement(&mut self) -> Option<Placement> {
+        self.last_placement.take()
+    }
+
     /// Chooses an agent that accepts new flows and is not in `except`, and
     /// counts the flow in `placed_since_report`. Among the agents whose cost is
     /// within the tolerance of the lowest, it prefers those in the data
@@ -179,11 +195,15 @@
         let address = match candidates.iter().map(|candidate| candidate.cost).min() {
             Some(least) => {
                 let most = least.saturating_add(self.cost_tolerance());
-                candidates
+                let best = candidates
                     .into_iter()
                     .filter(|candidate| candidate.cost <= most)
-                    .max_by_key(|c| (c.is_local, preference(hash, c.address)))
-                    .map(|candidate| candidate.address)
+                    .max_by_key(|c| (c.is_local, preference(hash, c.address)))?;
+                self.last_placement = Some(Placement {
+                    expected: best.cost,
+                    is_local: best.is_local,
+                });
+                Some(best.address)
             }
             None => self.last_resort(except, now),
         }?;
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -220,6 +220,8 @@
     pace: ServicePace,
     service_time: ServiceTimeTracker,
     health: UpstreamHealth,
+    /// Time to the first byte of the last answer, until it is taken.
+    first_byte_time: Option<Duration>,
     cold_limit: ColdLimit,
     /// The upstream has lost a flow or was unresponsive since its last announcement, so
     /// another run of it may have started.
@@ -243,6 +245,7 @@
             pace: ServicePace::default(),
             service_time: ServiceTimeTracker::default(),
             health: UpstreamHealth::default(),
+            first_byte_time: None,
             cold_limit: ColdLimit::new(settings.cold_bound, now),
             may_have_restarted: false,
         }
@@ -558,7 +561,7 @@
             self.service_time.remove(&key, now);
         }
         if answers {
-            self.service_time.record_answer(&key, now);
+            self.first_byte_time = self.service_time.record_answer(&key, now);
             self.health.record_answer();
             let saturated = self.is_full(now);
             self.pace.record_answer(saturated, now);
@@ -683,6 +686,12 @@
         self.service_time.service_time()
     }
 
+    /// Time from the complete request to the first byte of its answer, if the last
+    /// datagram of the upstream began an answer.
+    pub fn take_first_byte_time(&mut self) -> Option<Duration> {
+        self.first_byte_time.take()
+    }
+
     /// Share of new flows that the upstream gets by its health.
     pub fn admitted_share(&mut self, now: Instant) -> AdmittedShare {
         let silent_since = self.service_time.silent_since();
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -13,7 +13,7 @@
 mod trial_arbiter;
 mod upstream_health;
 
-pub use agent_pool::{AgentPool, AgentStatus};
+pub use agent_pool::{AgentPool, AgentStatus, Placement};
 pub use cold_limit::{ColdBound, ColdLimit};
 pub use flow_list::{
     FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
--- a/crates/flow/src/process/service_time.rs
+++ b/crates/flow/src/process/service_time.rs
@@ -146,6 +146,8 @@
     /// Requests that have a slot, and since when.
     in_service: BTreeMap<FlowTuple, Instant>,
     waiting: VecDeque<FlowTuple>,
+    /// When each request was complete.
+    arrived: BTreeMap<FlowTuple, Instant>,
     last_answer_at: Option<Instant>,
 }
 
@@ -153,6 +155,7 @@
     /// Records that a datagram of a request was delivered. The last one completes the
     /// request.
     pub fn record_request(&mut self, key: FlowTuple, slots: Slots, now: Instant) {
+        self.arrived.insert(key, now);
         let slots = usize::try_from(slots.0).unwrap_or(usize::MAX);
         if let Some(since) = self.in_service.get_mut(&key) {
             *since = now;
@@ -163,19 +166,24 @@
         }
     }
 
-    /// Records the first byte of an answer, and returns the service time of its request
-    /// if the request had a slot.
+    /// Records the first byte of an answer, and returns the time since its request was
+    /// complete.
     pub fn record_answer(&mut self, key: &FlowTuple, now: Instant) -> Option<Duration> {
         self.last_answer_at = Some(now);
-        let since = self.in_service.get(key).copied();
+        if let Some(since) = self.in_service.get(key) {
+            let sample = now.saturating_duration_since(*since);
+            self.estimate.record(sample, now);
+        }
+        let arrived_at = self.arrived.get(key).copied();
         self.remove(key, now);
-        let sample = now.saturating_duration_since(since?);
-        self.estimate.record(sample, now);
-        Some(sample)
+        arrived_at.map(|at| now.saturating_duration_since(at))
     }
 
     /// Removes a request that ended without an answer.
     pub fn remove(&mut self, key: &FlowTuple, now: Instant) {
+        if self.arrived.remove(key).is_none() {
+            return;
+        }
         if self.in_service.remove(key).is_none() {
             self.waiting.retain(|waiting| waiting != key);
         } else if let Some(next) = self.waiting.pop_front() {
@@ -185,14 +193,8 @@
 
     /// Removes the requests for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&FlowTuple) -> bool, now: Instant) {
-        self.waiting.retain(&keep);
-        let ended: Vec<_> = self
-            .in_service
-            .keys()
-            .filter(|key| !keep(key))
-            .copied()
-            .collect();
-        for key in ended {
+        let ended = self.arrived.keys().filter(|key| !keep(key)).copied();
+        for key in ended.collect::<Vec<_>>() {
             self.remove(&key, now);
         }
     }
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -19,7 +19,7 @@
 pub use trial::TrialRequest;
 use types::{DataCentre, RequestTargets, RoutingSet, ServiceName};
 
-use super::{AgentPool, Origin, RateLimiter};
+use super::{AgentPool, Origin, Placement, RateLimiter};
 use crate::{FlowTuple, Segment};
 
 /// Timeouts and limits of a [`Steering`].
@@ -119,6 +119,8 @@
     /// Until this instant, the directory lists all processes; `None` if it
     /// never did.
     directory_complete_until: Option<Instant>,
+    /// The last placement of a new flow, until it is taken.
+    last_placement: Option<Placement>,
 }
 
 impl Steering {
@@ -138,6 +140,7 @@
             trials: BTreeMap::new(),
             unresolved: BTreeMap::new(),
             directory_complete_until: None,
+            last_placement: None,
         }
     }
 
@@ -273,6 +276,7 @@
                 SteeringDecision::Drop(DropReason::NoAgent)
             };
         };
+        self.last_placement = pool.take_placement();
         let hint = Hint {
             agent,
             service: service.clone(),
@@ -287,6 +291,11 @@
         }
     }
 
+    /// The last placement of a new flow, if it was not taken before.
+    pub fn take_placement(&mut self) -> Option<Placement> {
+        self.last_placement.take()
+    }
+
     fn insert_hint(&mut self, key: FlowTuple, hint: Hint) {
         if self.hints.len() < self.settings.max_hints || self.hints.contains_key(&key) {
             self.hints.insert(key, hint);
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -476,7 +476,11 @@
                 .inc();
             return;
         };
-        match self.flow_table.upstream_datagram(&seg, now) {
+        let action = self.flow_table.upstream_datagram(&seg, now);
+        if let Some(time) = self.flow_table.take_first_byte_time() {
+            self.metrics.first_byte.observe(time.as_secs_f64());
+        }
+        match action {
             UpstreamAction::ToCaller { learned } => {
                 let key = seg.key_from_upstream();
                 if learned {
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -168,6 +168,9 @@
         };
         let payload = Bytes::copy_from_slice(datagram);
         let steer = self.steering.steer(&seg, &payload, Instant::now());
+        if let Some(placement) = self.steering.take_placement() {
+            self.metrics.record_placement(placement);
+        }
         self.apply_decision(steer, &seg, payload).await;
     }
 
--- a/crates/relay/src/process/metrics.rs
+++ b/crates/relay/src/process/metrics.rs
@@ -1,9 +1,15 @@
 //! Metrics of balancers and agents.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+use flow::Placement;
 
 use crate::Result;
 
+/// Buckets of times to the first byte, in seconds: from a fast answer to the timeouts of
+/// callers.
+const FIRST_BYTE_BUCKETS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
 /// Metrics of a balancer or agent. Clones share the values.
 #[derive(Debug, Clone)]
 pub struct RelayMetrics {
@@ -19,6 +25,10 @@
     pub known_flows: IntGauge,
     /// Requests that wait for the first byte of their response; agents only.
     pub busy_requests: IntGauge,
+    /// Time to the first byte of an answer that balancers expect for a new flow.
+    pub expected_first_byte: Histogram,
+    /// Time from a complete request to the first byte of its answer; agents only.
+    pub first_byte: Histogram,
 }
 
 impl RelayMetrics {
@@ -38,6 +48,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let histogram = |name: &str, help: &str| -> Result<Histogram> {
+            let buckets = FIRST_BYTE_BUCKETS.to_vec();
+            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
         let received_datagrams = IntCounter::new(
             "limpet_relay_received_datagrams_total",
             "Datagrams of callers that were taken.",
@@ -65,6 +81,23 @@
                 "limpet_relay_busy_requests",
                 "Requests that wait for the first byte of their answer.",
             )?,
+            expected_first_byte: histogram(
+                "limpet_relay_expected_first_byte_seconds",
+                "Expected time to the first byte of an answer when a flow was placed.",
+            )?,
+            first_byte: histogram(
+                "limpet_relay_first_byte_seconds",
+                "Time from a complete request to the first byte of its answer.",
+            )?,
         })
     }
+
+    /// Records the placement of a new flow by a balancer.
+    pub fn record_placement(&self, placement: Placement) {
+        self.expected_first_byte
+            .observe(placement.expected.as_secs_f64());
+        if !placement.is_local {
+            self.flow_events.with_label_values(&["placed_remote"]).inc();
+        }
+    }
 }
