--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 use types::{ServiceLimits, Slots};
 
-use super::{ColdBound, ColdLimit, ServicePace};
+use super::{
+    AdmittedShare, ColdBound, ColdLimit, ServicePace, ServiceTime, ServiceTimeTracker,
+    UpstreamHealth,
+};
 use crate::{
     FlowTuple, Segment,
     connection::{Flow, Stage},
@@ -216,6 +219,10 @@
     last_probe_at: Option<Instant>,
     /// Pace of the upstream while it is saturated.
     pace: ServicePace,
+    service_time: ServiceTimeTracker,
+    health: UpstreamHealth,
+    /// Time to the first byte of the last answer, until it is taken.
+    first_byte_time: Option<Duration>,
     cold_limit: ColdLimit,
     /// The upstream has lost a flow or was unresponsive since its last announcement, so
     /// another run of it may have started.
@@ -237,6 +244,9 @@
             unanswered_since: None,
             last_probe_at: None,
             pace: ServicePace::default(),
+            service_time: ServiceTimeTracker::default(),
+            health: UpstreamHealth::default(),
+            first_byte_time: None,
             cold_limit: ColdLimit::new(settings.cold_bound, now),
             may_have_restarted: false,
         }
@@ -252,6 +262,9 @@
                 flow.stage = Stage::Lost;
                 flow.request = RequestProgress::Idle;
             }
+            // The speed of the new run is unknown.
+            self.service_time = ServiceTimeTracker::default();
+            self.health = UpstreamHealth::default();
             self.unanswered_since = None;
         }
         if upstream.is_some_and(|upstream| !upstream.started_before_agent) {
@@ -365,6 +378,10 @@
                 flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
                 flow.record_caller_data(seg, now);
                 flow.close_if_both_ended();
+                if seg.len > 0 && flow.request.needs_slot(now) {
+                    let slots = self.upstream.map_or(Slots(0), |upstream| upstream.slots);
+                    self.service_time.record_request(key, slots, now);
+                }
                 CallerAction::Deliver
             }
             Stage::Lost if seg.resets => CallerAction::NotHeld,
@@ -541,7 +558,12 @@
             flow.request = RequestProgress::Idle;
         }
         flow.close_if_both_ended();
+        if !answers && !flow.request.is_pending() {
+            self.service_time.remove(&key, now);
+        }
         if answers {
+            self.first_byte_time = self.service_time.record_answer(&key, now);
+            self.health.record_answer();
             let saturated = self.is_full(now);
             self.pace.record_answer(saturated, now);
         }
@@ -558,6 +580,7 @@
         if seg.is_opening() {
             if flow.stage == Stage::Opening {
                 self.flows.remove(&key);
+                self.health.record_failure(now);
                 return UpstreamAction::PassOn;
             }
             return UpstreamAction::Drop;
@@ -674,6 +697,25 @@
         self.pace.interval()
     }
 
+    /// Estimated service time of the upstream; `None` before enough requests were served.
+    #[must_use]
+    pub fn service_time(&self) -> Option<ServiceTime> {
+        self.service_time.service_time()
+    }
+
+    /// Time from the complete request to the first byte of its answer, if the last
+    /// datagram of the upstream began an answer.
+    pub fn take_first_byte_time(&mut self) -> Option<Duration> {
+        self.first_byte_time.take()
+    }
+
+    /// Share of new flows that the upstream gets by its health.
+    pub fn admitted_share(&mut self, now: Instant) -> AdmittedShare {
+        let silent_since = self.service_time.silent_since();
+        let service_time = self.service_time.service_time();
+        self.health.advance(silent_since, service_time, now)
+    }
+
     /// Current load of the upstream.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
@@ -720,5 +762,8 @@
             };
             now < flow.last_datagram_at + retention
         });
+        let flows = &self.flows;
+        let awaits = |key: &FlowTuple| flows.get(key).is_some_and(|flow| flow.request.is_pending());
+        self.service_time.retain(awaits, now);
     }
 }
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_pool;
 mod cold_limit;
+mod cost_index;
 mod flow_list;
 mod flow_table;
 mod link_admission;
@@ -9,10 +10,12 @@
 mod rate_limiter;
 mod request_queue;
 mod service_pace;
+mod service_time;
 mod steering;
 mod trial_arbiter;
+mod upstream_health;
 
-pub use agent_pool::{AgentPool, AgentStatus};
+pub use agent_pool::{AgentPool, AgentStatus, Placement};
 pub use cold_limit::{ColdBound, ColdLimit};
 pub use flow_list::{
     FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
@@ -27,8 +30,10 @@
 pub use rate_limiter::RateLimiter;
 pub use request_queue::RequestQueue;
 pub use service_pace::ServicePace;
+pub use service_time::{ServiceTime, ServiceTimeEstimate, ServiceTimeTracker};
 pub use steering::{
     DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
     SteeringDecision, SteeringSettings, TrialRequest,
 };
 pub use trial_arbiter::{TrialArbiter, TrialArbiterSettings};
+pub use upstream_health::{AdmittedShare, UpstreamHealth};
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AgentStatus, Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists, KeptFlowListsSettings,
-    LinkAdmission, Load, Origin, ReleasedDatagram, SearchResults, Segment, Steering,
-    SteeringDecision, SteeringSettings, TrialRequest,
+    AdmittedShare, AgentStatus, Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists,
+    KeptFlowListsSettings, LinkAdmission, Load, Origin, ReleasedDatagram, SearchResults, Segment,
+    Steering, SteeringDecision, SteeringSettings, TrialRequest,
 };
 use prometheus::Registry;
 use tokio::{
@@ -216,6 +216,9 @@
 
     async fn place_opening(&mut self, seg: &Segment, opening: HeldOpening, now: Instant) {
         let steer = self.steering.steer(seg, &opening.payload, now);
+        if let Some(placement) = self.steering.take_placement() {
+            self.metrics.record_placement(placement);
+        }
         let waited = now.saturating_duration_since(opening.arrived_at);
         self.apply_decision_after(steer, seg, opening.payload, waited)
             .await;
@@ -592,6 +595,8 @@
                     // It is eligible for flows once it has sent a report.
                     accepting: false,
                     load: Load::default(),
+                    service_time: None,
+                    share: AdmittedShare::default(),
                     reported_at: now,
                     placed_since_report: 0,
                 },
