--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -1,6 +1,7 @@
 //! Flow table of an agent.
 
 mod handover;
+mod state;
 
 use std::{
     collections::BTreeMap,
@@ -8,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
+pub use state::{CallerAction, Claim, Load, Origin, UpstreamAction, UpstreamStatus};
 use types::{ServiceLimits, Slots};
 
 use super::{
@@ -68,135 +69,6 @@
     }
 }
 
-/// State of the upstream, as its agent learns it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UpstreamStatus {
-    /// Differs for each run of the upstream; `None` if it is only known to
-    /// listen and has not announced itself.
-    pub incarnation: Option<u64>,
-    /// Number of requests that it serves concurrently.
-    pub slots: Slots,
-    /// Whether it accepts new flows: it is neither draining nor stopped.
-    pub accepting: bool,
-    /// The upstream started before its agent, so it may hold flows that the
-    /// agent has never seen.
-    pub started_before_agent: bool,
-    /// The upstream responds slowly after its start, until this instant.
-    pub slow_start_until: Option<Instant>,
-}
-
-impl UpstreamStatus {
-    /// An upstream that listens and has not announced itself. A restarted agent
-    /// can then give it flows without waiting for the announcement.
-    #[must_use]
-    pub fn listening() -> Self {
-        /// The smallest number of slots that serves two callers at a time.
-        const ASSUMED_SLOTS: Slots = Slots(2);
-        UpstreamStatus {
-            incarnation: None,
-            slots: ASSUMED_SLOTS,
-            accepting: true,
-            started_before_agent: true,
-            slow_start_until: None,
-        }
-    }
-
-    /// An upstream that listens and did not a moment ago, so it has just started.
-    #[must_use]
-    pub fn just_started() -> Self {
-        UpstreamStatus {
-            started_before_agent: false,
-            ..UpstreamStatus::listening()
-        }
-    }
-
-    /// An upstream that accepts flows, is past its slow start and started
-    /// together with its agent.
-    #[must_use]
-    pub fn ready(incarnation: u64, slots: Slots) -> Self {
-        UpstreamStatus {
-            incarnation: Some(incarnation),
-            slots,
-            accepting: true,
-            started_before_agent: false,
-            slow_start_until: None,
-        }
-    }
-}
-
-/// Why a caller's datagram was sent to this agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Origin {
-    /// A balancer placed a new flow here.
-    Placed,
-    /// Another agent did not accept the new flow. This agent does not pass it
-    /// on again because of load.
-    Passed,
-    /// The balancer has a hint that this agent holds the flow.
-    Held,
-    /// No agent claimed the flow, and this agent may hold it.
-    Tried,
-}
-
-/// Action for a datagram of a caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallerAction {
-    /// Deliver it to the upstream.
-    Deliver,
-    /// Pass it on to another agent: the upstream is full or accepts no new
-    /// flows.
-    PassOn,
-    /// Keep it until the upstream can be given another flow.
-    Wait,
-    /// The flow is not in the table: report that to the balancer.
-    NotHeld,
-    /// The upstream has lost the flow: send a reset to the caller.
-    Reset,
-    /// Drop it: the upstream has yet to confirm the flow.
-    Drop,
-}
-
-/// Action for a datagram of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum UpstreamAction {
-    /// Send it to the caller.
-    ToCaller {
-        /// The flow was not in the table before; the balancer that sent a
-        /// datagram of it here must be told.
-        learned: bool,
-    },
-    /// The upstream returned an opening datagram: pass it on to another agent.
-    PassOn,
-    /// The upstream returned a datagram of an unconfirmed flow: report to the
-    /// balancer that the flow is not held here.
-    NotHeld,
-    /// The upstream has lost the flow: send a reset to the caller.
-    Reset,
-    /// Drop the datagram.
-    Drop,
-}
-
-/// Answer of an agent to a query for the holder of a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Claim {
-    /// The agent holds the flow.
-    Holds,
-    /// The agent restarted recently, and its upstream may hold the flow.
-    Perhaps,
-    /// The agent does not hold the flow.
-    No,
-}
-
-/// Load of an upstream, as its agent measures it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests that have arrived completely and wait for the first byte of their
-    /// answer, and new flows that have not sent a request yet.
-    pub busy_requests: u32,
-    /// Number of open flows.
-    pub open_flows: u32,
-}
-
 /// The flows of an upstream. See the [crate] documentation.
 #[derive(Debug)]
 pub struct FlowTable {
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -1,5 +1,8 @@
 //! The data path of a balancer.
 
+mod link;
+mod nodes;
+
 use std::{
     collections::BTreeSet,
     net::{SocketAddr, SocketAddrV4},
@@ -7,11 +10,10 @@
 };
 
 use bytes::Bytes;
-use directory::{Node, NodeRole, ViewChanges};
 use flow::{
-    AdmittedShare, AgentStatus, Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists,
-    KeptFlowListsSettings, LinkAdmission, Load, Origin, ReleasedDatagram, SearchResults, Segment,
-    Steering, SteeringDecision, SteeringSettings, TrialRequest,
+    Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists, KeptFlowListsSettings, LinkAdmission,
+    Origin, ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision, SteeringSettings,
+    TrialRequest,
 };
 use prometheus::Registry;
 use tokio::{
@@ -19,7 +21,7 @@
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{BytesPerSecond, DataCentre, ServiceName, Slots, UpstreamId};
+use types::{BytesPerSecond, DataCentre, ServiceName};
 
 use super::{ControlUpdate, EgressQueue, Traffic, metrics::RelayMetrics};
 use crate::{AgentReport, Codec, Error, Message, Result, ServiceTag};
@@ -190,57 +192,6 @@
         self.serve_link(now).await;
     }
 
-    /// Places a new flow, or keeps its opening datagram until the link has room.
-    async fn admit_to_link(&mut self, seg: &Segment, payload: Bytes, now: Instant) {
-        let key = seg.key_from_caller();
-        let targets = self.steering.targets(key.service);
-        let opening = HeldOpening {
-            payload,
-            arrived_at: now,
-        };
-        if let Some(opening) = self.link_admission.admit(seg, targets, opening, now) {
-            return self.place_opening(seg, opening, now).await;
-        }
-        log::info!(
-            event = "held_by_link", flow:% = key, copy = seg.ack,
-            waiting = self.link_admission.waiting(),
-            transfers = self.link_admission.transfers(now);
-            "the link has no room for another large flow; the new flow waits"
-        );
-        self.metrics
-            .flow_events
-            .with_label_values(&["held_by_link"])
-            .inc();
-        self.serve_link(now).await;
-    }
-
-    async fn place_opening(&mut self, seg: &Segment, opening: HeldOpening, now: Instant) {
-        let steer = self.steering.steer(seg, &opening.payload, now);
-        if let Some(placement) = self.steering.take_placement() {
-            self.metrics.record_placement(placement);
-        }
-        let waited = now.saturating_duration_since(opening.arrived_at);
-        self.apply_decision_after(steer, seg, opening.payload, waited)
-            .await;
-    }
-
-    /// Places the flows that the link has room for now, and resets those that it cannot
-    /// serve in time.
-    async fn serve_link(&mut self, now: Instant) {
-        while let Some(opening) = self.link_admission.take_admitted(now) {
-            if let Some(seg) = self.codec.parse(&opening.payload) {
-                self.place_opening(&seg, opening, now).await;
-            }
-        }
-        for opening in self.link_admission.take_refused(now) {
-            self.metrics
-                .flow_events
-                .with_label_values(&["refused_by_link"])
-                .inc();
-            self.reset_flow(&opening.payload, "link_saturated").await;
-        }
-    }
-
     async fn apply_decision(&mut self, steer: SteeringDecision, seg: &Segment, payload: Bytes) {
         self.apply_decision_after(steer, seg, payload, Duration::ZERO)
             .await;
@@ -537,85 +488,6 @@
         self.update_readiness();
     }
 
-    async fn apply_update(&mut self, update: ControlUpdate) {
-        match update {
-            ControlUpdate::Nodes(changes) => self.apply_node_changes(changes, Instant::now()),
-            ControlUpdate::NodeListComplete(until) => {
-                self.steering.set_directory_complete_until(until);
-                let queries = self.steering.resume_searches(Instant::now());
-                self.send_search_queries(queries).await;
-            }
-            ControlUpdate::Policy(policy) => {
-                log::info!(
-                    event = "policy_applied", revision:% = policy.revision,
-                    evacuated = policy.evacuated.len(); "applying a newer placement policy"
-                );
-                self.steering.set_evacuated(policy.evacuated);
-            }
-            ControlUpdate::Routes(delta) => {
-                let (number, changed) = (delta.number, delta.changed.len());
-                let applied = self.steering.routes_mut().apply(delta);
-                log::info!(
-                    event = "routes", set = number.0, changed = changed,
-                    applied = u64::from(applied); "received a newer routing set"
-                );
-            }
-        }
-        self.update_readiness();
-    }
-
-    fn apply_node_changes(&mut self, changes: ViewChanges, now: Instant) {
-        for node in changes.changed {
-            if let NodeRole::Agent(service) = node.role.clone() {
-                self.add_listed_agent(&node, &service, now);
-            }
-        }
-        for node in changes.removed {
-            if let NodeRole::Agent(_) = node.role {
-                self.listed_agents.remove(&node.address);
-            }
-        }
-    }
-
-    fn add_listed_agent(&mut self, node: &Node, service: &ServiceName, now: Instant) {
-        self.listed_agents.insert(node.address);
-        self.kept_flow_lists
-            .observe_run(node.address, node.incarnation);
-        let pool = self.steering.pool(service);
-        match pool.get_mut(node.address) {
-            Some(known) if known.id == UpstreamId(node.incarnation) => {
-                known.accepting &= !node.leaving;
-            }
-            _ => pool.insert(
-                node.address,
-                AgentStatus {
-                    id: UpstreamId(node.incarnation),
-                    data_centre: node.data_centre.clone(),
-                    slots: Slots(1),
-                    // It is eligible for flows once it has sent a report.
-                    accepting: false,
-                    load: Load::default(),
-                    service_time: None,
-                    share: AdmittedShare::default(),
-                    reported_at: now,
-                    placed_since_report: 0,
-                },
-            ),
-        }
-    }
-
-    fn update_readiness(&mut self) {
-        let ready = self.steering.can_place(Instant::now());
-        self.ready.send_if_modified(|known| {
-            let changed = *known != ready;
-            if changed {
-                log::info!(event = "ready", ready = u64::from(ready); "readiness of the balancer changed");
-            }
-            *known = ready;
-            changed
-        });
-    }
-
     async fn send_search_queries(&mut self, queries: Vec<FlowQuery>) {
         for query in queries {
             self.metrics
--- a/crates/relay/src/process/sync.rs
+++ b/crates/relay/src/process/sync.rs
@@ -14,7 +14,7 @@
     sync::{mpsc, watch},
     time::sleep_until,
 };
-use types::{PlacementPolicy, RoutingDelta, RoutingSetNumber};
+use types::{DataCentre, PlacementPolicy, RoutingDelta, RoutingSetNumber};
 
 use crate::{Error, Result};
 
@@ -314,8 +314,9 @@
         if policy.revision <= self.policy.revision {
             return;
         }
+        let evacuated: Vec<&str> = policy.evacuated.iter().map(DataCentre::as_str).collect();
         log::info!(
-            event = "policy", revision:% = policy.revision, evacuated:? = policy.evacuated;
+            event = "policy", revision:% = policy.revision, evacuated = evacuated.join(",").as_str();
             "received a newer placement policy"
         );
         self.policy = policy.clone();
