Search for many flows with one query to each agent

Cause: a balancer without hints sends each agent a query for each flow. With a tenth of 3.8 Mbit/s and 52 agents that allows some ten searches a second. The deadline of a search did not count the time that the link takes for the queries, so that searches that were granted ended before their replies came.

Change: queries that arise for an agent within 20 ms go in one message ClaimQueries (up to 40 flows of a service address, 11 bytes each), answered by one message Claims. The first query goes at once and alone. An agent that has sent Performance understands the message; others get single queries. Performance is therefore also sent while no service time is known. While the directory is complete, flows that the first three agents denied go to all agents in groups of 16 to 40. The limit of a tenth counts bytes. The deadline of a search starts when the link has sent the queries before it.

--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -110,19 +110,22 @@
     }
 
     /// Applies the performance of the upstream of the agent with this incarnation.
+    /// Returns whether the agent is known.
     pub fn apply_performance(
         &mut self,
         address: SocketAddrV4,
         id: UpstreamId,
         service_time: Option<ServiceTime>,
         share: AdmittedShare,
-    ) {
+    ) -> bool {
         let agent = self.agents.get_mut(&address);
-        if let Some(agent) = agent.filter(|agent| agent.id == id) {
-            agent.service_time = service_time;
-            agent.share = share;
-            self.unindexed.insert(address);
-        }
+        let Some(agent) = agent.filter(|agent| agent.id == id) else {
+            return false;
+        };
+        agent.service_time = service_time;
+        agent.share = share;
+        self.unindexed.insert(address);
+        true
     }
 
     /// Removes an agent.
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -32,8 +32,8 @@
 pub use service_pace::ServicePace;
 pub use service_time::{ServiceTime, ServiceTimeEstimate, ServiceTimeTracker};
 pub use steering::{
-    DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, Steering,
-    SteeringDecision, SteeringSettings, TrialRequest,
+    BatchTarget, DropReason, DueBatch, FlowQuery, MAX_BATCH, QueryBatches, ReleasedDatagram,
+    ResetReason, SearchResults, Steering, SteeringDecision, SteeringSettings, TrialRequest,
 };
 pub use trial_arbiter::{TrialArbiter, TrialArbiterSettings};
 pub use upstream_health::{AdmittedShare, UpstreamHealth};
--- a/crates/flow/src/process/steering/mod.rs
+++ b/crates/flow/src/process/steering/mod.rs
@@ -1,6 +1,7 @@
 //! Hints of a balancer about flows, and its search for the holder of a flow.
 
 mod outcome;
+mod query_batches;
 mod search;
 mod trial;
 
@@ -14,6 +15,7 @@
 pub use outcome::{
     DropReason, FlowQuery, ReleasedDatagram, ResetReason, SearchResults, SteeringDecision,
 };
+pub use query_batches::{BatchTarget, DueBatch, MAX_BATCH, QueryBatches};
 use search::{Search, TryRecord, UnresolvedFlow};
 use trial::Trial;
 pub use trial::TrialRequest;
@@ -114,8 +116,12 @@
     /// lack the one that does. They are searched for again once it is complete: a
     /// caller retransmits rarely by then, and otherwise waits for its timeout.
     unresolved: BTreeMap<FlowTuple, UnresolvedFlow>,
-    /// Limits the queries of the search rounds after the first.
+    /// Limits the bytes of the queries of the search rounds after the first.
     query_limiter: RateLimiter,
+    /// Agents that answer queries for many flows.
+    batching_agents: BTreeSet<SocketAddrV4>,
+    /// When the link has sent the queries so far.
+    queries_sent_by: Option<Instant>,
     /// Until this instant, the directory lists all processes; `None` if it
     /// never did.
     directory_complete_until: Option<Instant>,
@@ -128,7 +134,13 @@
     #[must_use]
     pub fn new(settings: SteeringSettings, data_centre: DataCentre) -> Self {
         Steering {
-            query_limiter: RateLimiter::new(settings.max_queries_per_second),
+            query_limiter: RateLimiter::new(
+                settings
+                    .max_queries_per_second
+                    .saturating_mul(search::SINGLE_QUERY_BYTES),
+            ),
+            batching_agents: BTreeSet::new(),
+            queries_sent_by: None,
             settings,
             data_centre,
             routes: None,
@@ -411,6 +423,9 @@
             .retain(|_, tries| now < tries.window_start + 4 * settings.tries_window);
         self.unresolved
             .retain(|_, flow| now < flow.last_seen_at + settings.hint_idle_timeout);
+        let pools = &self.pools;
+        self.batching_agents
+            .retain(|agent| pools.values().any(|pool| pool.get(*agent).is_some()));
     }
 
     /// Number of flows with a hint.
--- a/crates/flow/src/process/steering/search.rs
+++ b/crates/flow/src/process/steering/search.rs
@@ -1,17 +1,36 @@
 //! Search for the agent that holds a flow.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddrV4,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use types::ServiceName;
 
-use super::{DropReason, FlowQuery, ReleasedDatagram, SearchResults, Steering, SteeringDecision};
+use super::{
+    DropReason, FlowQuery, MAX_BATCH, ReleasedDatagram, SearchResults, Steering, SteeringDecision,
+    query_batches::BATCH_WINDOW,
+};
 use crate::{Claim, FlowTuple, Origin};
 
+/// Bytes of a query for one flow with its IPv4 and UDP headers.
+pub(super) const SINGLE_QUERY_BYTES: u32 = 72;
+
+/// The rate of the link divided by the limit of queries.
+const LINK_PER_QUERY_LIMIT: u64 = 10;
+
+/// Bytes of a query for many flows, without the flows.
+const BATCH_BYTES: usize = 64;
+
+/// Bytes of a flow in a query for many.
+const BATCHED_FLOW_BYTES: usize = 11;
+
+/// Number of flows for which a search of all agents waits if there are as many: with
+/// fewer, the headers of the queries take most of the bytes.
+const MIN_GROUP: usize = 16;
+
 #[derive(Debug)]
 pub(super) struct Search {
     key: FlowTuple,
@@ -91,6 +110,11 @@
         if backs_off || self.trials.contains_key(&key) {
             return SteeringDecision::Drop(DropReason::NotFound);
         }
+        let is_next = !self.batching_agents.is_empty() && self.is_directory_complete(now);
+        if is_next && self.unresolved.contains_key(&key) {
+            // It waits for a search of all agents, which needs no other datagram.
+            return SteeringDecision::Drop(DropReason::Busy);
+        }
         if self.searches.len() >= self.settings.max_searches {
             return SteeringDecision::Drop(DropReason::Busy);
         }
@@ -101,7 +125,7 @@
         let remaining_agents = agents.split_off(agents.len().min(self.settings.initial_fanout));
         let search = Search {
             key,
-            deadline: now + self.settings.search_timeout,
+            deadline: self.query_deadline(agents.len(), now),
             remaining_agents,
             queried: agents.len(),
             may_widen: false,
@@ -181,7 +205,7 @@
     /// hold the flow gets the first queued datagram, once an arbiter has granted
     /// it; the caller retransmits the others.
     pub fn end_searches(&mut self, now: Instant) -> SearchResults {
-        let settings = self.settings;
+        let search_backoff = self.settings.search_backoff;
         let due: Vec<FlowTuple> = self
             .searches
             .iter()
@@ -204,7 +228,7 @@
             if let (false, Some(payload)) = (next_agents.is_empty(), search.queued.first().cloned())
             {
                 search.pending_agents.extend(next_agents.iter().cloned());
-                search.deadline = now + settings.search_timeout;
+                search.deadline = self.query_deadline(next_agents.len(), now);
                 self.searches.insert(key, search);
                 ended.queries.push(FlowQuery {
                     payload,
@@ -220,7 +244,7 @@
                 continue;
             }
             if !self.try_next_agent(key, &search, now, &mut ended) {
-                self.tries_for(key, now).backoff_until = now + settings.search_backoff;
+                self.tries_for(key, now).backoff_until = now + search_backoff;
                 self.keep_unresolved(search, now);
             }
         }
@@ -253,14 +277,14 @@
         if !self.is_directory_complete(now) {
             return queries;
         }
+        let mut group = VecDeque::new();
         while self.searches.len() < self.settings.max_searches {
-            let Some((&key, _)) = self.unresolved.first_key_value() else {
+            if group.is_empty() {
+                group = self.next_group(now);
+            }
+            let Some(key) = group.pop_front() else {
                 break;
             };
-            let all_agents = self.pools.values().map(|pool| pool.addresses().count());
-            if !self.query_limiter.try_acquire(all_agents.sum(), now) {
-                break;
-            }
             let agents = self.agents_for(&key);
             let flow = self.unresolved.remove(&key);
             let (Some(flow), false) = (flow, agents.is_empty() || self.hints.contains_key(&key))
@@ -273,7 +297,7 @@
             });
             let search = Search {
                 key,
-                deadline: now + self.settings.search_timeout,
+                deadline: self.query_deadline(agents.len(), now),
                 remaining_agents: Vec::new(),
                 queried: agents.len(),
                 may_widen: true,
@@ -288,6 +312,91 @@
         queries
     }
 
+    /// The unresolved flows that are searched for next at all agents together, as far as
+    /// the limit allows.
+    fn next_group(&mut self, now: Instant) -> VecDeque<FlowTuple> {
+        let most = if self.batching_agents.is_empty() {
+            1
+        } else {
+            MAX_BATCH
+        };
+        // While searches run, others may join the group.
+        let mut unresolved = self.unresolved.values();
+        if most > 1
+            && !self.searches.is_empty()
+            && self.unresolved.len() < MIN_GROUP
+            && unresolved.all(|flow| now < flow.last_seen_at + BATCH_WINDOW)
+        {
+            return VecDeque::new();
+        }
+        let room = self.settings.max_searches - self.searches.len();
+        let keys = self.unresolved.keys().take(most.min(room));
+        let keys: Vec<FlowTuple> = keys.copied().collect();
+        for count in [keys.len(), keys.len().min(MIN_GROUP)] {
+            let group = &keys[..count];
+            let bytes = self.query_bytes(group);
+            if self.query_limiter.try_acquire(bytes, now) {
+                return group.iter().copied().collect();
+            }
+        }
+        VecDeque::new()
+    }
+
+    /// Whether a search that the agents of the first round have denied continues with
+    /// those for other flows: queries for many flows cost a fraction of the bytes.
+    fn joins_group(&self, search: &Search, now: Instant) -> bool {
+        let has_others = !self.searches.is_empty() || !self.unresolved.is_empty();
+        has_others
+            && !self.batching_agents.is_empty()
+            && self.unresolved.len() < self.settings.max_unresolved
+            && search.pending_agents.is_empty()
+            && search.uncertain_agents.is_empty()
+            && self.is_directory_complete(now)
+    }
+
+    /// Bytes of the queries for these flows to all agents.
+    fn query_bytes(&self, keys: &[FlowTuple]) -> usize {
+        let agents: usize = self.pools.values().map(|p| p.addresses().count()).sum();
+        let batching = self.batching_agents.len().min(agents);
+        let single = keys.len() * SINGLE_QUERY_BYTES as usize;
+        let addresses: BTreeSet<_> = keys.iter().map(|key| key.service).collect();
+        let batched = BATCH_BYTES * addresses.len() + BATCHED_FLOW_BYTES * keys.len();
+        (agents - batching) * single + batching * batched.min(single)
+    }
+
+    /// Deadline of a search that queries this many agents now, after the queries before
+    /// it. The link takes longer than the timeout to send the queries of some searches.
+    fn query_deadline(&mut self, agents: usize, now: Instant) -> Instant {
+        let mut bytes = agents * SINGLE_QUERY_BYTES as usize;
+        let mut sent_by = self.queries_sent_by.map_or(now, |at| at.max(now));
+        if !self.batching_agents.is_empty() && sent_by > now {
+            // Most flows go with others, and some wait for them.
+            bytes = agents * BATCHED_FLOW_BYTES;
+            sent_by = sent_by.max(now + BATCH_WINDOW);
+        }
+        let limit = u64::from(self.settings.max_queries_per_second.max(1));
+        let link_rate = limit * u64::from(SINGLE_QUERY_BYTES) * LINK_PER_QUERY_LIMIT;
+        let micros = bytes as u64 * 1_000_000 / link_rate;
+        sent_by += Duration::from_micros(micros);
+        self.queries_sent_by = Some(sent_by);
+        sent_by + self.settings.search_timeout
+    }
+
+    /// Sets whether an agent answers queries for many flows.
+    pub fn set_batching(&mut self, agent: SocketAddrV4, is_batching: bool) {
+        if is_batching {
+            self.batching_agents.insert(agent);
+        } else {
+            self.batching_agents.remove(&agent);
+        }
+    }
+
+    /// Whether an agent answers queries for many flows.
+    #[must_use]
+    pub fn is_batching(&self, agent: SocketAddrV4) -> bool {
+        self.batching_agents.contains(&agent)
+    }
+
     /// Agents of the next round; empty when the search has queried all of them.
     fn next_agents(
         &mut self,
@@ -295,11 +404,11 @@
         now: Instant,
     ) -> Vec<(SocketAddrV4, ServiceName)> {
         if !search.remaining_agents.is_empty() {
-            if !search.may_widen {
+            if !search.may_widen && !self.joins_group(search, now) {
                 // Reserve the queries for all agents: a partial search costs as
                 // much and finds less.
-                let all = self.pools.values().map(|pool| pool.addresses().count());
-                search.may_widen = self.query_limiter.try_acquire(all.sum(), now);
+                let bytes = self.query_bytes(&[search.key]);
+                search.may_widen = self.query_limiter.try_acquire(bytes, now);
             }
             if !search.may_widen {
                 return Vec::new();
--- a/crates/flow/tests/common/mod.rs
+++ b/crates/flow/tests/common/mod.rs
@@ -73,7 +73,13 @@
 
 /// A balancer with routes and agents 1 to `agents`.
 pub fn ready(agents: u8) -> (Steering, Instant) {
-    let (mut steering, now) = steering();
+    ready_with(SteeringSettings::default(), agents)
+}
+
+/// The same with these settings.
+pub fn ready_with(settings: SteeringSettings, agents: u8) -> (Steering, Instant) {
+    let now = Instant::now();
+    let mut steering = Steering::new(settings, NEAR.parse().unwrap());
     set_routes(&mut steering, 1);
     for n in 1..=agents {
         let pool = steering.pool(&SERVICE.parse().unwrap());
--- a/crates/relay/src/connection/message.rs
+++ b/crates/relay/src/connection/message.rs
@@ -11,6 +11,8 @@
 use twox_hash::XxHash64;
 use types::{DataCentre, RequestTargets, ServiceName, Slots, UpstreamId};
 
+use super::{Callers, QueriedFlows};
+
 /// Hash of the name of the service that a datagram is for. An address may be
 /// reused by an agent of another service, which rejects the datagram by its tag.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -128,7 +130,28 @@
         granted: bool,
     },
     /// Performance of the sender's upstream, sent when it changes and as a heartbeat.
+    /// The sender of one understands [`Message::ClaimQueries`].
     Performance(Performance),
+    /// Queries whether an agent holds flows of one service address.
+    ClaimQueries {
+        /// The service of the flows.
+        tag: ServiceTag,
+        /// The address that their callers send to.
+        service: SocketAddrV4,
+        /// The flows.
+        flows: QueriedFlows,
+    },
+    /// Reply to [`Message::ClaimQueries`]: the callers of its flows by the claims.
+    Claims {
+        /// The address that the callers send to.
+        service: SocketAddrV4,
+        /// Flows that the sender holds.
+        holds: Callers,
+        /// Flows that its upstream may hold.
+        perhaps: Callers,
+        /// Flows that it does not hold.
+        no: Callers,
+    },
 }
 
 /// State of an agent and load of its upstream. Each agent sends it often to each
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod error;
 pub mod process;
 
-pub use connection::{AgentReport, Codec, Message, Performance, ServiceTag};
+pub use connection::{
+    AgentReport, Callers, Codec, Message, Performance, QueriedFlow, QueriedFlows, ServiceTag,
+};
 pub use error::{Error, Result};
 pub use process::{
     Agent, AgentSettings, Balancer, BalancerSettings, BalancerTable, ControlSync,
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use flow::{
-    AgentPool, CallerAction, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
+    AgentPool, CallerAction, Claim, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
     OpeningQueueSettings, Origin, RequestQueue, Segment, UpstreamAction, UpstreamStatus,
 };
 use openings::OpeningRoute;
@@ -33,7 +33,7 @@
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
     report_schedule::ReportSchedule,
 };
-use crate::{Codec, Error, Message, Performance, Result, ServiceTag};
+use crate::{Callers, Codec, Error, Message, Performance, QueriedFlows, Result, ServiceTag};
 
 /// Interval between checks for due reports and expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -314,6 +314,14 @@
             Message::ClaimQuery { tag, header } => {
                 self.handle_claim_query(tag, &header, from, now).await;
             }
+            Message::ClaimQueries {
+                tag,
+                service,
+                flows,
+            } => {
+                self.handle_claim_queries(tag, service, &flows, from, now)
+                    .await;
+            }
             Message::Report(report) if report.service == self.cfg.service => {
                 self.pool.apply_report(from, report.candidate(now));
                 self.serve_waiting_openings(now).await;
@@ -329,6 +337,7 @@
             Message::Report(_)
             | Message::NotHeld { .. }
             | Message::Claim { .. }
+            | Message::Claims { .. }
             | Message::FlowTaken { .. }
             | Message::HeldFlows { .. } => {
                 self.metrics
@@ -373,17 +382,47 @@
             return;
         };
         let key = seg.key_from_caller();
-        let claim = if tag == self.tag {
-            self.flow_table.claim(&key, &seg, now)
-        } else {
-            flow::Claim::No
+        if let Some(claim) = self.claim(tag, &seg, now) {
+            self.send_message(from, &Message::Claim { key, claim })
+                .await;
+        }
+    }
+
+    async fn handle_claim_queries(
+        &mut self,
+        tag: ServiceTag,
+        service: SocketAddrV4,
+        flows: &QueriedFlows,
+        from: SocketAddrV4,
+        now: Instant,
+    ) {
+        let [mut holds, mut perhaps, mut no] = [(); 3].map(|()| Callers::default());
+        for flow in &flows.0 {
+            let callers = match self.claim(tag, &flow.segment(service), now) {
+                Some(Claim::Holds) => &mut holds,
+                Some(Claim::Perhaps) => &mut perhaps,
+                Some(Claim::No) => &mut no,
+                None => continue,
+            };
+            callers.0.push(flow.caller);
+        }
+        let claims = Message::Claims {
+            service,
+            holds,
+            perhaps,
+            no,
         };
-        if claim == flow::Claim::Perhaps && self.restart.is_recovering() {
-            // The list may name the flow; the balancer asks again.
-            return;
+        self.send_message(from, &claims).await;
+    }
+
+    /// The claim for the flow of a datagram, unless it is not known yet: the list of the
+    /// former process may name the flow, and the balancer asks again.
+    fn claim(&self, tag: ServiceTag, seg: &Segment, now: Instant) -> Option<Claim> {
+        if tag != self.tag {
+            return Some(Claim::No);
         }
-        self.send_message(from, &Message::Claim { key, claim })
-            .await;
+        let claim = self.flow_table.claim(&seg.key_from_caller(), seg, now);
+        (claim != Claim::Perhaps || !self.restart.is_recovering()).then_some(claim)
     }
 
     async fn handle_caller_datagram(&mut self, arrival: CallerDatagram, now: Instant) {
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -2,6 +2,7 @@
 
 mod link;
 mod nodes;
+mod searches;
 
 use std::{
     collections::BTreeSet,
@@ -12,10 +13,11 @@
 use bytes::Bytes;
 use flow::{
     Claim, DropReason, FlowQuery, FlowTuple, KeptFlowLists, KeptFlowListsSettings, LinkAdmission,
-    Origin, ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision, SteeringSettings,
-    TrialRequest,
+    Origin, QueryBatches, ReleasedDatagram, SearchResults, Segment, Steering, SteeringDecision,
+    SteeringSettings, TrialRequest,
 };
 use prometheus::Registry;
+use searches::SearchQuery;
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -81,6 +83,8 @@
     ingress_socket: UdpSocket,
     peer_socket: UdpSocket,
     egress_queue: EgressQueue,
+    /// Queries of searches that go to agents together.
+    query_batches: QueryBatches<SearchQuery>,
     /// New flows that wait for the link.
     link_admission: LinkAdmission<HeldOpening>,
     updates: mpsc::Receiver<ControlUpdate>,
@@ -125,6 +129,7 @@
             ingress_socket: bind(cfg.ingress_address)?,
             peer_socket: bind(cfg.peer_listen_address)?,
             egress_queue: EgressQueue::new(cfg.link_rate, Instant::now()),
+            query_batches: QueryBatches::default(),
             link_admission: LinkAdmission::new(cfg.link_rate),
             steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
@@ -145,6 +150,8 @@
         loop {
             let search_deadline = self.steering.next_deadline().unwrap_or(self.next_expiry_at);
             let deadline = self.next_expiry_at.min(search_deadline);
+            let batch_deadline = self.query_batches.next_deadline();
+            let deadline = batch_deadline.map_or(deadline, |at| at.min(deadline));
             let link_deadline = self.link_admission.next_deadline();
             let deadline = link_deadline.map_or(deadline, |at| at.min(deadline));
             let egress_deadline = self.egress_queue.next_deadline();
@@ -239,7 +246,8 @@
                     event = "searching", flow:% = key, agents = agents.len();
                     "agent of the flow is unknown; querying agents"
                 );
-                self.send_claim_queries(&payload, agents).await;
+                self.send_claim_queries(vec![FlowQuery { payload, agents }])
+                    .await;
             }
             SteeringDecision::Queued => {}
             SteeringDecision::Reset(cause) => self.reset_flow(&payload, cause.as_str()).await,
@@ -265,20 +273,6 @@
             .await;
     }
 
-    async fn send_claim_queries(
-        &mut self,
-        payload: &Bytes,
-        agents: Vec<(SocketAddrV4, ServiceName)>,
-    ) {
-        let header = Bytes::copy_from_slice(self.codec.header(payload));
-        for (agent, service) in agents {
-            let tag = ServiceTag::of(&service);
-            let header = header.clone();
-            let query = Message::ClaimQuery { tag, header };
-            self.send_message(agent, Traffic::Control, &query).await;
-        }
-    }
-
     fn set_number(&self) -> u64 {
         self.steering.routes().map_or(0, |routes| routes.number.0)
     }
@@ -406,16 +400,7 @@
         };
         match message {
             Message::Report(report) => self.handle_report(from, &report, now),
-            Message::Performance(Performance {
-                incarnation,
-                service_time,
-                share,
-            }) => {
-                let id = UpstreamId(incarnation);
-                for pool in self.steering.pools_mut() {
-                    pool.apply_performance(from, id, service_time, share);
-                }
-            }
+            Message::Performance(performance) => self.handle_performance(from, performance),
             Message::NotHeld { payload } => {
                 let Some(seg) = self.codec.parse(&payload) else {
                     return;
@@ -434,6 +419,15 @@
                 let released = self.steering.handle_claim(key, from, claim, now);
                 self.send_released(released).await;
             }
+            Message::Claims {
+                service,
+                holds,
+                perhaps,
+                no,
+            } => {
+                self.handle_claims(from, service, [holds, perhaps, no], now)
+                    .await;
+            }
             Message::FlowTaken { key, service } => {
                 log::info!(event = "taken", flow:% = key, agent:% = from; "agent reports that it holds the flow");
                 let released = self.steering.record_holder(key, from, &service, now);
@@ -468,6 +462,7 @@
             Message::Datagram { .. }
             | Message::Opening { .. }
             | Message::ClaimQuery { .. }
+            | Message::ClaimQueries { .. }
             | Message::FlowsKept { .. }
             | Message::KeptFlows(_)
             | Message::TrialRequest { .. } => {
@@ -487,6 +482,11 @@
         let candidate = report.clone().candidate(now);
         let pool = self.steering.pool(&report.service);
         let known = pool.get(from).map(|known| (known.id, known.accepting));
+        if known.is_some_and(|(id, _)| id != candidate.id) {
+            // The new process may be of an earlier version.
+            self.steering.set_batching(from, false);
+        }
+        let pool = self.steering.pool(&report.service);
         if known != Some((candidate.id, candidate.accepting)) {
             log::info!(
                 event = "agent", agent:% = from, service:% = report.service, run = report.incarnation,
@@ -498,13 +498,19 @@
         self.update_readiness();
     }
 
-    async fn send_search_queries(&mut self, queries: Vec<FlowQuery>) {
-        for query in queries {
-            self.metrics
-                .flow_events
-                .with_label_values(&["searched_wider"])
-                .inc();
-            self.send_claim_queries(&query.payload, query.agents).await;
+    fn handle_performance(&mut self, from: SocketAddrV4, performance: Performance) {
+        let Performance {
+            incarnation,
+            service_time,
+            share,
+        } = performance;
+        let id = UpstreamId(incarnation);
+        let mut is_known = false;
+        for pool in self.steering.pools_mut() {
+            is_known |= pool.apply_performance(from, id, service_time, share);
+        }
+        if is_known {
+            self.steering.set_batching(from, true);
         }
     }
 
@@ -530,6 +536,9 @@
 
     async fn handle_deadlines(&mut self, now: Instant) {
         self.serve_link(now).await;
+        for (target, queries) in self.query_batches.take_due(now) {
+            self.send_batch(target, queries).await;
+        }
         let ended = self.steering.end_searches(now);
         self.apply_search_results(ended).await;
         if now < self.next_expiry_at {
@@ -539,6 +548,7 @@
         self.steering.expire(now);
         self.kept_flow_lists.expire(now);
         self.link_admission.expire(now);
+        self.query_batches.expire(now);
         let listed_agents = &self.listed_agents;
         for pool in self.steering.pools_mut() {
             pool.retain(|address, agent| {
--- a/crates/relay/src/process/balancer/nodes.rs
+++ b/crates/relay/src/process/balancer/nodes.rs
@@ -55,6 +55,12 @@
         self.kept_flow_lists
             .observe_run(node.address, node.incarnation);
         let pool = self.steering.pool(service);
+        let former = pool.get(node.address).map(|known| known.id);
+        if former.is_some_and(|id| id != UpstreamId(node.incarnation)) {
+            // The new process may be of an earlier version.
+            self.steering.set_batching(node.address, false);
+        }
+        let pool = self.steering.pool(service);
         match pool.get_mut(node.address) {
             Some(known) if known.id == UpstreamId(node.incarnation) => {
                 known.accepting &= !node.leaving;
--- a/crates/relay/src/process/report_schedule.rs
+++ b/crates/relay/src/process/report_schedule.rs
@@ -62,7 +62,6 @@
 #[derive(Debug)]
 struct PerformanceSchedule {
     sent: PerformanceState,
-    /// `None` until a state differed from the one that receivers assume.
     sent_at: Option<Instant>,
     /// Recipients that were added since.
     added: BTreeSet<SocketAddrV4>,
@@ -131,11 +130,9 @@
             self.performance.sent_at = Some(now);
             self.performance.added.clear();
             near.iter().chain(far).copied().collect()
-        } else if self.performance.sent_at.is_some() {
+        } else {
             let added = std::mem::take(&mut self.performance.added);
             added.into_iter().collect()
-        } else {
-            Vec::new()
         }
     }
 }
@@ -144,7 +141,7 @@
     fn is_due(&self, state: PerformanceState, min_interval: Duration, now: Instant) -> bool {
         let (service_time, share) = state;
         let Some(sent_at) = self.sent_at else {
-            return state != PerformanceState::default();
+            return true;
         };
         let service_time_changed = match (self.sent.0, service_time) {
             (Some(sent), Some(new)) => {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use actix_rt::{spawn, time::timeout};
 use bytes::Bytes;
 use directory::{Node, NodeRole, ViewChanges};
-use flow::{Load, Origin, Segment, UpstreamStatus};
+use flow::{FlowTuple, Load, Origin, Segment, UpstreamStatus};
 use prometheus::Registry;
 use relay::{
     Agent, AgentReport, AgentSettings, Codec, ControlUpdate, Message, ServiceTag, UpstreamUpdate,
@@ -193,6 +193,17 @@
         }
     }
 
+    /// The addresses of flow `n`.
+    pub fn flow_key(&self, n: u16) -> FlowTuple {
+        self.opening(n).key_from_caller()
+    }
+
+    /// Sends the agent a message of the balancer.
+    pub async fn send_from_balancer(&self, message: &Message) {
+        let datagram = wire::encode(message).unwrap();
+        self.balancer.send_to(&datagram, self.agent).await.unwrap();
+    }
+
     /// Sends the agent the opening datagram of flow `n`, as another agent forwards it.
     pub async fn send_opening(&self, n: u16) {
         let opening = Message::Opening {
--- a/crates/relay/tests/link_refusals.rs
+++ b/crates/relay/tests/link_refusals.rs
@@ -1,4 +1,4 @@
-//! A balancer whose link is saturated by large flows, with real sockets.
+//! A balancer with a slow link, its only agent and many flows, with real sockets.
 
 use std::{
     collections::BTreeSet,
@@ -8,9 +8,11 @@
 
 use actix_rt::{System, spawn, time::timeout};
 use bytes::Bytes;
-use flow::{Load, Segment, SteeringSettings};
+use flow::{AdmittedShare, Claim, FlowTuple, Load, Segment, SteeringSettings};
 use prometheus::Registry;
-use relay::{AgentReport, Balancer, BalancerSettings, Codec, ControlUpdate, Message};
+use relay::{
+    AgentReport, Balancer, BalancerSettings, Callers, Codec, ControlUpdate, Message, Performance,
+};
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, watch},
@@ -78,6 +80,7 @@
     callers: UdpSocket,
     agent: UdpSocket,
     ingress: SocketAddrV4,
+    peer_address: SocketAddrV4,
     _updates: mpsc::Sender<ControlUpdate>,
 }
 
@@ -133,6 +136,7 @@
             callers,
             agent,
             ingress,
+            peer_address,
             _updates: updates,
         }
     }
@@ -141,6 +145,20 @@
         self.callers.send_to(datagram, self.ingress).await.unwrap();
     }
 
+    async fn send_from_agent(&self, message: &Message) {
+        let datagram = wire::encode(message).unwrap();
+        let sent = self.agent.send_to(&datagram, self.peer_address).await;
+        sent.unwrap();
+    }
+
+    /// The next message at the agent.
+    async fn next_message(&self) -> Message {
+        let mut buf = vec![0; 64 * 1024];
+        let received = timeout(TIMEOUT, self.agent.recv(&mut buf)).await;
+        let len = received.expect("a message").unwrap();
+        wire::decode(&buf[..len]).unwrap()
+    }
+
     /// Port of the next opening datagram at the agent and the number of its copy.
     async fn next_opening(&self) -> (u16, u32) {
         let mut buf = vec![0; 64 * 1024];
@@ -197,3 +215,69 @@
         }
     });
 }
+
+/// Guards against queries for many flows that are sent to agents of earlier versions, and
+/// against claims for many flows that release nothing.
+#[test]
+fn flows_are_searched_for_together_at_agents_that_support_it() {
+    System::new().block_on(async {
+        let network = Network::start().await;
+        let data = |port| datagram(port, DATA, 1, 0);
+        for port in 1..=3 {
+            network.send(&data(port)).await;
+        }
+        for _ in 1..=3 {
+            let message = network.next_message().await;
+            assert!(matches!(message, Message::ClaimQuery { .. }), "{message:?}");
+        }
+        let performance = Message::Performance(Performance {
+            incarnation: 1,
+            service_time: None,
+            share: AdmittedShare::Full,
+        });
+        network.send_from_agent(&performance).await;
+        // The balancer has received the message before it once this flow is found.
+        let claim = |port| FlowTuple {
+            caller: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+            service: SERVICE_ADDRESS,
+        };
+        let found = Message::Claim {
+            key: claim(1),
+            claim: Claim::Holds,
+        };
+        network.send_from_agent(&found).await;
+        while !matches!(network.next_message().await, Message::Datagram { .. }) {}
+        let ports: BTreeSet<u16> = (10..20).collect();
+        for port in &ports {
+            network.send(&data(*port)).await;
+        }
+        let (mut queried, mut together) = (Vec::new(), false);
+        while queried.len() < ports.len() {
+            match network.next_message().await {
+                Message::ClaimQuery { header, .. } => {
+                    let caller = TestCodec.parse(&header).unwrap().source;
+                    queried.extend(Some(caller).filter(|caller| ports.contains(&caller.port())));
+                }
+                Message::ClaimQueries { flows, .. } => {
+                    together = true;
+                    queried.extend(flows.0.iter().map(|flow| flow.caller));
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        assert!(together, "all were searched for alone");
+        let claims = Message::Claims {
+            service: SERVICE_ADDRESS,
+            holds: Callers(queried),
+            perhaps: Callers::default(),
+            no: Callers::default(),
+        };
+        network.send_from_agent(&claims).await;
+        let mut released = BTreeSet::new();
+        while released != ports {
+            if let Message::Datagram { payload, .. } = network.next_message().await {
+                released.insert(TestCodec.parse(&payload).unwrap().source.port());
+            }
+        }
+    });
+}
--- a/crates/relay/tests/messages.rs
+++ b/crates/relay/tests/messages.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use flow::{
     AdmittedShare, FlowListId, FlowListPart, FlowRecord, FlowTuple, Load, RecordedStage,
     ServiceTime,
 };
-use relay::{AgentReport, Message, Performance};
+use relay::{AgentReport, Callers, Message, Performance, QueriedFlow, QueriedFlows, ServiceTag};
 use serde::{Deserialize, Serialize};
 use types::{DataCentre, ServiceName, Slots};
 
@@ -127,3 +128,46 @@
     assert_eq!(wire::decode::<Message>(&encoded).unwrap(), performance);
     assert_eq!(encoded.len(), 35);
 }
+
+/// Guards against queries and claims for many flows that do not fit in a packet or cost as
+/// many bytes as one message for each flow.
+#[test]
+fn many_flows_fit_in_a_packet() {
+    let key = longest_record().key;
+    let tag = ServiceTag(u32::MAX);
+    let flow = QueriedFlow {
+        caller: key.caller,
+        ack: Some(u32::MAX),
+    };
+    let callers = Callers(vec![key.caller; flow::MAX_BATCH]);
+    let queries = Message::ClaimQueries {
+        tag,
+        service: key.service,
+        flows: QueriedFlows(vec![flow; flow::MAX_BATCH]),
+    };
+    let claims = Message::Claims {
+        service: key.service,
+        holds: callers.clone(),
+        perhaps: Callers::default(),
+        no: callers,
+    };
+    let single = Message::ClaimQuery {
+        tag,
+        header: vec![0; 34].into(),
+    };
+    let sizes = [queries, claims, single].map(|message| {
+        let encoded = wire::encode(&message).unwrap();
+        assert_eq!(wire::decode::<Message>(&encoded).unwrap(), message);
+        encoded.len()
+    });
+    assert_eq!(sizes, [37 + 11 * flow::MAX_BATCH, 509, 48]);
+}
+
+/// Guards against a datagram of another build that ends a process.
+#[test]
+fn incomplete_flows_are_ignored() {
+    let flows = |len: usize| QueriedFlows::from(Bytes::from(vec![1; len])).0.len();
+    assert_eq!([0, 10, 11, 32].map(flows), [0, 0, 1, 2]);
+    let callers = |len: usize| Callers::from(Bytes::from(vec![1; len])).0.len();
+    assert_eq!([5, 6, 13].map(callers), [0, 1, 2]);
+}
