Bound the agents that a decision for one flow looks at

Cause: has_free_slot, the choice of a last resort and the check for a service that an evacuation has emptied looked at every agent of the service for one flow. Each update of a cost also looked at up to half of the unhealthy agents.

Change: the cost index keeps the agents with a free slot in the order of their reports, so that has_free_slot looks at one more agent than it excludes. Evacuated agents are counted as their state changes. Changes of an agent are entered once per report. has_free_slot and is_emptied_by_evacuation need a mutable pool for that.

Searches still hash all agents (docs/design/placement.md).

--- a/crates/flow/src/process/agent_pool.rs
+++ b/crates/flow/src/process/agent_pool.rs
@@ -81,6 +81,11 @@
     evacuated: BTreeSet<DataCentre>,
     /// The agents that accept flows, by cost.
     index: CostIndex,
+    /// Agents that accept flows and are not in the index, because their reports were out
+    /// of date at a placement.
+    out_of_date: BTreeSet<SocketAddrV4>,
+    /// Agents in evacuated data centres.
+    evacuated_agents: BTreeSet<SocketAddrV4>,
     /// Agents whose state has changed since the index was updated.
     unindexed: BTreeSet<SocketAddrV4>,
     /// The last placement by cost, until it is taken.
@@ -199,11 +204,9 @@
 
     /// Whether an evacuation leaves no agent for new flows, so that waiting for one is
     /// useless.
-    #[must_use]
-    pub fn is_emptied_by_evacuation(&self) -> bool {
-        let mut agents = self.agents.values();
-        agents.any(|agent| self.is_evacuated(agent))
-            && !self.agents.values().any(|agent| self.accepts_flows(agent))
+    pub fn is_emptied_by_evacuation(&mut self) -> bool {
+        self.update_index();
+        !self.evacuated_agents.is_empty() && self.index.is_empty() && self.out_of_date.is_empty()
     }
 
     /// Whether the last report of `candidate` is up to date.
@@ -295,21 +298,39 @@
         // They return with their next report.
         for address in out_of_date {
             self.index.remove(address);
+            self.out_of_date.insert(address);
         }
         candidates
     }
 
-    /// An agent whose report is out of date or whose upstream is left out, when no
-    /// other is left.
+    /// An agent whose upstream is left out or, if there is none, whose report is out of
+    /// date, when no other is left.
     fn last_resort(&self, except: &[SocketAddrV4], now: Instant) -> Option<SocketAddrV4> {
-        let agents = self.agents.iter();
-        let agents = agents
-            .filter(|(address, agent)| self.accepts_flows(agent) && !except.contains(address));
-        let best = agents.min_by_key(|(_, agent)| {
-            let out_of_date = !Self::has_recent_report(agent, now);
-            (out_of_date, agent.requests() / agent.slots.0.max(1))
-        });
-        best.map(|(address, _)| *address)
+        let is_recent = |address: &SocketAddrV4| {
+            let agent = self.agents.get(address);
+            agent.is_some_and(|agent| Self::has_recent_report(agent, now))
+        };
+        let unhealthy = || self.index.unhealthy().take(MAX_CANDIDATES);
+        let left_out = unhealthy().filter(is_recent);
+        let out_of_date = unhealthy().filter(|address| !is_recent(address));
+        let out_of_date = out_of_date.chain(self.out_of_date.iter().copied());
+        self.least_requests(left_out, except)
+            .or_else(|| self.least_requests(out_of_date, except))
+    }
+
+    /// The agent with the fewest requests for its slots among the first ones.
+    fn least_requests(
+        &self,
+        addresses: impl Iterator<Item = SocketAddrV4>,
+        except: &[SocketAddrV4],
+    ) -> Option<SocketAddrV4> {
+        let addresses = addresses
+            .filter(|address| !except.contains(address))
+            .take(MAX_CANDIDATES);
+        addresses.min_by_key(|address| {
+            let agent = self.agents.get(address);
+            agent.map(|agent| agent.requests() / agent.slots.0.max(1))
+        })
     }
 
     fn cost_tolerance(&self) -> Duration {
@@ -318,7 +339,14 @@
 
     fn update_index(&mut self) {
         for address in std::mem::take(&mut self.unindexed) {
-            match self.agents.get(&address) {
+            self.out_of_date.remove(&address);
+            let agent = self.agents.get(&address);
+            if agent.is_some_and(|agent| self.is_evacuated(agent)) {
+                self.evacuated_agents.insert(address);
+            } else {
+                self.evacuated_agents.remove(&address);
+            }
+            match agent {
                 Some(agent) if self.accepts_flows(agent) => self.index.update(address, agent),
                 _ => self.index.remove(address),
             }
@@ -338,15 +366,12 @@
 
     /// Whether an agent that is not in `except` has a free slot by its last
     /// report.
-    #[must_use]
-    pub fn has_free_slot(&self, except: &[SocketAddrV4], now: Instant) -> bool {
-        self.agents.iter().any(|(address, c)| {
-            let has_slot = c.requests() < c.slots.0 && c.share != AdmittedShare::None;
-            has_slot
-                && self.accepts_flows(c)
-                && Self::has_recent_report(c, now)
-                && !except.contains(address)
-        })
+    pub fn has_free_slot(&mut self, except: &[SocketAddrV4], now: Instant) -> bool {
+        self.update_index();
+        let mut free = self.index.free();
+        let latest = free.find(|address| !except.contains(address));
+        let latest = latest.and_then(|address| self.agents.get(&address));
+        latest.is_some_and(|agent| Self::has_recent_report(agent, now))
     }
 }
 
--- a/crates/flow/src/process/cost_index.rs
+++ b/crates/flow/src/process/cost_index.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use types::DataCentre;
@@ -50,6 +50,8 @@
     /// Agents whose upstreams are to be left out. The first in order are, up to half of
     /// all agents; the others get a reduced share.
     unhealthy: BTreeSet<SocketAddrV4>,
+    /// Agents with a free slot by their reports, and when they reported.
+    free: BTreeSet<(Instant, SocketAddrV4)>,
 }
 
 #[derive(Debug, Default)]
@@ -95,6 +97,9 @@
         data_centre.reported_cost = data_centre.reported_cost.saturating_add(reported_cost);
         data_centre.agents += 1;
         let is_unhealthy = status.share == AdmittedShare::None;
+        if status.requests() < status.slots.0 && !is_unhealthy {
+            self.free.insert((status.reported_at, address));
+        }
         if is_unhealthy {
             self.unhealthy.insert(address);
         } else {
@@ -124,6 +129,21 @@
         }
     }
 
+    /// Whether the index has no agents.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Agents whose upstreams are to be left out.
+    pub fn unhealthy(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.unhealthy.iter().copied()
+    }
+
+    /// Agents with a free slot, those that reported last first.
+    pub fn free(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.free.iter().rev().map(|(_, address)| *address)
+    }
+
     /// Whether an agent has reported a service time.
     pub fn has_service_times(&self) -> bool {
         self.has_service_times
@@ -174,7 +194,7 @@
         let mean = self.mean_service_time();
         let most_left_out = self.entries.len() / 2;
         let mut left_out = self.unhealthy.iter().take(most_left_out);
-        if left_out.any(|unhealthy| *unhealthy == address) {
+        if self.unhealthy.contains(&address) && left_out.any(|other| *other == address) {
             return;
         }
         if let Some(entry) = self.entries.get_mut(&address)
@@ -203,6 +223,7 @@
     fn detach(&mut self, address: SocketAddrV4) -> Option<Entry> {
         self.unlist(address);
         let entry = self.entries.remove(&address)?;
+        self.free.remove(&(entry.status.reported_at, address));
         let data_centre = self.data_centre(&entry.status);
         data_centre.reported_cost = data_centre
             .reported_cost
--- a/crates/flow/tests/placement.rs
+++ b/crates/flow/tests/placement.rs
@@ -229,7 +229,8 @@
     }
 }
 
-/// Guards against an order of costs that differs from the agents' states after changes.
+/// Guards against indexes of costs and free slots that differ from the agents' states after
+/// changes.
 #[test]
 fn placements_after_changes_are_those_of_a_new_pool() {
     run_cases(|u| {
@@ -251,6 +252,8 @@
                 _ => {
                     let mut status = agent(now);
                     status.load.busy_requests = u.int_in_range(0..=9)?;
+                    let age = Duration::from_secs(u.int_in_range(0..=2)?);
+                    status.reported_at = now.checked_sub(age).unwrap();
                     pool.insert(changed, status);
                 }
             }
@@ -260,9 +263,18 @@
             fresh.insert(known, pool.get(known).unwrap().clone());
         }
         let hash = u.arbitrary()?;
+        let except = [address(u.int_in_range(1..=5)?)];
+        let free = pool.addresses().any(|address| {
+            let agent = pool.get(address).unwrap();
+            pool.is_available(address, now)
+                && agent.load.busy_requests + agent.placed_since_report < agent.slots.0
+                && agent.share != AdmittedShare::None
+                && !except.contains(&address)
+        });
+        assert_eq!(pool.has_free_slot(&except, now), free);
         assert_eq!(
-            pool.place(&near, hash, &[], now),
-            fresh.place(&near, hash, &[], now)
+            pool.place(&near, hash, &except, now),
+            fresh.place(&near, hash, &except, now)
         );
         Ok(())
     });
--- a/crates/flow/tests/placement_load.rs
+++ b/crates/flow/tests/placement_load.rs
@@ -184,7 +184,8 @@
             let upstream = &self.upstreams[usize::from(chosen)];
             let admitted = SLOTS * (1 + declined.len().min(1));
             let pool = BALANCERS + usize::from(chosen);
-            let has_other = self.pools[pool].has_free_slot(&[address(chosen)], self.instant(at));
+            let now = self.instant(at);
+            let has_other = self.pools[pool].has_free_slot(&[address(chosen)], now);
             if upstream.busy + upstream.queue.len() < admitted || !has_other {
                 break;
             }
