Leave out upstreams that reset or leave the requests they serve

Cause: the health of an upstream counted returned openings and complete silence only. An upstream that resets requests, or answers some and leaves others, kept its share. A retransmission began the service time of its request anew, so that retransmissions every 200 ms hid a silence and shortened samples.

Change: a reset of a flow whose request has a slot counts as a failure, like a returned opening (three without an answer in between). Requests that their callers have sent again and that have had a slot for eight service times (0.3 s to 0.85 s) count when they are at least two and half of those in service. A retransmission of the last datagram does not begin a request anew, and a reset by the caller ends its request.

Tests: two new ones in flow/tests/service_time.rs, each with the case that must not be left out: resets of requests that wait, and one request that is left.

--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -248,9 +248,14 @@
             }
             Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
                 flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
+                let is_repeated = seg.len > 0 && flow.caller_seq == Some(seg.seq);
                 flow.record_caller_data(seg, now);
                 flow.close_if_both_ended();
-                if seg.len > 0 && flow.request.needs_slot(now) {
+                if seg.resets {
+                    self.service_time.remove(&key, now);
+                } else if is_repeated && flow.request.is_pending() {
+                    self.service_time.record_retransmission(key);
+                } else if seg.len > 0 && flow.request.needs_slot(now) {
                     let slots = self.upstream.map_or(Slots(0), |upstream| upstream.slots);
                     self.service_time.record_request(key, slots, now);
                 }
@@ -428,6 +433,9 @@
         if seg.resets {
             flow.stage = Stage::Closed;
             flow.request = RequestProgress::Idle;
+            if self.service_time.has_slot(&key) {
+                self.health.record_failure(now);
+            }
         }
         flow.close_if_both_ended();
         if !answers && !flow.request.is_pending() {
@@ -583,7 +591,11 @@
 
     /// Share of new flows that the upstream gets by its health.
     pub fn admitted_share(&mut self, now: Instant) -> AdmittedShare {
-        let silent_since = self.service_time.silent_since();
+        let unanswered = [
+            self.service_time.silent_since(),
+            self.service_time.stuck_since(),
+        ];
+        let silent_since = unanswered.into_iter().flatten().min();
         let service_time = self.service_time.service_time();
         self.health.advance(silent_since, service_time, now)
     }
--- a/crates/flow/src/process/service_time.rs
+++ b/crates/flow/src/process/service_time.rs
@@ -1,7 +1,7 @@
 //! Service time of an upstream, without the time that requests wait for a slot.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     fmt,
     num::ParseIntError,
     str::FromStr,
@@ -148,6 +148,8 @@
     waiting: VecDeque<FlowTuple>,
     /// When each request was complete.
     arrived: BTreeMap<FlowTuple, Instant>,
+    /// Requests that their callers sent again.
+    retransmitted: BTreeSet<FlowTuple>,
     last_answer_at: Option<Instant>,
 }
 
@@ -156,6 +158,7 @@
     /// request.
     pub fn record_request(&mut self, key: FlowTuple, slots: Slots, now: Instant) {
         self.arrived.insert(key, now);
+        self.retransmitted.remove(&key);
         let slots = usize::try_from(slots.0).unwrap_or(usize::MAX);
         if let Some(since) = self.in_service.get_mut(&key) {
             *since = now;
@@ -166,6 +169,19 @@
         }
     }
 
+    /// Records that the caller sent the last datagram of a request again.
+    pub fn record_retransmission(&mut self, key: FlowTuple) {
+        if self.arrived.contains_key(&key) {
+            self.retransmitted.insert(key);
+        }
+    }
+
+    /// Whether the request of a flow has a slot.
+    #[must_use]
+    pub fn has_slot(&self, key: &FlowTuple) -> bool {
+        self.in_service.contains_key(key)
+    }
+
     /// Records the first byte of an answer, and returns the time since its request was
     /// complete.
     pub fn record_answer(&mut self, key: &FlowTuple, now: Instant) -> Option<Duration> {
@@ -184,6 +200,7 @@
         if self.arrived.remove(key).is_none() {
             return;
         }
+        self.retransmitted.remove(key);
         if self.in_service.remove(key).is_none() {
             self.waiting.retain(|waiting| waiting != key);
         } else if let Some(next) = self.waiting.pop_front() {
@@ -214,4 +231,17 @@
         let oldest = self.in_service.values().min().copied();
         oldest.max(self.last_answer_at)
     }
+
+    /// Since when half of the requests that have a slot, and at least two, have had it
+    /// while their callers sent them again. Others may have been answered meanwhile.
+    #[must_use]
+    pub fn stuck_since(&self) -> Option<Instant> {
+        let stuck = self.retransmitted.iter();
+        let mut stuck: Vec<Instant> = stuck
+            .filter_map(|key| self.in_service.get(key).copied())
+            .collect();
+        stuck.sort_unstable();
+        let needed = self.in_service.len().div_ceil(2).max(2);
+        stuck.get(needed - 1).copied()
+    }
 }
--- a/crates/flow/src/process/upstream_health.rs
+++ b/crates/flow/src/process/upstream_health.rs
@@ -77,7 +77,8 @@
         self.answered = true;
     }
 
-    /// Records that the upstream returned an opening.
+    /// Records that the upstream returned an opening or reset a flow whose request had
+    /// a slot.
     pub fn record_failure(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         if self.failures >= MAX_FAILURES {
@@ -85,7 +86,8 @@
         }
     }
 
-    /// Applies the silence of the upstream and the time, and returns its share.
+    /// Applies the time, and since when the upstream has answered none of the requests that
+    /// it should have answered. Returns its share.
     pub fn advance(
         &mut self,
         silent_since: Option<Instant>,
--- a/crates/flow/tests/service_time.rs
+++ b/crates/flow/tests/service_time.rs
@@ -128,3 +128,63 @@
     }
     assert_eq!(table.admitted_share(now), AdmittedShare::None);
 }
+
+/// Guards against new flows for an upstream that resets what it serves, and against one that
+/// is left out because it resets requests that wait, as it does when its queue is full.
+#[test]
+fn an_upstream_that_resets_requests_in_service_is_left_out() {
+    for (first_reset, expected) in [(1, AdmittedShare::None), (5, AdmittedShare::Full)] {
+        let (mut table, now) = flow_table();
+        // The upstream has four slots.
+        for n in 1..=7 {
+            table.caller_datagram(&opening(n), Origin::Passed, now);
+            table.upstream_datagram(&agreement(n, 5000), now);
+            table.caller_datagram(&data(n, 101, 5001), Origin::Held, now);
+        }
+        for n in (first_reset..first_reset + 3).rev() {
+            let mut reset = answer(n, 5001);
+            (reset.resets, reset.len) = (true, 0);
+            table.upstream_datagram(&reset, now + MS);
+        }
+        assert_eq!(table.admitted_share(now + 2 * MS), expected);
+    }
+}
+
+/// Guards against new flows for an upstream that answers some requests and leaves others,
+/// and against one that is left out because of single requests or before the slowest are
+/// answered.
+#[test]
+fn an_upstream_that_leaves_requests_is_left_out_after_retransmissions() {
+    for (left, expected) in [(1, AdmittedShare::Full), (2, AdmittedShare::None)] {
+        let (mut table, start) = flow_table();
+        for n in 1..=4 {
+            table.caller_datagram(&opening(n), Origin::Placed, start);
+            table.upstream_datagram(&agreement(n, 5000), start);
+        }
+        for n in 1..=left {
+            table.caller_datagram(&data(n, 101, 5001), Origin::Held, start);
+        }
+        // Flows 3 and 4 get an answer after 50 ms each.
+        let (mut caller_seq, mut upstream_seq) = (101, 5001);
+        for step in 1..=18 {
+            let sent_at = start + (50 * step - 49) * MS;
+            let now = sent_at + 49 * MS;
+            for n in 3..=4 {
+                let request = data(n, caller_seq, upstream_seq);
+                table.caller_datagram(&request, Origin::Held, sent_at);
+                table.upstream_datagram(&answer(n, upstream_seq), now);
+            }
+            (caller_seq, upstream_seq) = (caller_seq + 10, upstream_seq + 10);
+            if step == 4 || step == 12 {
+                for n in 1..=left {
+                    table.caller_datagram(&data(n, 101, 5001), Origin::Held, now);
+                }
+            }
+            let share = table.admitted_share(now);
+            if step <= 7 {
+                assert_eq!(share, AdmittedShare::Full, "after {step} answers");
+            }
+        }
+        assert_eq!(table.admitted_share(start + 900 * MS), expected);
+    }
+}
