--- a/crates/flow/src/process/link_admission.rs
+++ b/crates/flow/src/process/link_admission.rs
@@ -50,6 +50,7 @@
     opening_timeout: Duration::from_millis(600),
     round_trips: Duration::from_millis(25),
     max_waiting: 512,
+    fair_queueing: false,
 };
 
 /// A new flow that waits for the link.
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -29,6 +29,8 @@
     /// Maximum number of flows that wait. It bounds the memory of an agent, at most
     /// 2 KB for each flow.
     pub max_waiting: usize,
+    /// Whether requests on open flows wait for the same slots as openings do.
+    pub fair_queueing: bool,
 }
 
 impl Default for OpeningQueueSettings {
@@ -37,6 +39,7 @@
             opening_timeout: Duration::from_millis(1400),
             round_trips: Duration::from_millis(25),
             max_waiting: 512,
+            fair_queueing: false,
         }
     }
 }
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -392,7 +392,8 @@
         } else if let Some(request) = self.request_queue.take_before(&seg) {
             self.deliver_request(request, now).await;
         }
-        if self.flow_table.exceeds_admissions(&seg, now) {
+        let may_wait = self.cfg.opening_queue.fair_queueing;
+        if may_wait && self.flow_table.exceeds_admissions(&seg, now) {
             return self.queue_request(&seg, arrival, now);
         }
         // This copy takes the place of one that waits.
