queueing: one order for waiting requests, with shares of routes and callers

Cause: queues at an agent and for a balancer's link ordered by objective, priority and arrival only, so a caller that sends half of the requests made those of the others late. Overdue requests on open flows were delivered by address and past all openings, which then got no place under overload. Change: crate queueing holds the order (objective, priority, share, arrival), refusals and the bound on starvation, by start-time fair queueing over route and caller address; flow's queues and the link admission use it, and egress uses its count of what priorities are owed. Shares apply with fair_queueing. Overdue requests go in this order, each after at most one opening. The tests of the request queue call the changed interface; their checks are the same.

--- a/crates/bench/src/bin/relay.rs
+++ b/crates/bench/src/bin/relay.rs
@@ -118,6 +118,7 @@
         caller_port: 9,
         data_centre: "dc".parse().expect("a name"),
         link_rate: None,
+        fair_queueing: false,
         steering: SteeringSettings::default(),
     };
     let task = Balancer::new(settings, NumberedCodec, received, ready, &Registry::new());
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -54,13 +54,13 @@
 
 pub use connection::{FlowRecord, FlowTuple, RecordedStage, Segment};
 pub use process::{
-    AdmittedShare, AgentPool, AgentStatus, CallerAction, Claim, ColdBound, ColdLimit, DropReason,
-    FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
-    FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings, KeeperCandidates,
-    KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, LinkAdmission, Load,
-    OpeningQueue, OpeningQueueSettings, Origin, Placement, RateLimiter, RecoveredFlows,
-    ReleasedDatagram, RequestQueue, ResetReason, SearchResults, ServicePace, ServiceTime,
-    ServiceTimeEstimate, ServiceTimeTracker, Steering, SteeringDecision, SteeringSettings,
-    TrialArbiter, TrialArbiterSettings, TrialRequest, UpstreamAction, UpstreamHealth,
-    UpstreamStatus,
+    AdmittedShare, AgentPool, AgentStatus, CallerAction, CallerShare, Claim, ColdBound, ColdLimit,
+    DropReason, FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings,
+    FlowListTransfer, FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings,
+    KeeperCandidates, KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, LinkAdmission,
+    Load, OpeningQueue, OpeningQueueSettings, Origin, Overdue, Placement, RateLimiter,
+    RecoveredFlows, ReleasedDatagram, RequestQueue, ResetReason, SearchResults, ServicePace,
+    ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering, SteeringDecision,
+    SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest, UpstreamAction,
+    UpstreamHealth, UpstreamStatus,
 };
--- a/crates/flow/src/process/link_admission.rs
+++ b/crates/flow/src/process/link_admission.rs
@@ -90,6 +90,19 @@
         }
     }
 
+    /// Sets whether routes and callers get equal shares of the link.
+    #[must_use]
+    pub fn with_fair_queueing(self, fair_queueing: bool) -> Self {
+        let settings = OpeningQueueSettings {
+            fair_queueing,
+            ..QUEUE_SETTINGS
+        };
+        LinkAdmission {
+            waiting: OpeningQueue::new(settings),
+            ..self
+        }
+    }
+
     /// Number of flows that wait for the link.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -26,9 +26,9 @@
     CallerAction, Claim, FlowTable, FlowTableSettings, Load, Origin, UpstreamAction, UpstreamStatus,
 };
 pub use link_admission::LinkAdmission;
-pub use opening_queue::{OpeningQueue, OpeningQueueSettings};
+pub use opening_queue::{CallerShare, OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
-pub use request_queue::RequestQueue;
+pub use request_queue::{Overdue, RequestQueue};
 pub use service_pace::ServicePace;
 pub use service_time::{ServiceTime, ServiceTimeEstimate, ServiceTimeTracker};
 pub use steering::{
--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -6,13 +6,15 @@
 //! Here the flows go first whose answer can still meet its latency objective, the
 //! most urgent of them first. The others get the slots that these leave, the
 //! latest first, and one that no slot can serve before its caller gives up is
-//! refused at once.
+//! refused at once. With fair queueing, the routes and callers of a priority get equal
+//! shares. The order itself is that of crate [`queueing`].
 
 use std::{
-    cmp::Reverse,
+    net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
 };
 
+use queueing::{FairOrder, FreeSlot, Order, SlotSchedule, Ties, Urgency, WaitingQueue};
 use types::RequestTargets;
 
 use crate::{FlowTuple, Segment};
@@ -29,7 +31,8 @@
     /// Maximum number of flows that wait. It bounds the memory of an agent, at most
     /// 2 KB for each flow.
     pub max_waiting: usize,
-    /// Whether requests on open flows wait for the same slots as openings do.
+    /// Whether requests on open flows wait for the same slots as openings do, and routes
+    /// and callers get equal shares of them.
     pub fair_queueing: bool,
 }
 
@@ -44,56 +47,81 @@
     }
 }
 
-/// A flow that waits for a slot.
-#[derive(Debug)]
-struct WaitingOpening<T> {
-    key: FlowTuple,
-    targets: RequestTargets,
-    /// When the caller sent the first opening datagram of the flow.
-    first_sent_at: Instant,
-    /// Until when an answer meets the objective; `None` if the objective is so long
-    /// that any answer does.
-    objective_until: Option<Instant>,
-    /// When the caller gives the flow up.
-    given_up_at: Instant,
-    /// The latest opening datagram.
-    item: T,
+impl OpeningQueueSettings {
+    /// A slot that is free at `now`, of an upstream with this pace.
+    pub(super) fn free_slot(&self, pace: Duration, now: Instant) -> FreeSlot {
+        FreeSlot {
+            at: now,
+            answer_time: pace + self.round_trips,
+        }
+    }
 }
 
-impl<T> WaitingOpening<T> {
-    /// Order in which waiting flows get a slot that is free at `now`; the least
-    /// goes first.
-    fn rank(&self, now: Instant, answer_time: Duration) -> (bool, u8, Reverse<Instant>) {
-        (
-            self.misses_objective(now, answer_time),
-            self.targets.priority.0,
-            Reverse(self.first_sent_at),
-        )
+/// Whose share of the slots a flow uses: the one of its caller's address on its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerShare {
+    /// The service address of the route.
+    pub route: SocketAddrV4,
+    /// Address of the caller.
+    pub caller: Ipv4Addr,
+}
+
+impl From<FlowTuple> for CallerShare {
+    fn from(key: FlowTuple) -> Self {
+        CallerShare {
+            route: key.service,
+            caller: *key.caller.ip(),
+        }
     }
+}
 
-    /// Whether an answer comes too late for the objective even if the flow gets a slot
-    /// at `now`.
-    fn misses_objective(&self, now: Instant, answer_time: Duration) -> bool {
-        self.objective_until
-            .is_some_and(|until| now + answer_time > until)
+/// Urgency of a request that its caller sent at `since` for the first time, and of which
+/// the caller waits for `usable`.
+pub(super) fn urgency(
+    key: FlowTuple,
+    targets: RequestTargets,
+    since: Instant,
+    usable: Duration,
+) -> Urgency<CallerShare> {
+    Urgency {
+        share: key.into(),
+        priority: targets.priority,
+        since,
+        objective_until: since.checked_add(targets.objective),
+        given_up_at: Some(since + usable),
     }
 }
 
 /// The flows that wait for a slot of an agent's upstream, with an item of type `T`
-/// for each.
+/// for each, in an order of type `O`.
 #[derive(Debug)]
-pub struct OpeningQueue<T> {
-    settings: OpeningQueueSettings,
-    waiting: Vec<WaitingOpening<T>>,
+pub struct OpeningQueue<T, O = FairOrder<CallerShare>> {
+    pub(super) settings: OpeningQueueSettings,
+    pub(super) waiting: WaitingQueue<FlowTuple, CallerShare, T>,
+    pub(super) order: O,
 }
 
 impl<T> OpeningQueue<T> {
     /// An empty queue.
     #[must_use]
     pub fn new(settings: OpeningQueueSettings) -> Self {
+        let order = if settings.fair_queueing {
+            FairOrder::with_shares(Ties::NewestFirst)
+        } else {
+            FairOrder::without_shares(Ties::NewestFirst)
+        };
+        OpeningQueue::with_order(settings, order)
+    }
+}
+
+impl<T, O: Order<CallerShare>> OpeningQueue<T, O> {
+    /// An empty queue with another order.
+    #[must_use]
+    pub fn with_order(settings: OpeningQueueSettings, order: O) -> Self {
         OpeningQueue {
             settings,
-            waiting: Vec::new(),
+            waiting: WaitingQueue::default(),
+            order,
         }
     }
 
@@ -113,58 +141,31 @@
     /// for these only, the others for it.
     #[must_use]
     pub fn waiting_in_time(&self, pace: Duration, now: Instant) -> usize {
-        let answer_time = pace + self.settings.round_trips;
-        let in_time = |flow: &&WaitingOpening<T>| !flow.misses_objective(now, answer_time);
-        self.waiting.iter().filter(in_time).count()
+        let slot = self.settings.free_slot(pace, now);
+        self.waiting.priorities_in_time(slot).count()
     }
 
     /// Adds the flow of an opening datagram that arrived at `arrived_at`, in place of
     /// an earlier datagram of the same flow.
     pub fn push(&mut self, seg: &Segment, arrived_at: Instant, targets: RequestTargets, item: T) {
         let key = seg.key_from_caller();
-        self.remove(&key);
         let first_sent_at = arrived_at.checked_sub(seg.waited).unwrap_or(arrived_at);
         let usable = targets.timeout.min(self.settings.opening_timeout);
-        self.waiting.push(WaitingOpening {
-            key,
-            targets,
-            first_sent_at,
-            objective_until: first_sent_at.checked_add(targets.objective),
-            given_up_at: first_sent_at + usable,
-            item,
-        });
+        let urgency = urgency(key, targets, first_sent_at, usable);
+        self.waiting.push(key, urgency, item);
     }
 
     /// Removes the flow, if it waits.
     pub fn remove(&mut self, key: &FlowTuple) -> Option<T> {
-        let at = self.waiting.iter().position(|flow| flow.key == *key)?;
-        Some(self.waiting.swap_remove(at).item)
-    }
-
-    /// The first flow, if it goes before all of another queue for the same slots.
-    pub(super) fn first_before(
-        &self,
-        other: &OpeningQueue<T>,
-        pace: Duration,
-        now: Instant,
-    ) -> Option<FlowTuple> {
-        let answer_time = pace + self.settings.round_trips;
-        let rank = |flow: &WaitingOpening<T>| flow.rank(now, answer_time);
-        let first = self.waiting.iter().min_by_key(|flow| rank(flow))?;
-        let goes_before = other.waiting.iter().all(|flow| rank(first) <= rank(flow));
-        goes_before.then_some(first.key)
+        self.waiting.remove(key)
     }
 
     /// Takes the flow that gets the next free slot. `pace` is the interval at which
     /// the upstream frees slots.
     pub fn pop(&mut self, pace: Duration, now: Instant) -> Option<T> {
-        let answer_time = pace + self.settings.round_trips;
-        let (at, _) = self
-            .waiting
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, flow)| flow.rank(now, answer_time))?;
-        Some(self.waiting.swap_remove(at).item)
+        let slot = self.settings.free_slot(pace, now);
+        let (_, item) = self.waiting.pop(&mut self.order, slot)?;
+        Some(item)
     }
 
     /// Takes the flows to refuse: those that get no slot before their callers give
@@ -183,26 +184,22 @@
         pace: Duration,
         now: Instant,
     ) -> Vec<T> {
-        let answer_time = pace + self.settings.round_trips;
-        self.waiting.sort_by_key(|flow| flow.rank(now, answer_time));
-        let mut kept = Vec::new();
-        let mut hopeless = Vec::new();
-        let mut slot_at = first_slot_at;
-        for flow in self.waiting.drain(..) {
-            let has_room = kept.len() < self.settings.max_waiting;
-            if has_room && slot_at + self.settings.round_trips < flow.given_up_at {
-                slot_at += interval;
-                kept.push(flow);
-            } else {
-                hopeless.push(flow.item);
-            }
-        }
-        self.waiting = kept;
-        hopeless
+        let slot = self.settings.free_slot(pace, now);
+        let schedule = SlotSchedule {
+            first_at: first_slot_at,
+            interval,
+            lead_time: self.settings.round_trips,
+        };
+        let max_waiting = self.settings.max_waiting;
+        let hopeless = self
+            .waiting
+            .take_hopeless(&self.order, slot, schedule, max_waiting);
+        hopeless.into_iter().map(|(_, item)| item).collect()
     }
 
     /// Takes all flows, when the upstream accepts no more of them.
     pub fn take_all(&mut self) -> Vec<T> {
-        self.waiting.drain(..).map(|flow| flow.item).collect()
+        let all = self.waiting.take_all();
+        all.into_iter().map(|(_, item)| item).collect()
     }
 }
--- a/crates/flow/src/process/request_queue.rs
+++ b/crates/flow/src/process/request_queue.rs
@@ -12,9 +12,13 @@
     time::{Duration, Instant},
 };
 
+use queueing::{Order, WaitingQueue};
 use types::RequestTargets;
 
-use super::{OpeningQueue, OpeningQueueSettings};
+use super::{
+    OpeningQueue,
+    opening_queue::{CallerShare, urgency},
+};
 use crate::{FlowTuple, Segment};
 
 /// Maximum time for which a request waits. The caller sends a copy after 200 ms; the
@@ -34,23 +38,35 @@
 /// Requests on open flows that wait for a slot, with an item of type `T` for each.
 #[derive(Debug)]
 pub struct RequestQueue<T> {
-    queue: OpeningQueue<T>,
+    queue: WaitingQueue<FlowTuple, CallerShare, T>,
     waiting: BTreeMap<FlowTuple, WaitingRequest>,
     /// Targets by service address, from the latest opening. Only openings carry them.
     targets: BTreeMap<SocketAddrV4, RequestTargets>,
+    /// Whether an opening went before the next overdue request.
+    was_overtaken: bool,
 }
 
-impl<T> RequestQueue<T> {
-    /// An empty queue.
-    #[must_use]
-    pub fn new(settings: OpeningQueueSettings) -> Self {
+/// What is delivered because a request has waited for as long as it may.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Overdue<T> {
+    /// An opening that goes before the request.
+    Opening(T),
+    /// The request.
+    Request(T),
+}
+
+impl<T> Default for RequestQueue<T> {
+    fn default() -> Self {
         RequestQueue {
-            queue: OpeningQueue::new(settings),
+            queue: WaitingQueue::default(),
             waiting: BTreeMap::new(),
             targets: BTreeMap::new(),
+            was_overtaken: false,
         }
     }
+}
 
+impl<T> RequestQueue<T> {
     /// Number of requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -77,7 +93,8 @@
         self.waiting
             .insert(key, WaitingRequest { seg: *seg, since });
         let targets = self.targets.get(&key.service).copied().unwrap_or_default();
-        self.queue.push(seg, since, targets, item);
+        let urgency = urgency(key, targets, since, targets.timeout);
+        self.queue.push(key, urgency, item);
     }
 
     /// Takes the waiting request of the flow if the datagram comes after it, so that the
@@ -103,25 +120,61 @@
         self.queue.remove(key)
     }
 
-    /// Takes the requests that must not wait beyond `until`.
-    pub fn take_overdue(&mut self, until: Instant) -> Vec<T> {
-        let overdue = self
-            .waiting
-            .iter()
-            .filter(|(_, request)| until > request.since + MAX_WAIT);
-        let overdue: Vec<FlowTuple> = overdue.map(|(key, _)| *key).collect();
-        overdue.iter().filter_map(|key| self.take(key)).collect()
+    /// Takes what is to be delivered next because a request must not wait beyond `until`:
+    /// the request that comes first of these, and before it one opening that goes before
+    /// it. Otherwise requests that no place is free for would take all places that become
+    /// free, and a more urgent opening would never get one.
+    pub fn next_overdue<O: Order<CallerShare>>(
+        &mut self,
+        openings: &mut OpeningQueue<T, O>,
+        pace: Duration,
+        now: Instant,
+        until: Instant,
+    ) -> Option<Overdue<T>> {
+        let slot = openings.settings.free_slot(pace, now);
+        let is_overdue = |key: &FlowTuple| {
+            let request = self.waiting.get(key);
+            request.is_some_and(|request| until > request.since + MAX_WAIT)
+        };
+        let order = &openings.order;
+        let (key, rank) = self.queue.first_of(order, slot, is_overdue)?;
+        let opening = openings.waiting.first(order, slot);
+        if !self.was_overtaken && opening.is_some_and(|(_, opening_rank)| opening_rank < rank) {
+            self.was_overtaken = true;
+            return openings.pop(pace, now).map(Overdue::Opening);
+        }
+        self.was_overtaken = false;
+        self.serve(&key, openings, pace, now).map(Overdue::Request)
     }
 
     /// Takes the request that gets the next free slot, unless an opening goes before it.
     /// `pace` is the interval at which the upstream frees slots.
-    pub fn pop_before(
+    pub fn pop_before<O: Order<CallerShare>>(
         &mut self,
-        openings: &OpeningQueue<T>,
+        openings: &mut OpeningQueue<T, O>,
         pace: Duration,
         now: Instant,
     ) -> Option<T> {
-        let key = self.queue.first_before(openings, pace, now)?;
-        self.take(&key)
+        let slot = openings.settings.free_slot(pace, now);
+        let (key, rank) = self.queue.first(&openings.order, slot)?;
+        let opening = openings.waiting.first(&openings.order, slot);
+        if opening.is_some_and(|(_, opening_rank)| opening_rank < rank) {
+            return None;
+        }
+        self.serve(&key, openings, pace, now)
+    }
+
+    fn serve<O: Order<CallerShare>>(
+        &mut self,
+        key: &FlowTuple,
+        openings: &mut OpeningQueue<T, O>,
+        pace: Duration,
+        now: Instant,
+    ) -> Option<T> {
+        self.waiting.remove(key)?;
+        let slot = openings.settings.free_slot(pace, now);
+        let openings_in_time = openings.waiting.priorities_in_time(slot);
+        let order = &mut openings.order;
+        self.queue.serve(key, order, slot, openings_in_time)
     }
 }
--- a/crates/flow/tests/request_queue.rs
+++ b/crates/flow/tests/request_queue.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{agreement, answer, data, flow_table, opening, service_address};
-use flow::{FlowTable, OpeningQueue, OpeningQueueSettings, Origin, RequestQueue, Segment};
+use flow::{FlowTable, OpeningQueue, OpeningQueueSettings, Origin, Overdue, RequestQueue, Segment};
 use types::{Priority, RequestTargets};
 
 /// Initial sequence number of the upstream.
@@ -34,7 +34,7 @@
 
 fn queues() -> (RequestQueue<u8>, OpeningQueue<u8>, Instant) {
     let settings = OpeningQueueSettings::default();
-    let mut requests = RequestQueue::new(settings);
+    let mut requests = RequestQueue::default();
     requests.set_targets(service_address(), targets(2));
     (requests, OpeningQueue::new(settings), Instant::now())
 }
@@ -81,9 +81,9 @@
     openings.push(&opening(1), now, targets(1), 1);
     requests.push(&request(2, 1), 2, now);
     openings.push(&opening(3), now, targets(3), 3);
-    assert_eq!(requests.pop_before(&openings, PACE, now), None);
+    assert_eq!(requests.pop_before(&mut openings, PACE, now), None);
     assert_eq!(openings.pop(PACE, now), Some(1));
-    assert_eq!(requests.pop_before(&openings, PACE, now), Some(2));
+    assert_eq!(requests.pop_before(&mut openings, PACE, now), Some(2));
     assert!(requests.is_empty());
 }
 
@@ -91,20 +91,44 @@
 /// after 200 ms, or that copies prolong or deliver twice.
 #[test]
 fn a_request_waits_for_150_ms_at_most() {
-    let (mut requests, _, now) = queues();
+    let (mut requests, mut openings, now) = queues();
     requests.push(&request(1, 1), 1, now);
     let copied_at = now + Duration::from_millis(100);
     requests.push(&request(1, 1), 2, copied_at);
     assert_eq!(requests.len(), 1);
     let limit = now + Duration::from_millis(150);
-    assert!(requests.take_overdue(limit).is_empty());
-    let overdue = requests.take_overdue(limit + Duration::from_millis(1));
-    assert_eq!(overdue, [2]);
+    let mut overdue = |until| requests.next_overdue(&mut openings, PACE, now, until);
+    assert_eq!(overdue(limit), None);
+    let past_limit = limit + Duration::from_millis(1);
+    assert_eq!(overdue(past_limit), Some(Overdue::Request(2)));
+    assert_eq!(overdue(past_limit), None);
     requests.push(&request(1, 1), 3, now);
     requests.remove_copy(&request(1, 1));
     assert!(requests.is_empty());
 }
 
+/// Guards against urgent openings that get no place while requests on open flows, which
+/// must be delivered, take every one, and against requests that wait for all openings.
+#[test]
+fn an_overdue_request_lets_one_more_urgent_opening_go_first() {
+    let (mut requests, mut openings, now) = queues();
+    requests.push(&request(1, 1), 1, now);
+    requests.push(&request(2, 1), 2, now);
+    for n in 3..=5 {
+        openings.push(&opening(n), now, targets(1), n);
+    }
+    openings.push(&opening(6), now, targets(3), 6);
+    let until = now + Duration::from_secs(1);
+    let mut next = || requests.next_overdue(&mut openings, PACE, now, until);
+    let delivered: Vec<Overdue<u8>> = std::iter::from_fn(&mut next).collect();
+    let is_opening: Vec<bool> = delivered
+        .iter()
+        .map(|next| matches!(next, Overdue::Opening(_)))
+        .collect();
+    assert_eq!(is_opening, [true, false, true, false]);
+    assert_eq!(openings.len(), 2);
+}
+
 /// Guards against an upstream that gets an end of a flow, or its next request, before the
 /// request that waits.
 #[test]
--- /dev/null
+++ b/crates/queueing/src/request/mod.rs
@@ -0,0 +1,5 @@
+//! Types that live as long as a request.
+
+mod urgency;
+
+pub use urgency::{Arrival, FreeSlot, Place, Urgency};
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -141,7 +141,7 @@
             codec,
             flow_table: FlowTable::new(cfg.flow_table, now),
             opening_queue: OpeningQueue::new(cfg.opening_queue),
-            request_queue: RequestQueue::new(cfg.opening_queue),
+            request_queue: RequestQueue::default(),
             pool: AgentPool::default(),
             report_schedule: ReportSchedule::new(now),
             balancers: BalancerTable::default(),
--- a/crates/relay/src/process/agent/openings.rs
+++ b/crates/relay/src/process/agent/openings.rs
@@ -198,15 +198,22 @@
             if self.serve_first_request(now).await {
                 continue;
             }
-            let Some((seg, arrival)) = self.pop_opening(now) else {
+            let Some(arrival) = self.opening_queue.pop(self.flow_table.pace(), now) else {
                 return;
             };
+            self.deliver_opening(arrival, now).await;
+        }
+        self.forward_waiting_openings(now).await;
+        self.refuse_hopeless_openings(now).await;
+    }
+
+    /// Delivers an opening that has waited.
+    pub(super) async fn deliver_opening(&mut self, arrival: CallerDatagram, now: Instant) {
+        if let Some(seg) = self.codec.parse(&arrival.payload) {
             self.flow_table.accept_opening(&seg, now);
             self.flow_table.set_via(&seg.key_from_caller(), arrival.via);
             self.deliver(&seg, arrival, now).await;
         }
-        self.forward_waiting_openings(now).await;
-        self.refuse_hopeless_openings(now).await;
     }
 
     async fn forward_waiting_openings(&mut self, now: Instant) {
--- a/crates/relay/src/process/agent/requests.rs
+++ b/crates/relay/src/process/agent/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use flow::Segment;
+use flow::{Overdue, Segment};
 
 use super::{Agent, CallerDatagram, TICK_INTERVAL};
 use crate::Codec;
@@ -21,10 +21,18 @@
         self.request_queue.push(seg, arrival, now);
     }
 
-    /// Delivers the requests that may not wait until the next tick.
+    /// Delivers the requests that may not wait until the next tick, and openings that go
+    /// before them.
     pub(super) async fn deliver_overdue_requests(&mut self, now: Instant) {
-        for arrival in self.request_queue.take_overdue(now + TICK_INTERVAL) {
-            self.deliver_request(arrival, now).await;
+        let until = now + TICK_INTERVAL;
+        loop {
+            let pace = self.flow_table.pace();
+            let openings = &mut self.opening_queue;
+            match self.request_queue.next_overdue(openings, pace, now, until) {
+                Some(Overdue::Opening(arrival)) => self.deliver_opening(arrival, now).await,
+                Some(Overdue::Request(arrival)) => self.deliver_request(arrival, now).await,
+                None => return,
+            }
         }
     }
 
@@ -33,7 +41,7 @@
         let pace = self.flow_table.pace();
         let request = self
             .request_queue
-            .pop_before(&self.opening_queue, pace, now);
+            .pop_before(&mut self.opening_queue, pace, now);
         let Some(arrival) = request else {
             return false;
         };
--- a/crates/relay/src/process/balancer.rs
+++ b/crates/relay/src/process/balancer.rs
@@ -62,6 +62,8 @@
     pub data_centre: DataCentre,
     /// Rate of the host's link; `None` sends to agents without pacing.
     pub link_rate: Option<BytesPerSecond>,
+    /// Whether routes and callers get equal shares of the link.
+    pub fair_queueing: bool,
     /// Timeouts and limits of its decisions.
     pub steering: SteeringSettings,
 }
@@ -125,7 +127,7 @@
             ingress_socket: bind(cfg.ingress_address)?,
             peer_socket: bind(cfg.peer_listen_address)?,
             egress_queue: EgressQueue::new(cfg.link_rate, Instant::now()),
-            link_admission: LinkAdmission::new(cfg.link_rate),
+            link_admission: LinkAdmission::new(cfg.link_rate).with_fair_queueing(cfg.fair_queueing),
             steering: Steering::new(steering, cfg.data_centre.clone()),
             cfg,
             codec,
--- a/crates/relay/src/process/egress_queue.rs
+++ b/crates/relay/src/process/egress_queue.rs
@@ -14,6 +14,7 @@
 };
 
 use flow::FlowTuple;
+use queueing::OvertakingDebt;
 use types::{BytesPerSecond, Priority};
 
 use super::fair_queue::FairQueue;
@@ -30,13 +31,9 @@
 /// everything twice.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(350);
 
-/// A priority gets at least one byte for this many bytes of more urgent ones that
-/// overtake it, so that no priority starves.
-const OVERTAKING_BYTES: usize = 8;
-
 /// Bytes that a priority must be owed before it goes ahead of a more urgent one: a full
 /// datagram.
-const MIN_OWED_BYTES: usize = 1300;
+const MIN_OWED_BYTES: u64 = 1300;
 
 /// A datagram and its destination.
 pub type OutgoingDatagram = (SocketAddrV4, Vec<u8>);
@@ -55,14 +52,6 @@
     Flow(FlowTuple, Priority),
 }
 
-/// The datagrams of one priority.
-#[derive(Debug, Default)]
-struct Level {
-    datagrams: FairQueue<FlowTuple>,
-    /// Share, in bytes, of the more urgent traffic that has overtaken the level.
-    owed_bytes: usize,
-}
-
 /// A queue of datagrams that is paced to the rate of a link.
 #[derive(Debug)]
 pub struct EgressQueue {
@@ -72,7 +61,9 @@
     link_free_at: Instant,
     control: VecDeque<OutgoingDatagram>,
     /// The priorities with queued datagrams.
-    levels: BTreeMap<Priority, Level>,
+    levels: BTreeMap<Priority, FairQueue<FlowTuple>>,
+    /// Bytes that the priorities are owed.
+    debt: OvertakingDebt,
     /// Queued bytes, with headers.
     queued_bytes: usize,
 }
@@ -86,6 +77,7 @@
             link_free_at: now,
             control: VecDeque::new(),
             levels: BTreeMap::new(),
+            debt: OvertakingDebt::new(MIN_OWED_BYTES),
             queued_bytes: 0,
         }
     }
@@ -111,7 +103,7 @@
             Traffic::Control => self.control.push_back(datagram),
             Traffic::Flow(key, priority) => {
                 let level = self.levels.entry(priority).or_default();
-                level.datagrams.push(key, datagram);
+                level.push(key, datagram);
             }
         }
         is_full.then(|| self.drop_least_urgent()).flatten()
@@ -120,8 +112,8 @@
     fn drop_least_urgent(&mut self) -> Option<OutgoingDatagram> {
         let dropped = match self.levels.last_entry() {
             Some(mut level) => {
-                let dropped = level.get_mut().datagrams.drop_longest();
-                if level.get().datagrams.is_empty() {
+                let dropped = level.get_mut().drop_longest();
+                if level.get().is_empty() {
                     level.remove();
                 }
                 dropped
@@ -151,21 +143,17 @@
 
     /// Removes the next datagram of a flow.
     fn pop_flow(&mut self) -> Option<OutgoingDatagram> {
-        let mut levels = self.levels.iter();
-        let owed = levels.find(|(_, level)| level.owed_bytes >= MIN_OWED_BYTES);
-        let (&priority, _) = owed.or_else(|| self.levels.first_key_value())?;
+        let mut priorities = self.levels.keys();
+        let owed = priorities.find(|priority| self.debt.is_owed(**priority));
+        let priority = *owed.or_else(|| self.levels.keys().next())?;
         let level = self.levels.get_mut(&priority)?;
-        let datagram = level.datagrams.pop()?;
-        let size = link_bytes(&datagram);
-        level.owed_bytes = level.owed_bytes.saturating_sub(size);
-        if level.datagrams.is_empty() {
+        let datagram = level.pop()?;
+        if level.is_empty() {
             self.levels.remove(&priority);
         }
-        for (other, level) in &mut self.levels {
-            if *other > priority {
-                level.owed_bytes += size / OVERTAKING_BYTES;
-            }
-        }
+        let size = u64::try_from(link_bytes(&datagram)).unwrap_or(u64::MAX);
+        let waiting = self.levels.keys().copied();
+        self.debt.record_served(priority, size, waiting);
         Some(datagram)
     }
 
--- a/crates/relay/tests/link_refusals.rs
+++ b/crates/relay/tests/link_refusals.rs
@@ -98,6 +98,7 @@
             caller_port: callers_address.port(),
             data_centre: "near".parse().unwrap(),
             link_rate: BytesPerSecond::from_megabits(4.8),
+            fair_queueing: false,
             steering: SteeringSettings::default(),
         };
         let registry = Registry::new();
--- a/crates/relay/tests/slot_load.rs
+++ b/crates/relay/tests/slot_load.rs
@@ -1,19 +1,21 @@
 //! Orders and feeds at one upstream with two slots, before, during and after a burst of
-//! feeds, with requests on open flows in the queue of openings or past it.
+//! feeds, with requests on open flows in the queue of openings or past it, and with a
+//! caller that sends half of all requests, under several orders.
 //!
 //! `cargo test -p relay --test slot_load -- --nocapture` prints what each kind gets. The
 //! load is that of one of 38 upstreams; no other upstream takes any of it.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
 };
 
 use flow::{
-    CallerAction, FlowTable, FlowTableSettings, OpeningQueue, OpeningQueueSettings, Origin,
-    RequestQueue, Segment, UpstreamStatus,
+    CallerAction, CallerShare, FlowTable, FlowTableSettings, OpeningQueue, OpeningQueueSettings,
+    Origin, Overdue, RequestQueue, Segment, UpstreamStatus,
 };
+use queueing::{Arrival, FairOrder, Order, Place, Ties, Urgency};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use types::{Priority, RequestTargets, Slots};
 
@@ -29,8 +31,9 @@
 const END_MS: u32 = 15_000;
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
 const OBJECTIVE_MS: u32 = 250;
-const FEED_FLOWS: u16 = 60;
 const FIRST_ORDER_FLOW: u16 = 1000;
+/// Callers beside the heavy one.
+const ORDINARY_CALLERS: u16 = 10;
 const INITIAL_SEQ: u32 = 5000;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -83,30 +86,65 @@
 
 struct Outcome {
     kind: Kind,
+    is_heavy: bool,
     start: u32,
     /// `None` if it was refused or rejected.
     latency: Option<u32>,
 }
 
-struct Play {
+/// Who sends the requests.
+#[derive(Clone, Copy, PartialEq)]
+enum Callers {
+    /// One address.
+    One,
+    /// One address sends every second request, ten others the rest.
+    OneHeavy,
+}
+
+impl Callers {
+    fn is_heavy(self, flow: u16) -> bool {
+        self == Callers::One || flow.is_multiple_of(2)
+    }
+
+    fn address(self, flow: u16) -> SocketAddrV4 {
+        let ordinary = u8::try_from(2 + flow / 2 % ORDINARY_CALLERS).unwrap();
+        let last = if self.is_heavy(flow) { 1 } else { ordinary };
+        SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, last), flow)
+    }
+
+    fn feed_flows(self) -> u16 {
+        match self {
+            Callers::One => 60,
+            // Enough that no class of callers runs out of idle ones.
+            Callers::OneHeavy => 160,
+        }
+    }
+}
+
+struct Play<O> {
     one_queue: bool,
+    callers: Callers,
+    /// Factor of the rates of all requests.
+    demand: f64,
     epoch: Instant,
     now: u32,
     table: FlowTable,
-    openings: OpeningQueue<Job>,
+    openings: OpeningQueue<Job, O>,
     requests: RequestQueue<Job>,
     /// Orders whose flow is open and whose request arrives at the instant.
     opened: VecDeque<(u32, Job)>,
     upstream_queue: VecDeque<Job>,
     in_service: Vec<(u32, Job)>,
     feed_seqs: Vec<u32>,
-    idle_feeds: VecDeque<u16>,
+    /// Feeds without a request: those of ordinary callers and of the heavy one.
+    idle_feeds: [VecDeque<u16>; 2],
+    next_feed_is_heavy: bool,
     outcomes: Vec<Outcome>,
 }
 
-fn segment(kind: Kind, flow: u16, seq: u32) -> Segment {
+fn segment(callers: Callers, kind: Kind, flow: u16, seq: u32) -> Segment {
     Segment {
-        source: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), flow),
+        source: callers.address(flow),
         destination: kind.service(),
         seq,
         ack: INITIAL_SEQ + 1,
@@ -116,13 +154,14 @@
     }
 }
 
-fn opening(kind: Kind, flow: u16) -> Segment {
+fn opening_of(request: &Segment) -> Segment {
     Segment {
+        seq: 100,
         ack: 0,
         len: 0,
         opens: true,
         acknowledges: false,
-        ..segment(kind, flow, 100)
+        ..*request
     }
 }
 
@@ -138,34 +177,38 @@
     }
 }
 
-impl Play {
-    fn new(one_queue: bool) -> Self {
+impl<O: Order<CallerShare>> Play<O> {
+    fn new(order: O, one_queue: bool, callers: Callers, demand: f64) -> Self {
         let epoch = Instant::now();
         let mut table = FlowTable::new(FlowTableSettings::default(), epoch);
         table.set_upstream(Some(UpstreamStatus::ready(1, Slots(SLOTS))), epoch);
-        for flow in 0..FEED_FLOWS {
-            let opening = opening(Kind::Feed, flow);
-            let first = segment(Kind::Feed, flow, 101);
+        let mut idle_feeds = [VecDeque::new(), VecDeque::new()];
+        for flow in 0..callers.feed_flows() {
+            let first = segment(callers, Kind::Feed, flow, 101);
+            let opening = opening_of(&first);
             table.accept_opening(&opening, epoch);
             table.upstream_datagram(&from_upstream(&opening, true), epoch);
             table.caller_datagram(&first, Origin::Held, epoch);
             table.upstream_datagram(&from_upstream(&first, false), epoch);
+            idle_feeds[usize::from(callers.is_heavy(flow))].push_back(flow);
         }
-        let settings = OpeningQueueSettings::default();
-        let mut requests = RequestQueue::new(settings);
+        let mut requests = RequestQueue::default();
         requests.set_targets(Kind::Feed.service(), Kind::Feed.targets());
         Play {
             one_queue,
+            callers,
+            demand,
             epoch,
             now: 0,
             table,
-            openings: OpeningQueue::new(settings),
+            openings: OpeningQueue::with_order(OpeningQueueSettings::default(), order),
             requests,
             opened: VecDeque::new(),
             upstream_queue: VecDeque::new(),
             in_service: Vec::new(),
-            feed_seqs: vec![201; usize::from(FEED_FLOWS)],
-            idle_feeds: (0..FEED_FLOWS).collect(),
+            feed_seqs: vec![201; usize::from(callers.feed_flows())],
+            idle_feeds,
+            next_feed_is_heavy: true,
             outcomes: Vec::new(),
         }
     }
@@ -183,18 +226,16 @@
             while let Some((_, job)) = self.opened.pop_front_if(|(at, _)| *at <= now) {
                 self.deliver(job);
             }
-            if now < END_MS && random.random_bool(Kind::Feed.per_ms(now)) {
+            if now < END_MS && random.random_bool(self.demand * Kind::Feed.per_ms(now)) {
                 self.start_feed();
             }
-            if now < END_MS && random.random_bool(Kind::Order.per_ms(now)) {
+            if now < END_MS && random.random_bool(self.demand * Kind::Order.per_ms(now)) {
                 next_order_flow += 1;
                 self.start_order(next_order_flow);
             }
             if now % TICK_MS == 0 {
                 let next_tick = self.instant() + Duration::from_millis(u64::from(TICK_MS));
-                for job in self.requests.take_overdue(next_tick) {
-                    self.deliver(job);
-                }
+                self.deliver_overdue(next_tick);
             }
             self.serve_queues();
             self.start_work();
@@ -202,16 +243,32 @@
         self.outcomes
     }
 
+    fn deliver_overdue(&mut self, until: Instant) {
+        let (now, pace) = (self.instant(), self.table.pace());
+        loop {
+            let openings = &mut self.openings;
+            let Some(next) = self.requests.next_overdue(openings, pace, now, until) else {
+                return;
+            };
+            match next {
+                Overdue::Opening(job) => self.open_waiting(job),
+                Overdue::Request(job) => self.deliver(job),
+            }
+        }
+    }
+
     fn start_feed(&mut self) {
+        let is_heavy = self.next_feed_is_heavy;
+        self.next_feed_is_heavy = self.callers == Callers::One || !is_heavy;
         // With none idle, its caller would open a flow; the load stays the same.
-        let Some(flow) = self.idle_feeds.pop_front() else {
+        let Some(flow) = self.idle_feeds[usize::from(is_heavy)].pop_front() else {
             return;
         };
         let seq = &mut self.feed_seqs[usize::from(flow)];
         let job = Job {
             kind: Kind::Feed,
             start: self.now,
-            seg: segment(Kind::Feed, flow, *seq),
+            seg: segment(self.callers, Kind::Feed, flow, *seq),
         };
         *seq += 100;
         if self.one_queue && self.table.exceeds_admissions(&job.seg, self.instant()) {
@@ -225,9 +282,9 @@
         let job = Job {
             kind: Kind::Order,
             start: self.now,
-            seg: segment(Kind::Order, flow, 101),
+            seg: segment(self.callers, Kind::Order, flow, 101),
         };
-        let opening = opening(Kind::Order, flow);
+        let opening = opening_of(&job.seg);
         let now = self.instant();
         match self.table.caller_datagram(&opening, Origin::Passed, now) {
             CallerAction::Deliver => self.open(job),
@@ -236,8 +293,14 @@
         }
     }
 
+    fn open_waiting(&mut self, job: Job) {
+        self.table
+            .accept_opening(&opening_of(&job.seg), self.instant());
+        self.open(job);
+    }
+
     fn open(&mut self, job: Job) {
-        let opening = opening(job.kind, job.seg.source.port());
+        let opening = opening_of(&job.seg);
         let now = self.instant();
         self.table
             .upstream_datagram(&from_upstream(&opening, true), now);
@@ -260,10 +323,16 @@
         self.table
             .upstream_datagram(&from_upstream(&job.seg, false), now);
         if job.kind == Kind::Feed {
-            self.idle_feeds.push_back(job.seg.source.port());
+            let flow = job.seg.source.port();
+            self.idle_feeds[usize::from(self.callers.is_heavy(flow))].push_back(flow);
         }
+        self.record(job, latency);
+    }
+
+    fn record(&mut self, job: Job, latency: Option<u32>) {
         self.outcomes.push(Outcome {
             kind: job.kind,
+            is_heavy: self.callers.is_heavy(job.seg.source.port()),
             start: job.start,
             latency,
         });
@@ -284,20 +353,14 @@
         let now = self.instant();
         let pace = self.table.pace();
         for _ in 0..self.table.free_admissions(now) {
-            if let Some(job) = self.requests.pop_before(&self.openings, pace, now) {
+            if let Some(job) = self.requests.pop_before(&mut self.openings, pace, now) {
                 self.deliver(job);
             } else if let Some(job) = self.openings.pop(pace, now) {
-                let opening = opening(job.kind, job.seg.source.port());
-                self.table.accept_opening(&opening, now);
-                self.open(job);
+                self.open_waiting(job);
             }
         }
         for job in self.openings.take_hopeless(pace, now) {
-            self.outcomes.push(Outcome {
-                kind: job.kind,
-                start: job.start,
-                latency: None,
-            });
+            self.record(job, None);
         }
     }
 
@@ -311,10 +374,87 @@
     }
 }
 
-/// Share of the requests of a kind that were answered within the objective, and of those
-/// that were answered at all.
-fn shares(outcomes: &[Outcome], kind: Kind, span: &std::ops::Range<u32>) -> (f64, f64) {
-    let asked = |o: &&Outcome| o.kind == kind && span.contains(&o.start);
+/// In the order of arrival.
+struct Fifo;
+
+impl Order<CallerShare> for Fifo {
+    type Rank = Arrival;
+
+    fn rank(&self, place: &Place<'_, CallerShare>) -> Arrival {
+        place.arrival
+    }
+
+    fn record_served(&mut self, _: &Urgency<CallerShare>, _: impl Iterator<Item = Priority>) {}
+}
+
+/// By priority, then in the order of arrival.
+struct StrictPriority;
+
+impl Order<CallerShare> for StrictPriority {
+    type Rank = (Priority, Arrival);
+
+    fn rank(&self, place: &Place<'_, CallerShare>) -> Self::Rank {
+        (place.urgency.priority, place.arrival)
+    }
+
+    fn record_served(&mut self, _: &Urgency<CallerShare>, _: impl Iterator<Item = Priority>) {}
+}
+
+/// Deficit round robin by caller, with one request for each caller in a round.
+#[derive(Default)]
+struct RoundRobin {
+    round: u64,
+    /// Round of the next turn of each caller.
+    turns: BTreeMap<Ipv4Addr, u64>,
+}
+
+impl RoundRobin {
+    fn turn(&self, share: &CallerShare) -> u64 {
+        let turn = self.turns.get(&share.caller).copied().unwrap_or(0);
+        turn.max(self.round)
+    }
+}
+
+impl Order<CallerShare> for RoundRobin {
+    type Rank = (u64, Arrival);
+
+    fn rank(&self, place: &Place<'_, CallerShare>) -> Self::Rank {
+        let turn = self.turn(&place.urgency.share) + place.ahead;
+        (turn, place.arrival)
+    }
+
+    fn record_served(&mut self, served: &Urgency<CallerShare>, _: impl Iterator<Item = Priority>) {
+        self.round = self.turn(&served.share);
+        self.turns.insert(served.share.caller, self.round + 1);
+    }
+}
+
+fn play<O: Order<CallerShare>>(
+    order: impl Fn() -> O,
+    one_queue: bool,
+    callers: Callers,
+    demand: f64,
+) -> Vec<Outcome> {
+    let plays = SEEDS.map(|seed| Play::new(order(), one_queue, callers, demand).run(seed));
+    plays.flatten().collect()
+}
+
+fn without_shares() -> FairOrder<CallerShare> {
+    FairOrder::without_shares(Ties::NewestFirst)
+}
+
+fn fair_queueing() -> FairOrder<CallerShare> {
+    FairOrder::with_shares(Ties::NewestFirst)
+}
+
+/// Share of the requests that were answered within the objective, and of those that were
+/// answered at all, of the requests in a span for which `of` returns true.
+fn shares(
+    outcomes: &[Outcome],
+    of: impl Fn(&Outcome) -> bool,
+    span: &std::ops::Range<u32>,
+) -> (f64, f64) {
+    let asked = |o: &&Outcome| of(o) && span.contains(&o.start);
     let share = |limit: u32| {
         let within = |o: &&Outcome| o.latency.is_some_and(|latency| latency <= limit);
         let asked: Vec<&Outcome> = outcomes.iter().filter(asked).collect();
@@ -335,14 +475,14 @@
     ];
     let mut in_burst = Vec::new();
     for one_queue in [false, true] {
-        let plays = SEEDS.map(|seed| Play::new(one_queue).run(seed));
-        let outcomes: Vec<Outcome> = plays.flatten().collect();
+        let outcomes = play(without_shares, one_queue, Callers::One, 1.0);
         for kind in [Kind::Order, Kind::Feed] {
+            let of = |o: &Outcome| o.kind == kind;
             for (name, span) in &spans {
-                let (in_objective, answered) = shares(&outcomes, kind, span);
+                let (in_objective, answered) = shares(&outcomes, of, span);
                 println!("| {one_queue} | {kind:?} | {name} | {in_objective:.3} | {answered:.3} |");
             }
-            in_burst.push(shares(&outcomes, kind, &BURST_MS).0);
+            in_burst.push(shares(&outcomes, of, &BURST_MS).0);
         }
     }
     let [order_past, feed_past, order, feed] = in_burst[..] else {
@@ -351,3 +491,49 @@
     assert!(order >= order_past);
     assert!(feed >= feed_past);
 }
+
+/// Prints what each kind and class of caller gets in the burst and after it. Returns the
+/// shares in the objective in the burst: of ordinary callers' orders and feeds, and of all.
+fn burst_shares(rule: &str, demand: f64, outcomes: &[Outcome]) -> [f64; 4] {
+    for kind in [Kind::Order, Kind::Feed] {
+        for (class, is_heavy) in [("ordinary", false), ("heavy", true)] {
+            let of = |o: &Outcome| o.kind == kind && o.is_heavy == is_heavy;
+            let (in_objective, answered) = shares(outcomes, of, &BURST_MS);
+            let (after, _) = shares(outcomes, of, &AFTER_MS);
+            println!(
+                "| {demand} | {rule} | {kind:?} | {class} | {in_objective:.3} | {answered:.3} | {after:.3} |"
+            );
+        }
+    }
+    let in_objective = |of: &dyn Fn(&Outcome) -> bool| shares(outcomes, of, &BURST_MS).0;
+    [
+        in_objective(&|o| o.kind == Kind::Order && !o.is_heavy),
+        in_objective(&|o| o.kind == Kind::Feed && !o.is_heavy),
+        in_objective(&|o| o.kind == Kind::Order),
+        in_objective(&|o| o.kind == Kind::Feed),
+    ]
+}
+
+/// Guards against a caller that sends half of all requests and makes those of the others
+/// late, and against shares that cost more requests than they save.
+#[test]
+fn a_heavy_caller_does_not_delay_the_others() {
+    const CALLERS: Callers = Callers::OneHeavy;
+    for demand in [1.0, 1.5] {
+        let burst = |rule: &str, outcomes: &[Outcome]| burst_shares(rule, demand, outcomes);
+        burst("first in, first out", &play(|| Fifo, true, CALLERS, demand));
+        burst(
+            "strict priority",
+            &play(|| StrictPriority, true, CALLERS, demand),
+        );
+        burst(
+            "round robin by caller",
+            &play(RoundRobin::default, true, CALLERS, demand),
+        );
+        let without = burst("no shares", &play(without_shares, true, CALLERS, demand));
+        let fair = burst("fair queueing", &play(fair_queueing, true, CALLERS, demand));
+        for (fair, without) in fair.iter().zip(without) {
+            assert!(*fair >= without, "{fair} and {without} at {demand}");
+        }
+    }
+}
