admit: queued requests in the order of crate queueing, with shares of callers

Cause: the HTTP/3 front end had a queue and an order of its own, without shares: a caller that filled the queue had all others refused. Change: a class keeps its queue in queueing::WaitingQueue. The random test of the invariants also draws callers and the setting.

--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -77,7 +77,7 @@
         for (name, target) in targets {
             let class = self.classes.entry(name.clone());
             class
-                .or_insert_with(|| Class::new(now))
+                .or_insert_with(|| Class::new(now, &self.settings))
                 .set_target(Some(target.carry.0));
         }
         let mut decisions = Vec::new();
--- a/crates/admit/src/process/settings.rs
+++ b/crates/admit/src/process/settings.rs
@@ -23,6 +23,8 @@
     pub max_queued_per_slot: u32,
     /// Order in which queued requests get slots.
     pub queue_order: QueueOrder,
+    /// Whether the callers of a class get equal shares of its slots.
+    pub fair_queueing: bool,
     /// Maximum number of requests of a class that ask peers without being
     /// queued. Bounds the memory when peers answer slowly.
     pub max_unqueued_asking: u32,
@@ -61,6 +63,7 @@
             queue_timeout: Duration::from_millis(500),
             max_queued_per_slot: 4,
             queue_order: QueueOrder::Fifo,
+            fair_queueing: false,
             max_unqueued_asking: 256,
             hand_off_enabled: true,
             ask_interval: Some(Duration::from_millis(50)),
--- a/crates/admit/src/request/decision.rs
+++ b/crates/admit/src/request/decision.rs
@@ -1,6 +1,6 @@
 //! Inputs and decisions of one request.
 
-use std::time::Instant;
+use std::{net::IpAddr, time::Instant};
 
 use types::{ClassLoads, ClassName, RequestId, ReservationId, UpstreamId};
 
@@ -11,6 +11,8 @@
     pub id: RequestId,
     /// Class of work.
     pub class: ClassName,
+    /// Address of the caller; `None` if it is unknown.
+    pub caller: Option<IpAddr>,
     /// Deadline of the caller.
     pub deadline: Option<Instant>,
     /// Whether a peer handed the request off. Such a request runs at once or
@@ -28,6 +30,7 @@
         RequestInfo {
             id,
             class,
+            caller: None,
             deadline: None,
             handed_off: false,
             exclude_local: false,
--- a/crates/admit/src/request/reserve.rs
+++ b/crates/admit/src/request/reserve.rs
@@ -76,7 +76,7 @@
         peer: UpstreamId,
         class: &ClassName,
     ) -> Option<DeferredDecision> {
-        let id = self.classes.get(class)?.queued().next()?;
+        let id = self.classes.get(class)?.oldest_queued(|_| true)?;
         self.peers.record_granted(peer, class);
         self.stop_waiting(id);
         let decision = Decision::Forward { peer };
--- a/crates/admit/src/request/state.rs
+++ b/crates/admit/src/request/state.rs
@@ -1,6 +1,6 @@
 //! State of a request that waits or runs at this agent.
 
-use std::time::Instant;
+use std::{net::IpAddr, time::Instant};
 
 use types::{ClassName, UpstreamId};
 
@@ -25,8 +25,9 @@
     /// Instant at which the request is refused if it still waits.
     pub(crate) timeout_at: Instant,
     pub(crate) deadline: Option<Instant>,
-    /// Key in the queue of the class; `None` if the request is not queued.
-    pub(crate) queue_key: Option<u64>,
+    /// Address of the caller, if it is known.
+    pub(crate) caller: Option<IpAddr>,
+    pub(crate) place: QueuePlace,
     /// Peer that was asked and has not answered; at most one at a time.
     pub(crate) awaited_peer: Option<UpstreamId>,
     /// Peers asked in the first round.
@@ -38,6 +39,15 @@
     pub(crate) exclude_local: bool,
 }
 
+/// Whether a waiting request is in the queue of its class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum QueuePlace {
+    Outside,
+    Queued,
+    /// A request of a caller with a smaller share took its place; the next tick refuses it.
+    Displaced,
+}
+
 /// A slot that is reserved for a peer.
 #[derive(Debug, Clone)]
 pub(crate) struct Reservation {
--- a/crates/admit/src/request/waiting.rs
+++ b/crates/admit/src/request/waiting.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use types::{ClassName, RequestId};
 
-use super::state::{RequestState, Waiting};
+use super::state::{QueuePlace, RequestState, Waiting};
 use crate::{Admission, Decision, DeferredDecision, RefusalReason, RequestInfo};
 
 impl Admission {
@@ -21,7 +21,8 @@
             class: request.class,
             timeout_at: until,
             deadline: request.deadline,
-            queue_key: None,
+            caller: request.caller,
+            place: QueuePlace::Outside,
             awaited_peer: None,
             asked_peers: Vec::new(),
             first_round_done: false,
@@ -57,13 +58,17 @@
         let Some(class) = self.classes.get_mut(&waiting.class) else {
             return Err(RefusalReason::UnknownClass);
         };
-        if waiting.queue_key.is_some() {
+        if waiting.place == QueuePlace::Queued {
             return Ok(());
         }
         if waiting.exclude_local {
             return Err(RefusalReason::NotServing);
         }
-        if !class.has_queue_room(&self.settings) {
+        if waiting.place == QueuePlace::Displaced {
+            return Err(RefusalReason::QueueFull);
+        }
+        let has_room = class.has_queue_room(&self.settings);
+        if !has_room && !self.settings.fair_queueing {
             return Err(RefusalReason::QueueFull);
         }
         let wait = class.expected_wait(&self.settings);
@@ -71,7 +76,38 @@
             return Err(RefusalReason::Deadline);
         }
         class.asking -= 1;
-        waiting.queue_key = Some(class.enqueue(now, id));
+        waiting.place = QueuePlace::Queued;
+        class.enqueue(now, id, waiting);
+        if has_room {
+            return Ok(());
+        }
+        self.displace_last(now, id)
+    }
+
+    /// Removes the last request from the full queue of a class that `id` was added to, and
+    /// lets the next tick refuse it unless it is `id`.
+    fn displace_last(&mut self, now: Instant, id: RequestId) -> Result<(), RefusalReason> {
+        let name = match self.requests.get(&id) {
+            Some(RequestState::Waiting(waiting)) => &waiting.class,
+            _ => return Ok(()),
+        };
+        let Some(class) = self.classes.get_mut(name) else {
+            return Ok(());
+        };
+        let Some(last) = class.take_last(now) else {
+            return Ok(());
+        };
+        class.asking += 1;
+        if let Some(RequestState::Waiting(waiting)) = self.requests.get_mut(&last) {
+            waiting.place = QueuePlace::Outside;
+            if last == id {
+                return Err(RefusalReason::QueueFull);
+            }
+            waiting.place = QueuePlace::Displaced;
+            self.timeouts.remove(&(waiting.timeout_at, last));
+            waiting.timeout_at = now;
+            self.timeouts.insert((now, last));
+        }
         Ok(())
     }
 
@@ -113,8 +149,8 @@
             .filter(|_| self.can_ask_peers())?;
         let class = self.classes.get_mut(name)?;
         class.next_ask_at = now + pause.mul_f64(self.rng.random_range(0.75..1.25));
-        let has_no_pending_ask = |id: &RequestId| matches!(self.requests.get(id), Some(RequestState::Waiting(w)) if w.awaited_peer.is_none());
-        let id = class.queued().find(has_no_pending_ask)?;
+        let has_no_pending_ask = |id: RequestId| matches!(self.requests.get(&id), Some(RequestState::Waiting(w)) if w.awaited_peer.is_none());
+        let id = class.oldest_queued(has_no_pending_ask)?;
         let peer = self.peers.choose(now, name, &[], &mut self.rng)?;
         if let Some(RequestState::Waiting(waiting)) = self.requests.get_mut(&id) {
             waiting.awaited_peer = Some(peer);
@@ -130,9 +166,10 @@
         };
         self.timeouts.remove(&(waiting.timeout_at, id));
         if let Some(class) = self.classes.get_mut(&waiting.class) {
-            match waiting.queue_key {
-                Some(queue_key) => class.dequeue(queue_key),
-                None => class.asking -= 1,
+            if waiting.place == QueuePlace::Queued {
+                class.dequeue(id);
+            } else {
+                class.asking -= 1;
             }
         }
         Some(waiting)
@@ -152,9 +189,14 @@
     pub(crate) fn start_queued(&mut self, now: Instant, name: &ClassName) -> Vec<DeferredDecision> {
         let mut decisions = Vec::new();
         while let Some(id) = self.next_to_start(now, name) {
-            let deadline = self.stop_waiting(id).and_then(|waiting| waiting.deadline);
-            let class = self.classes.get(name);
-            let in_time = class.is_some_and(|c| c.can_meet(now, Duration::ZERO, deadline));
+            let deadline = self.deadline(id);
+            let class = self.classes.get_mut(name);
+            let class = class.filter(|c| c.can_meet(now, Duration::ZERO, deadline));
+            let in_time = class.is_some();
+            if let Some(class) = class {
+                class.serve(now, id);
+            }
+            self.stop_waiting(id);
             let decision = if in_time {
                 self.start(now, id, name.clone());
                 Decision::Run
@@ -166,10 +208,18 @@
         decisions
     }
 
-    pub(crate) fn next_to_start(&self, now: Instant, name: &ClassName) -> Option<RequestId> {
-        let class = self.classes.get(name)?;
-        let may_start = self.is_serving() && class.has_free_slot();
-        class.next_queued(now, &self.settings).filter(|_| may_start)
+    pub(crate) fn next_to_start(&mut self, now: Instant, name: &ClassName) -> Option<RequestId> {
+        let is_serving = self.is_serving();
+        let class = self.classes.get_mut(name)?;
+        let may_start = is_serving && class.has_free_slot();
+        may_start.then(|| class.next_queued(now, &self.settings))?
+    }
+
+    fn deadline(&self, id: RequestId) -> Option<Instant> {
+        match self.requests.get(&id) {
+            Some(RequestState::Waiting(waiting)) => waiting.deadline,
+            _ => None,
+        }
     }
 
     pub(crate) fn refuse_timed_out(&mut self, now: Instant) -> Vec<DeferredDecision> {
@@ -178,8 +228,11 @@
             if until > now {
                 break;
             }
-            let deadline = self.stop_waiting(id).and_then(|waiting| waiting.deadline);
-            let reason = if deadline.is_some_and(|at| at <= now) {
+            let waiting = self.stop_waiting(id);
+            let deadline = waiting.as_ref().and_then(|waiting| waiting.deadline);
+            let reason = if waiting.is_some_and(|waiting| waiting.place == QueuePlace::Displaced) {
+                RefusalReason::QueueFull
+            } else if deadline.is_some_and(|at| at <= now) {
                 RefusalReason::Deadline
             } else if self.is_serving() {
                 RefusalReason::QueueTimeout
--- a/crates/admit/src/version/class.rs
+++ b/crates/admit/src/version/class.rs
@@ -2,12 +2,14 @@
 
 use std::{
     collections::BTreeMap,
+    net::IpAddr,
     time::{Duration, Instant},
 };
 
-use types::{ClassLoad, RequestId, Slots, UpstreamId};
+use queueing::{Arrival, FairOrder, FreeSlot, Ties, Urgency, WaitingQueue};
+use types::{ClassLoad, Priority, RequestId, Slots, UpstreamId};
 
-use crate::{LoadReport, QueueOrder, Settings};
+use crate::{LoadReport, QueueOrder, Settings, request::state::Waiting};
 
 /// A new sample has a weight of 1/8 in the moving average of service times.
 const SERVICE_TIME_WEIGHT_DIVISOR: u32 = 8;
@@ -24,10 +26,10 @@
     /// Slots reserved for peers. `in_flight + reserved` increases only while it
     /// is below `slots`.
     pub(crate) reserved: u32,
-    /// Queued requests by order of arrival. Empty while a slot is free and
-    /// the upstream takes new work.
-    queue: BTreeMap<u64, Queued>,
-    next_queue_key: u64,
+    /// Queued requests; a share is that of a caller's address. Empty while a slot is free
+    /// and the upstream takes new work.
+    queue: WaitingQueue<RequestId, Option<IpAddr>, ()>,
+    order: FairOrder<Option<IpAddr>>,
     /// Requests that ask peers and are not queued.
     pub(crate) asking: u32,
     /// Moving average of the service times of completed requests.
@@ -38,21 +40,20 @@
     refused_peers: BTreeMap<UpstreamId, Instant>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Queued {
-    id: RequestId,
-    queued_at: Instant,
-}
-
 impl Class {
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant, settings: &Settings) -> Self {
+        let order = if settings.fair_queueing {
+            FairOrder::with_shares(Ties::OldestFirst)
+        } else {
+            FairOrder::without_shares(Ties::OldestFirst)
+        };
         Class {
             target_slots: None,
             slot_limit: None,
             in_flight: 0,
             reserved: 0,
-            queue: BTreeMap::new(),
-            next_queue_key: 0,
+            queue: WaitingQueue::default(),
+            order,
             asking: 0,
             mean_service_time: None,
             next_ask_at: now,
@@ -157,15 +158,43 @@
         self.queue.is_empty()
     }
 
-    pub(crate) fn enqueue(&mut self, now: Instant, id: RequestId) -> u64 {
-        let queue_key = self.next_queue_key;
-        self.next_queue_key += 1;
-        self.queue.insert(queue_key, Queued { id, queued_at: now });
-        queue_key
+    pub(crate) fn enqueue(&mut self, now: Instant, id: RequestId, waiting: &Waiting) {
+        let urgency = Urgency {
+            share: waiting.caller,
+            // Classes have slots of their own, so they need no order among them.
+            priority: Priority(0),
+            since: now,
+            objective_until: None,
+            given_up_at: waiting.deadline,
+        };
+        self.queue.push(id, urgency, ());
+    }
+
+    pub(crate) fn dequeue(&mut self, id: RequestId) {
+        self.queue.remove(&id);
     }
 
-    pub(crate) fn dequeue(&mut self, queue_key: u64) {
-        self.queue.remove(&queue_key);
+    /// Removes the queued request that would be the last to get a slot: one of the caller
+    /// that is the furthest beyond its share.
+    pub(crate) fn take_last(&mut self, now: Instant) -> Option<RequestId> {
+        let slot = self.free_slot(now);
+        let id = self.queue.last(&self.order, slot)?;
+        self.queue.remove(&id);
+        Some(id)
+    }
+
+    /// Removes a queued request that gets a slot.
+    pub(crate) fn serve(&mut self, now: Instant, id: RequestId) {
+        let slot = self.free_slot(now);
+        let others = std::iter::empty();
+        self.queue.serve(&id, &mut self.order, slot, others);
+    }
+
+    fn free_slot(&self, now: Instant) -> FreeSlot {
+        FreeSlot {
+            at: now,
+            answer_time: self.mean_service_time.unwrap_or_default(),
+        }
     }
 
     pub(crate) fn record_refused_peer(&mut self, peer: UpstreamId, until: Instant) {
@@ -181,20 +210,24 @@
         Some(peer)
     }
 
-    /// Queued requests, oldest first.
-    pub(crate) fn queued(&self) -> impl Iterator<Item = RequestId> {
-        self.queue.values().map(|queued| queued.id)
+    /// The oldest queued request for which `of` returns true.
+    pub(crate) fn oldest_queued(&self, of: impl Fn(RequestId) -> bool) -> Option<RequestId> {
+        let candidates = self.queue.iter().filter(|(id, _)| of(*id));
+        candidates
+            .min_by_key(|(_, arrival)| *arrival)
+            .map(|(id, _)| id)
     }
 
     /// The queued request that gets the next slot.
-    pub(crate) fn next_queued(&self, now: Instant, settings: &Settings) -> Option<RequestId> {
-        let (_, oldest) = self.queue.first_key_value()?;
-        let (_, newest) = self.queue.last_key_value()?;
-        let overdue = now.saturating_duration_since(oldest.queued_at) > settings.queue_timeout / 2;
-        Some(match settings.queue_order {
-            QueueOrder::Adaptive if overdue => newest.id,
-            QueueOrder::Fifo | QueueOrder::Adaptive => oldest.id,
-            QueueOrder::Lifo => newest.id,
-        })
+    pub(crate) fn next_queued(&mut self, now: Instant, settings: &Settings) -> Option<RequestId> {
+        let (_, Arrival(oldest_since, _)) = self.queue.iter().min_by_key(|(_, at)| *at)?;
+        let overdue = now.saturating_duration_since(oldest_since) > settings.queue_timeout / 2;
+        self.order.set_ties(match settings.queue_order {
+            QueueOrder::Adaptive if overdue => Ties::NewestFirst,
+            QueueOrder::Fifo | QueueOrder::Adaptive => Ties::OldestFirst,
+            QueueOrder::Lifo => Ties::NewestFirst,
+        });
+        let (id, _) = self.queue.first(&self.order, self.free_slot(now))?;
+        Some(id)
     }
 }
--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -90,6 +90,47 @@
     deferred(n, Decision::Refuse(reason))
 }
 
+/// An admission with one slot that request 1 uses, callers with equal shares and no peers.
+fn fair_admission(now: Instant) -> Admission {
+    let settings = Settings {
+        fair_queueing: true,
+        ..Settings::default()
+    };
+    let mut a = admission_with_settings(now, 1, &[], settings);
+    assert_eq!(a.arrive(now, request_of(1, 1)), Decision::Run);
+    a
+}
+
+fn request_of(n: u64, caller: u8) -> RequestInfo {
+    RequestInfo {
+        caller: Some([100, 64, 0, caller].into()),
+        ..request(n)
+    }
+}
+
+/// Guards against a caller that fills the queue, so that others are refused or wait behind
+/// all of its requests.
+#[test]
+fn callers_get_equal_shares_of_slots_and_of_the_queue() {
+    let now = Instant::now();
+    let mut a = fair_admission(now);
+    let until = now + Settings::default().queue_timeout;
+    let queued = Decision::Queue { until };
+    for n in 2..=5 {
+        assert_eq!(a.arrive(now, request_of(n, 1)), queued);
+    }
+    // The queue holds four requests; the last one of the heavy caller makes room.
+    assert_eq!(a.arrive(now, request_of(6, 2)), queued);
+    assert_eq!(a.next_deadline(), Some(now));
+    assert_eq!(a.tick(now), [refuse(5, RefusalReason::QueueFull)]);
+    let beyond = a.arrive(now, request_of(7, 1));
+    assert_eq!(beyond, Decision::Refuse(RefusalReason::QueueFull));
+    for (ends, starts) in [(1, 2), (2, 6), (6, 3), (3, 4)] {
+        let outcome = RequestOutcome::Completed;
+        assert_eq!(a.finish(now, RequestId(ends), outcome), [run(starts)]);
+    }
+}
+
 /// Guards against peers that are asked out of order: own data centre first,
 /// then by free slots, each once, and then the queue.
 #[test]
--- a/crates/admit/tests/invariants.rs
+++ b/crates/admit/tests/invariants.rs
@@ -51,6 +51,7 @@
         let settings = Settings {
             queue_order: orders[u.choose_index(3).unwrap_or(0)],
             max_queued_per_slot: 2,
+            fair_queueing: u.ratio(1, 2).unwrap_or(false),
             max_unqueued_asking: 3,
             ..Settings::default()
         };
@@ -120,6 +121,7 @@
         let until = deadline.map_or(limit, |at| at.min(limit));
         self.waiting.insert(id, (until, deadline));
         let mut info = RequestInfo::new(id, class());
+        info.caller = Some([100, 64, 0, u.int_in_range(1..=3)?].into());
         info.deadline = deadline;
         info.handed_off = u.ratio(1, 8)?;
         info.exclude_local = u.ratio(1, 8)?;
--- a/crates/agent/src/connection/serve.rs
+++ b/crates/agent/src/connection/serve.rs
@@ -38,8 +38,9 @@
             accepted = server.accept() => match accepted {
                 Ok(Some(resolver)) => {
                     let (cx, completions) = (cx.clone(), completions.clone());
+                    let caller = connection.remote_address().ip();
                     requests.spawn_local(async move {
-                        if let Err(e) = handle(cx, resolver, completions).await {
+                        if let Err(e) = handle(cx, caller, resolver, completions).await {
                             log::debug!(event = "request_aborted", error:% = e; "request aborted: the caller's stream or connection failed");
                         }
                     });
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -1,7 +1,7 @@
 //! Handler of one request of a caller.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -63,6 +63,7 @@
 /// A request of a caller, as received.
 pub(super) struct CallerRequest {
     pub(super) cx: RequestContext,
+    caller: IpAddr,
     pub(super) service: ServiceId,
     pub(super) class: ClassName,
     pub(super) method: Method,
@@ -91,6 +92,7 @@
 /// Fails if the caller's stream or connection has ended.
 pub async fn handle(
     cx: RequestContext,
+    caller: IpAddr,
     resolver: RequestResolver<H3Connection, Bytes>,
     completions: StreamCompletions,
 ) -> Result<(), StreamError> {
@@ -100,7 +102,7 @@
     };
     let (mut send, recv) = stream.split();
     let result = tokio::select! {
-        result = serve(cx, &req, recv, &mut send) => Some(result),
+        result = serve(cx, caller, &req, recv, &mut send) => Some(result),
         // The caller stopped reading. Dropping the handler's future releases the
         // slot and cancels the request at the upstream.
         () = completion.wait() => None,
@@ -117,6 +119,7 @@
 
 async fn serve(
     cx: RequestContext,
+    caller: IpAddr,
     req: &Request<()>,
     recv: RecvStream,
     send: &mut SendStream,
@@ -136,6 +139,7 @@
     let now = Instant::now();
     let remaining = req.headers().get(ClaimHeader::TIMEOUT_MS);
     let caller_request = CallerRequest {
+        caller,
         service,
         class,
         method: req.method().clone(),
@@ -180,6 +184,7 @@
             let id = self.cx.request_ids.next();
             let mut request_guard = RequestGuard::new(id, self.cx.admission.clone());
             let info = RequestInfo {
+                caller: Some(self.caller),
                 deadline: self.deadline,
                 exclude_local: elsewhere,
                 ..RequestInfo::new(id, self.class.clone())
--- a/crates/limpetd/src/process/cli.rs
+++ b/crates/limpetd/src/process/cli.rs
@@ -247,6 +247,10 @@
     #[arg(long, env = "LIMPET_STAY_AT_MOST", value_name = "TIME", default_value = "1h", value_parser = parse_drain_timeout)]
     stay_at_most: Duration,
 
+    /// Give the callers of a class equal shares of its slots
+    #[arg(long, env = "LIMPET_FAIR_QUEUEING")]
+    fair_queueing: bool,
+
     #[command(flatten)]
     tls: TlsArgs,
 }
@@ -275,6 +279,10 @@
             data_listen: self.data_listen,
             peer_listen: self.peer_listen,
             drain_timeout: self.stay_at_most,
+            admission: admit::Settings {
+                fair_queueing: self.fair_queueing,
+                ..admit::Settings::default()
+            },
             ..settings
         })
     }
--- a/crates/queueing/src/process/waiting_queue.rs
+++ b/crates/queueing/src/process/waiting_queue.rs
@@ -135,6 +135,12 @@
         ranked.min_by(|(_, a), (_, b)| a.cmp(b))
     }
 
+    /// The request that is the last to get a slot.
+    #[must_use]
+    pub fn last<O: Order<K>>(&self, order: &O, slot: FreeSlot) -> Option<I> {
+        self.arranged(order, slot).last().copied()
+    }
+
     /// Takes a request that gets the slot. `others_in_time` are the priorities of requests
     /// that wait in another queue for the same slots.
     pub fn serve<O: Order<K>>(
