agent: refusals say when to retry, and hopeless requests are refused at once

Cause: every 503 had Retry-After 1, also for requests that may have run, so refused callers came back together into the same backlog. A request that no slot could serve in time waited until its timeout. Change: queueing::RetrySchedule gives each refused caller a place behind the backlog and the callers refused before it, at the average service time over the slots; whole seconds, at most 61. Only requests that have not run get the field. Without peers to ask, admission refuses a request whose turn comes too late when it arrives or as soon as that is known.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -43,6 +43,7 @@
 pub use process::{Admission, QueueOrder, RetryBudget, Settings};
 pub use request::{
     Attempt, ClaimAnswer, Decision, DeferredDecision, Failure, Offer, PeerAnswer, Progress,
-    RefusalReason, RequestInfo, RequestOutcome, ReservationAnswer, RetryDecision, decide_retry,
+    Refusal, RefusalReason, RequestInfo, RequestOutcome, ReservationAnswer, RetryDecision,
+    decide_retry,
 };
 pub use version::LoadReport;
--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -5,14 +5,14 @@
     time::Instant,
 };
 
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use types::{
     ClassLoads, ClassName, DataCentre, RequestId, ReservationId, Target, UpstreamId, UpstreamState,
 };
 
 use crate::{
-    Decision, DeferredDecision, LoadReport, PeerAnswer, RefusalReason, RequestInfo, RequestOutcome,
-    Settings,
+    Decision, DeferredDecision, LoadReport, PeerAnswer, Refusal, RefusalReason, RequestInfo,
+    RequestOutcome, Settings,
     process::health::Health,
     request::state::{RequestState, Reservation, Running},
     version::{Class, Peers},
@@ -226,6 +226,16 @@
         })
     }
 
+    /// What the caller of a request that is refused now is told.
+    pub fn refusal(&mut self, now: Instant, class: &ClassName, reason: RefusalReason) -> Refusal {
+        let spread = self.rng.random();
+        let class = self.classes.get_mut(class);
+        class.map_or(Refusal::without_backlog(reason), |class| Refusal {
+            reason,
+            retry_after: class.assign_retry(now, spread),
+        })
+    }
+
     /// Handles the answer of a peer that was asked for a reservation. Returns
     /// `None` if the request got another decision meanwhile and no action is
     /// needed.
--- a/crates/admit/src/request/decision.rs
+++ b/crates/admit/src/request/decision.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, time::Instant};
 
-use types::{ClassLoads, ClassName, RequestId, ReservationId, UpstreamId};
+use types::{ClassLoads, ClassName, RequestId, ReservationId, RetryAfter, UpstreamId};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -110,6 +110,26 @@
     DuplicateId,
 }
 
+/// A refusal as the caller is told of it. The request was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: RefusalReason,
+    /// When the caller may send it again.
+    pub retry_after: RetryAfter,
+}
+
+impl Refusal {
+    /// A refusal that does not depend on the backlog.
+    #[must_use]
+    pub fn without_backlog(reason: RefusalReason) -> Self {
+        Refusal {
+            reason,
+            retry_after: RetryAfter(1),
+        }
+    }
+}
+
 /// A decision about a request that was queued or waiting for a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DeferredDecision {
--- a/crates/admit/src/request/mod.rs
+++ b/crates/admit/src/request/mod.rs
@@ -7,7 +7,7 @@
 mod waiting;
 
 pub use decision::{
-    ClaimAnswer, Decision, DeferredDecision, Offer, PeerAnswer, RefusalReason, RequestInfo,
-    RequestOutcome, ReservationAnswer,
+    ClaimAnswer, Decision, DeferredDecision, Offer, PeerAnswer, Refusal, RefusalReason,
+    RequestInfo, RequestOutcome, ReservationAnswer,
 };
 pub use outcome::{Attempt, Failure, Progress, RetryDecision, decide_retry};
--- a/crates/admit/src/request/waiting.rs
+++ b/crates/admit/src/request/waiting.rs
@@ -51,7 +51,9 @@
     }
 
     /// Adds a waiting request to the queue of its class, unless it is queued.
+    /// Without peers to ask, one that gets no slot in time is refused at once.
     pub(crate) fn enqueue(&mut self, now: Instant, id: RequestId) -> Result<(), RefusalReason> {
+        let may_ask = self.can_ask_peers();
         let Some(RequestState::Waiting(waiting)) = self.requests.get_mut(&id) else {
             return Ok(());
         };
@@ -72,6 +74,9 @@
             return Err(RefusalReason::QueueFull);
         }
         let wait = class.expected_wait(&self.settings);
+        if !may_ask && now + wait > waiting.timeout_at {
+            return Err(RefusalReason::QueueTimeout);
+        }
         if !class.can_meet(now, wait, waiting.deadline) {
             return Err(RefusalReason::Deadline);
         }
@@ -205,9 +210,29 @@
             };
             decisions.push(DeferredDecision { id, decision });
         }
+        decisions.extend(self.refuse_hopeless(now, name));
         decisions
     }
 
+    /// Refuses the queued requests that get no slot in time, unless a peer may take them.
+    fn refuse_hopeless(&mut self, now: Instant, name: &ClassName) -> Vec<DeferredDecision> {
+        let class = self.classes.get_mut(name);
+        let class = class.filter(|class| !class.is_queue_empty());
+        let Some(class) = class else {
+            return Vec::new();
+        };
+        if self.settings.hand_off_enabled && !self.peers.is_empty() {
+            return Vec::new();
+        }
+        let hopeless = class.take_hopeless(now);
+        let decision = Decision::Refuse(RefusalReason::Deadline);
+        for &id in &hopeless {
+            self.stop_waiting(id);
+        }
+        let decide = |id| DeferredDecision { id, decision };
+        hopeless.into_iter().map(decide).collect()
+    }
+
     pub(crate) fn next_to_start(&mut self, now: Instant, name: &ClassName) -> Option<RequestId> {
         let is_serving = self.is_serving();
         let class = self.classes.get_mut(name)?;
--- a/crates/admit/src/version/class.rs
+++ b/crates/admit/src/version/class.rs
@@ -6,8 +6,10 @@
     time::{Duration, Instant},
 };
 
-use queueing::{Arrival, FairOrder, FreeSlot, Ties, Urgency, WaitingQueue};
-use types::{ClassLoad, Priority, RequestId, Slots, UpstreamId};
+use queueing::{
+    Arrival, FairOrder, FreeSlot, RetrySchedule, SlotSchedule, Ties, Urgency, WaitingQueue,
+};
+use types::{ClassLoad, Priority, RequestId, RetryAfter, Slots, UpstreamId};
 
 use crate::{LoadReport, QueueOrder, Settings, request::state::Waiting};
 
@@ -30,6 +32,8 @@
     /// and the upstream takes new work.
     queue: WaitingQueue<RequestId, Option<IpAddr>, ()>,
     order: FairOrder<Option<IpAddr>>,
+    /// When refused callers should return.
+    retry_schedule: RetrySchedule,
     /// Requests that ask peers and are not queued.
     pub(crate) asking: u32,
     /// Moving average of the service times of completed requests.
@@ -54,6 +58,7 @@
             reserved: 0,
             queue: WaitingQueue::default(),
             order,
+            retry_schedule: RetrySchedule::default(),
             asking: 0,
             mean_service_time: None,
             next_ask_at: now,
@@ -174,6 +179,40 @@
         self.queue.remove(&id);
     }
 
+    /// Average time between two requests that get a slot while all are in use.
+    fn service_interval(&self) -> Duration {
+        self.mean_service_time.unwrap_or_default() / self.slots().max(1)
+    }
+
+    /// When the caller of a refused request should return. `spread` is a random number from
+    /// 0 to 1.
+    pub(crate) fn assign_retry(&mut self, now: Instant, spread: f64) -> RetryAfter {
+        let interval = self.service_interval();
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let backlog = interval.saturating_mul(queued);
+        self.retry_schedule.assign(backlog, interval, spread, now)
+    }
+
+    /// The queued requests that can no longer meet their deadlines when slots become free
+    /// at the average rate. They leave the queue.
+    pub(crate) fn take_hopeless(&mut self, now: Instant) -> Vec<RequestId> {
+        let Some(service) = self.mean_service_time else {
+            return Vec::new();
+        };
+        let interval = self.service_interval();
+        let schedule = SlotSchedule {
+            first_at: now + interval,
+            interval,
+            // As in `can_meet`.
+            lead_time: service / 2,
+        };
+        let slot = self.free_slot(now);
+        let hopeless = self
+            .queue
+            .take_hopeless(&self.order, slot, schedule, usize::MAX);
+        hopeless.into_iter().map(|(id, ())| id).collect()
+    }
+
     /// Removes the queued request that would be the last to get a slot: one of the caller
     /// that is the furthest beyond its share.
     pub(crate) fn take_last(&mut self, now: Instant) -> Option<RequestId> {
--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -131,6 +131,41 @@
     }
 }
 
+/// Guards against a queue that holds requests which no slot can serve in time, and against
+/// refused callers that return before the backlog is served.
+#[test]
+fn a_request_that_no_slot_serves_in_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut a = admission_with_full_slot(now, &[]);
+    let later = now + ms(400);
+    assert_eq!(a.finish(later, RequestId(1), RequestOutcome::Completed), []);
+    assert_eq!(a.arrive(later, request(2)), Decision::Run);
+    let until = later + Settings::default().queue_timeout;
+    assert_eq!(a.arrive(later, request(3)), Decision::Queue { until });
+    // Two requests of 400 ms each go before it, and it waits for 500 ms at most.
+    let reason = RefusalReason::QueueTimeout;
+    assert_eq!(a.arrive(later, request(4)), Decision::Refuse(reason));
+    let retries = (0..10).map(|_| a.refusal(later, &class(), reason).retry_after.0);
+    let retries: Vec<u64> = retries.collect();
+    // Places from 400 ms on, every 400 ms.
+    assert!(retries.iter().all(|after| (1..=5).contains(after)));
+    assert!(retries.iter().any(|after| *after >= 3), "{retries:?}");
+}
+
+/// Guards against a queued request that is kept until its deadline although requests turn
+/// out to take too long for it.
+#[test]
+fn a_queued_request_is_refused_once_it_cannot_be_served_in_time() {
+    let now = Instant::now();
+    let mut a = admission_with_full_slot(now, &[]);
+    let mut info = request(3);
+    info.deadline = Some(now + ms(450));
+    assert!(matches!(a.arrive(now, request(2)), Decision::Queue { .. }));
+    assert!(matches!(a.arrive(now, info), Decision::Queue { .. }));
+    let finished = a.finish(now + ms(300), RequestId(1), RequestOutcome::Completed);
+    assert_eq!(finished, [run(2), refuse(3, RefusalReason::Deadline)]);
+}
+
 /// Guards against peers that are asked out of order: own data centre first,
 /// then by free slots, each once, and then the queue.
 #[test]
--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -225,7 +225,7 @@
             (Decision::Run, _) => self.reply_run(id),
             (Decision::Refuse(reason), _) => {
                 self.hedging.mark_saturated(Instant::now());
-                self.reply(id, AdmissionReply::Refuse(reason));
+                self.refuse(id, reason);
             }
             (Decision::AskPeer { peer }, _) => self.request_peer_slot(id, peer),
             (Decision::Forward { peer }, Some(reservation)) => self.hand_off(id, peer, reservation),
@@ -258,17 +258,26 @@
     }
 
     fn hand_off(&mut self, id: RequestId, upstream: UpstreamId, reservation: ReservationId) {
-        let reply = match self.peers.get(&upstream) {
-            Some(peer) => AdmissionReply::HandOff {
-                upstream,
-                peer: peer.clone(),
-                reservation,
-            },
-            None => AdmissionReply::Refuse(RefusalReason::NotServing),
+        let Some(peer) = self.peers.get(&upstream) else {
+            return self.refuse(id, RefusalReason::NotServing);
+        };
+        let reply = AdmissionReply::HandOff {
+            upstream,
+            peer: peer.clone(),
+            reservation,
         };
         self.reply(id, reply);
     }
 
+    fn refuse(&mut self, id: RequestId, reason: RefusalReason) {
+        if let Some(pending) = self.pending_requests.get(&id) {
+            let refusal = self
+                .admission
+                .refusal(Instant::now(), &pending.class, reason);
+            self.reply(id, AdmissionReply::Refuse(refusal));
+        }
+    }
+
     /// Requests a reservation from a peer; the answer arrives as a command.
     fn request_peer_slot(&self, id: RequestId, upstream: UpstreamId) {
         let reservation = ReservationId(rand::rng().random());
--- a/crates/agent/src/process/commands.rs
+++ b/crates/agent/src/process/commands.rs
@@ -6,7 +6,7 @@
 };
 
 use admit::{
-    Attempt, ClaimAnswer, LoadReport, PeerAnswer, RefusalReason, RequestInfo, RequestOutcome,
+    Attempt, ClaimAnswer, LoadReport, PeerAnswer, Refusal, RequestInfo, RequestOutcome,
     RetryDecision,
 };
 use hedge::{CandidateState, Denial, Repeatable};
@@ -37,7 +37,7 @@
         reservation: ReservationId,
     },
     /// Refuse it; it was not run.
-    Refuse(RefusalReason),
+    Refuse(Refusal),
 }
 
 /// When to hedge a request that runs at the agent's own upstream. The time of its
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -6,7 +6,7 @@
 };
 
 use admit::{
-    Attempt, Failure, Progress, RefusalReason, RequestInfo, RequestOutcome, RetryDecision,
+    Attempt, Failure, Progress, Refusal, RefusalReason, RequestInfo, RequestOutcome, RetryDecision,
 };
 use auth::Credentials;
 use bytes::Bytes;
@@ -17,7 +17,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::BodyExt;
 use tokio::{sync::watch, time::timeout};
-use types::{ClassName, ServiceId, ServiceState};
+use types::{ClassName, RetryAfter, ServiceId, ServiceState};
 use wire::ClaimHeader;
 
 use super::{
@@ -30,8 +30,8 @@
     process::{AdmissionCommand, AdmissionHandle, AdmissionReply, IdempotencyHandle, Metrics},
 };
 
-/// Value of `Retry-After` in a 503 response.
-const RETRY_AFTER_SECS: &str = "1";
+/// Value of `Retry-After` if no upstream could be reached, so that the backlog is unknown.
+const UNKNOWN_BACKLOG_RETRY: RetryAfter = RetryAfter(1);
 
 /// Time to wait for the end of the stream of a request that has no body; it
 /// covers the retransmission of a lost packet. After it the body is forwarded
@@ -78,7 +78,7 @@
 /// Why a request has no response of an upstream.
 pub(super) enum RequestFailure {
     /// The request was not run.
-    NotRun(Option<RefusalReason>),
+    NotRun(Option<Refusal>),
     /// The request may have been run.
     OutcomeUnknown(Failure),
     /// The caller no longer waits.
@@ -132,7 +132,7 @@
     let Some((service, class)) = matched else {
         return send_failure(
             send,
-            &RequestFailure::NotRun(Some(RefusalReason::UnknownClass)),
+            &RequestFailure::NotRun(Some(Refusal::without_backlog(RefusalReason::UnknownClass))),
         )
         .await;
     };
@@ -197,8 +197,8 @@
                 .await;
             let attempt_error = match reply {
                 None => return Err(RequestFailure::NotRun(None)),
-                Some(AdmissionReply::Refuse(reason)) => {
-                    return Err(RequestFailure::NotRun(Some(reason)));
+                Some(AdmissionReply::Refuse(refusal)) => {
+                    return Err(RequestFailure::NotRun(Some(refusal)));
                 }
                 Some(AdmissionReply::Run { hedge }) => match self.forward_or_hedge(hedge).await {
                     Ok(Winner::Primary(forwarded)) => return Ok((forwarded, Some(request_guard))),
@@ -412,17 +412,18 @@
     send: &mut SendStream,
     request_failure: &RequestFailure,
 ) -> Result<(), StreamError> {
-    let (status, outcome, text) = match request_failure {
+    let (status, outcome, retry_after, text) = match request_failure {
         RequestFailure::CallerGone => {
             send.stop_stream(Code::H3_REQUEST_CANCELLED);
             return Ok(());
         }
-        RequestFailure::NotRun(reason) => (
+        RequestFailure::NotRun(refusal) => (
             StatusCode::SERVICE_UNAVAILABLE,
             ClaimHeader::NOT_RUN,
-            reason.map_or_else(
+            Some(refusal.map_or(UNKNOWN_BACKLOG_RETRY, |refusal| refusal.retry_after)),
+            refusal.map_or_else(
                 || "no upstream could be reached".to_owned(),
-                |r| r.to_string(),
+                |refusal| refusal.reason.to_string(),
             ),
         ),
         RequestFailure::OutcomeUnknown(failure) => {
@@ -434,25 +435,28 @@
             (
                 status,
                 outcome,
+                None,
                 "the answer of the upstream was lost".into(),
             )
         }
     };
-    send_text(send, status, outcome, &text).await
+    send_text(send, status, outcome, retry_after, &text).await
 }
 
-/// Sends a text response that the agent itself generates.
+/// Sends a text response that the agent itself generates. Only a request that has not run
+/// has a `retry_after`.
 pub(super) async fn send_text(
     send: &mut SendStream,
     status: StatusCode,
     outcome: &'static str,
+    retry_after: Option<RetryAfter>,
     text: &str,
 ) -> Result<(), StreamError> {
     let mut headers = EndToEndHeaders::default();
     headers.set(ClaimHeader::OUTCOME, &outcome);
     headers.set(header::CONTENT_TYPE.as_str(), &"text/plain");
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.set(header::RETRY_AFTER.as_str(), &RETRY_AFTER_SECS);
+    if let Some(retry_after) = retry_after {
+        headers.set(header::RETRY_AFTER.as_str(), &retry_after);
     }
     let mut response = Response::new(());
     *response.status_mut() = status;
--- a/crates/agent/src/request/idempotency.rs
+++ b/crates/agent/src/request/idempotency.rs
@@ -253,5 +253,5 @@
             "whether a request with this key has run is not known",
         ),
     };
-    super::handle::send_text(send, status, outcome, text).await
+    super::handle::send_text(send, status, outcome, None, text).await
 }
--- a/crates/limpetd/tests/requests.rs
+++ b/crates/limpetd/tests/requests.rs
@@ -408,7 +408,7 @@
 }
 
 /// Guards against more concurrent requests at an upstream than it has slots, and
-/// against refusals without the outcome `not-run`.
+/// against refusals without the outcome `not-run` or a time to return.
 #[actix_rt::test]
 async fn upstream_never_gets_more_requests_than_slots() {
     let site = Site::start_serving(plan(45, 2, 2)).await;
@@ -423,7 +423,9 @@
         claim.finish().await.unwrap();
         pending.push(async move {
             let answer = claim.response().await.unwrap();
-            (n, answer.status.as_u16(), answer.outcome())
+            let retry_after = answer.headers.get("retry-after");
+            let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+            (n, answer.status.as_u16(), answer.outcome(), retry_after)
         });
     }
     let outcomes = join_all(pending).await;
@@ -433,7 +435,10 @@
         assert!(activity.max_running <= 2, "{activity:?}");
         runs.extend(upstream.runs().await.into_keys());
     }
-    for (n, status, outcome) in outcomes {
+    for (n, status, outcome, retry_after) in outcomes {
+        // Callers are told to return within a minute, and the delay is rounded up.
+        let is_bounded = retry_after.is_some_and(|after: u64| (1..=61).contains(&after));
+        assert_eq!(is_bounded, status == 503, "{n}: {retry_after:?}");
         let ran = runs.contains(n.to_string().as_bytes());
         match status {
             200 => assert!(ran && outcome == RequestOutcome::Answered, "{n}"),
--- a/crates/queueing/src/lib.rs
+++ b/crates/queueing/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`Order`] is the rule by which they are compared, and [`FairOrder`] the rule in use:
 //!   first the requests that can still meet their objective, then by priority, then by
 //!   shares of routes and callers, then by arrival;
-//! - [`OvertakingDebt`] bounds for how long a priority is overtaken by more urgent ones.
+//! - [`OvertakingDebt`] bounds for how long a priority is overtaken by more urgent ones;
+//! - [`RetrySchedule`] says when refused callers should return.
 //!
 //! ```
 //! use std::time::{Duration, Instant};
@@ -35,5 +36,7 @@
 pub mod process;
 pub mod request;
 
-pub use process::{FairOrder, Order, OvertakingDebt, SlotSchedule, Ties, WaitingQueue};
+pub use process::{
+    FairOrder, Order, OvertakingDebt, RetrySchedule, SlotSchedule, Ties, WaitingQueue,
+};
 pub use request::{Arrival, FreeSlot, Place, Urgency};
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,7 +32,7 @@
 pub use process::{ClassName, DataCentre, HostName, MemberId, OperatorName, Role, ServiceName};
 pub use request::{
     Answer, BytesPerSecond, Change, ChangeId, ChangeRequest, Conflict, Connections, GroupRefusal,
-    GroupRequest, Refusal, RequestId, RequestRate, ReservationId, Slots, UnixMillis,
+    GroupRequest, Refusal, RequestId, RequestRate, ReservationId, RetryAfter, Slots, UnixMillis,
 };
 pub use version::{
     BalancerAnnouncement, CidKey, ClassLoad, ClassLoads, HedgeBudget, KeyGeneration, KeySet,
