relay: a flow that no agent serves in time is refused at the first agent

Cause: an agent that takes no new flows forwarded openings also if they had no time left or the best agent's queue was too long, to be refused there. Change: with fair_queueing, an agent that would forward an opening refuses it if the expected wait at the chosen agent, by its report, ends after the caller gives up. Copies are excepted, as an earlier datagram may have been delivered.

--- a/crates/flow/src/process/opening_queue.rs
+++ b/crates/flow/src/process/opening_queue.rs
@@ -145,12 +145,39 @@
         self.waiting.priorities_in_time(slot).count()
     }
 
+    /// Whether the flow of an opening datagram that arrived at `arrived_at` opens in time
+    /// if it gets a slot after `wait`, at any agent.
+    #[must_use]
+    pub fn can_serve(
+        &self,
+        seg: &Segment,
+        arrived_at: Instant,
+        targets: RequestTargets,
+        wait: Duration,
+        now: Instant,
+    ) -> bool {
+        let (first_sent_at, usable) = self.usable_time(seg, arrived_at, targets);
+        now + wait + self.settings.round_trips < first_sent_at + usable
+    }
+
+    /// When the caller sent the first opening datagram of the flow, and for how long after
+    /// it the flow is of use.
+    fn usable_time(
+        &self,
+        seg: &Segment,
+        arrived_at: Instant,
+        targets: RequestTargets,
+    ) -> (Instant, Duration) {
+        let first_sent_at = arrived_at.checked_sub(seg.waited).unwrap_or(arrived_at);
+        let usable = targets.timeout.min(self.settings.opening_timeout);
+        (first_sent_at, usable)
+    }
+
     /// Adds the flow of an opening datagram that arrived at `arrived_at`, in place of
     /// an earlier datagram of the same flow.
     pub fn push(&mut self, seg: &Segment, arrived_at: Instant, targets: RequestTargets, item: T) {
         let key = seg.key_from_caller();
-        let first_sent_at = arrived_at.checked_sub(seg.waited).unwrap_or(arrived_at);
-        let usable = targets.timeout.min(self.settings.opening_timeout);
+        let (first_sent_at, usable) = self.usable_time(seg, arrived_at, targets);
         let urgency = urgency(key, targets, first_sent_at, usable);
         self.waiting.push(key, urgency, item);
     }
--- a/crates/flow/tests/request_queue.rs
+++ b/crates/flow/tests/request_queue.rs
@@ -144,3 +144,23 @@
     assert_eq!(requests.take_before(&request(1, 2)), Some(1));
     assert!(requests.is_empty());
 }
+
+/// Guards against flows that are refused although an agent can serve them, and against
+/// others that are forwarded to no avail.
+#[test]
+fn a_flow_must_get_its_slot_before_its_caller_gives_up() {
+    let (_, openings, now) = queues();
+    let can_serve = |waited_ms, wait_ms| {
+        let seg = Segment {
+            waited: Duration::from_millis(waited_ms),
+            ..opening(1)
+        };
+        let wait = Duration::from_millis(wait_ms);
+        openings.can_serve(&seg, now, targets(1), wait, now)
+    };
+    // The caller gives up after 1400 ms, and two round trips take 25 ms.
+    assert!(can_serve(0, 1374));
+    assert!(!can_serve(0, 1375));
+    assert!(can_serve(600, 774));
+    assert!(!can_serve(600, 775));
+}
--- a/crates/relay/src/process/agent/openings.rs
+++ b/crates/relay/src/process/agent/openings.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddrV4, time::Instant};
 
 use bytes::Bytes;
-use flow::{Origin, Segment};
+use flow::{Origin, Placement, Segment};
 use types::RequestTargets;
 
 use super::{Agent, CallerDatagram, millis};
@@ -46,7 +46,8 @@
     }
 
     /// Sends an opening datagram to another agent, with a free slot if this one
-    /// accepts flows itself. Returns the datagram if there is none.
+    /// accepts flows itself, or refuses it if that agent cannot serve it in time. Returns
+    /// the datagram if there is no other agent.
     async fn pass_to_peer(
         &mut self,
         seg: &Segment,
@@ -68,6 +69,11 @@
         let Some(peer) = peer else {
             return Some(arrival);
         };
+        let placement = self.pool.take_placement();
+        if !self.can_be_served(seg, &arrival, peer, placement, now) {
+            self.reset_flow(seg, "no_slot_in_time").await;
+            return None;
+        }
         log::info!(
             event = "passed_on", flow:% = key, copy = seg.ack, to:% = peer, full = u64::from(needs_free_slot);
             "forwarding the opening datagram of a new flow to another agent"
@@ -76,6 +82,29 @@
         None
     }
 
+    /// Whether the best agent for a new flow can serve it in time, by its last report. A
+    /// copy is never refused for this reason: the agent may have delivered an earlier one.
+    fn can_be_served(
+        &self,
+        seg: &Segment,
+        arrival: &CallerDatagram,
+        peer: SocketAddrV4,
+        placement: Option<Placement>,
+        now: Instant,
+    ) -> bool {
+        if !self.cfg.opening_queue.fair_queueing || seg.ack > 0 {
+            return true;
+        }
+        let service_time = self.pool.get(peer).and_then(|agent| agent.service_time);
+        let wait = placement
+            .zip(service_time)
+            .map(|(placement, service)| placement.expected.saturating_sub(service.duration()));
+        let wait = wait.unwrap_or_default();
+        let (arrived_at, targets) = (arrival.arrived_at, arrival.targets);
+        self.opening_queue
+            .can_serve(seg, arrived_at, targets, wait, now)
+    }
+
     /// Sends an opening datagram to another agent, which may decline it.
     async fn send_to_agent(
         &self,
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -195,13 +195,18 @@
 
     /// Sends the agent the opening datagram of flow `n`, as another agent forwards it.
     pub async fn send_opening(&self, n: u16) {
+        self.send_opening_after(n, 0).await;
+    }
+
+    /// As [`send_opening`](AgentSite::send_opening), of a flow that has waited before.
+    pub async fn send_opening_after(&self, n: u16, waited_ms: u64) {
         let opening = Message::Opening {
             tag: ServiceTag::of(&service()),
             origin: Origin::Passed,
             via: address_of(&self.balancer),
             declined_by: Vec::new(),
             targets: RequestTargets::default(),
-            waited_ms: 0,
+            waited_ms,
             payload: TestCodec::encode(&self.opening(n)),
         };
         let datagram = wire::encode(&opening).unwrap();
