flow: openings and requests that wait are served by one function

Cause: an opening that got a slot before a request on an open flow did not count for what the priority of the request is owed, as each queue knew only its own priorities. Change: RequestQueue::pop takes the first of both queues and passes the priorities of the other one. The test of the common order calls it and checks one more step.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -58,7 +58,7 @@
     DropReason, FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings,
     FlowListTransfer, FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings,
     KeeperCandidates, KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, LinkAdmission,
-    Load, OpeningQueue, OpeningQueueSettings, Origin, Overdue, Placement, RateLimiter,
+    Load, NextWaiting, OpeningQueue, OpeningQueueSettings, Origin, Placement, RateLimiter,
     RecoveredFlows, ReleasedDatagram, RequestQueue, ResetReason, SearchResults, ServicePace,
     ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering, SteeringDecision,
     SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest, UpstreamAction,
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -28,7 +28,7 @@
 pub use link_admission::LinkAdmission;
 pub use opening_queue::{CallerShare, OpeningQueue, OpeningQueueSettings};
 pub use rate_limiter::RateLimiter;
-pub use request_queue::{Overdue, RequestQueue};
+pub use request_queue::{NextWaiting, RequestQueue};
 pub use service_pace::ServicePace;
 pub use service_time::{ServiceTime, ServiceTimeEstimate, ServiceTimeTracker};
 pub use steering::{
--- a/crates/flow/src/process/request_queue.rs
+++ b/crates/flow/src/process/request_queue.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use queueing::{Order, WaitingQueue};
+use queueing::{FreeSlot, Order, WaitingQueue};
 use types::RequestTargets;
 
 use super::{
@@ -46,12 +46,12 @@
     was_overtaken: bool,
 }
 
-/// What is delivered because a request has waited for as long as it may.
+/// What is delivered next of the openings and requests that wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Overdue<T> {
-    /// An opening that goes before the request.
+pub enum NextWaiting<T> {
+    /// The opening of a new flow.
     Opening(T),
-    /// The request.
+    /// A request on an open flow.
     Request(T),
 }
 
@@ -130,51 +130,67 @@
         pace: Duration,
         now: Instant,
         until: Instant,
-    ) -> Option<Overdue<T>> {
+    ) -> Option<NextWaiting<T>> {
         let slot = openings.settings.free_slot(pace, now);
         let is_overdue = |key: &FlowTuple| {
             let request = self.waiting.get(key);
             request.is_some_and(|request| until > request.since + MAX_WAIT)
         };
-        let order = &openings.order;
-        let (key, rank) = self.queue.first_of(order, slot, is_overdue)?;
-        let opening = openings.waiting.first(order, slot);
-        if !self.was_overtaken && opening.is_some_and(|(_, opening_rank)| opening_rank < rank) {
+        let (request, rank) = self.queue.first_of(&openings.order, slot, is_overdue)?;
+        let opening = openings.waiting.first(&openings.order, slot);
+        if let Some((opening, opening_rank)) = opening
+            && opening_rank < rank
+            && !self.was_overtaken
+        {
             self.was_overtaken = true;
-            return openings.pop(pace, now).map(Overdue::Opening);
+            return self.serve_opening(&opening, openings, slot);
         }
         self.was_overtaken = false;
-        self.serve(&key, openings, pace, now).map(Overdue::Request)
+        self.serve_request(&request, openings, slot)
     }
 
-    /// Takes the request that gets the next free slot, unless an opening goes before it.
-    /// `pace` is the interval at which the upstream frees slots.
-    pub fn pop_before<O: Order<CallerShare>>(
+    /// Takes what gets the next free slot. `pace` is the interval at which the upstream
+    /// frees slots.
+    pub fn pop<O: Order<CallerShare>>(
         &mut self,
         openings: &mut OpeningQueue<T, O>,
         pace: Duration,
         now: Instant,
-    ) -> Option<T> {
+    ) -> Option<NextWaiting<T>> {
         let slot = openings.settings.free_slot(pace, now);
-        let (key, rank) = self.queue.first(&openings.order, slot)?;
+        let request = self.queue.first(&openings.order, slot);
         let opening = openings.waiting.first(&openings.order, slot);
-        if opening.is_some_and(|(_, opening_rank)| opening_rank < rank) {
-            return None;
+        match (request, opening) {
+            (Some((key, rank)), opening) if opening.as_ref().is_none_or(|o| rank <= o.1) => {
+                self.serve_request(&key, openings, slot)
+            }
+            (_, Some((key, _))) => self.serve_opening(&key, openings, slot),
+            (_, None) => None,
         }
-        self.serve(&key, openings, pace, now)
     }
 
-    fn serve<O: Order<CallerShare>>(
+    fn serve_request<O: Order<CallerShare>>(
         &mut self,
         key: &FlowTuple,
         openings: &mut OpeningQueue<T, O>,
-        pace: Duration,
-        now: Instant,
-    ) -> Option<T> {
+        slot: FreeSlot,
+    ) -> Option<NextWaiting<T>> {
         self.waiting.remove(key)?;
-        let slot = openings.settings.free_slot(pace, now);
         let openings_in_time = openings.waiting.priorities_in_time(slot);
         let order = &mut openings.order;
-        self.queue.serve(key, order, slot, openings_in_time)
+        let item = self.queue.serve(key, order, slot, openings_in_time)?;
+        Some(NextWaiting::Request(item))
+    }
+
+    fn serve_opening<O: Order<CallerShare>>(
+        &self,
+        key: &FlowTuple,
+        openings: &mut OpeningQueue<T, O>,
+        slot: FreeSlot,
+    ) -> Option<NextWaiting<T>> {
+        let requests_in_time = self.queue.priorities_in_time(slot);
+        let order = &mut openings.order;
+        let item = openings.waiting.serve(key, order, slot, requests_in_time)?;
+        Some(NextWaiting::Opening(item))
     }
 }
--- a/crates/flow/tests/request_queue.rs
+++ b/crates/flow/tests/request_queue.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::{agreement, answer, data, flow_table, opening, service_address};
-use flow::{FlowTable, OpeningQueue, OpeningQueueSettings, Origin, Overdue, RequestQueue, Segment};
+use flow::{
+    FlowTable, NextWaiting, OpeningQueue, OpeningQueueSettings, Origin, RequestQueue, Segment,
+};
 use types::{Priority, RequestTargets};
 
 /// Initial sequence number of the upstream.
@@ -81,9 +83,11 @@
     openings.push(&opening(1), now, targets(1), 1);
     requests.push(&request(2, 1), 2, now);
     openings.push(&opening(3), now, targets(3), 3);
-    assert_eq!(requests.pop_before(&mut openings, PACE, now), None);
-    assert_eq!(openings.pop(PACE, now), Some(1));
-    assert_eq!(requests.pop_before(&mut openings, PACE, now), Some(2));
+    let mut pop = || requests.pop(&mut openings, PACE, now);
+    assert_eq!(pop(), Some(NextWaiting::Opening(1)));
+    assert_eq!(pop(), Some(NextWaiting::Request(2)));
+    assert_eq!(pop(), Some(NextWaiting::Opening(3)));
+    assert_eq!(pop(), None);
     assert!(requests.is_empty());
 }
 
@@ -100,13 +104,32 @@
     let mut overdue = |until| requests.next_overdue(&mut openings, PACE, now, until);
     assert_eq!(overdue(limit), None);
     let past_limit = limit + Duration::from_millis(1);
-    assert_eq!(overdue(past_limit), Some(Overdue::Request(2)));
+    assert_eq!(overdue(past_limit), Some(NextWaiting::Request(2)));
     assert_eq!(overdue(past_limit), None);
     requests.push(&request(1, 1), 3, now);
     requests.remove_copy(&request(1, 1));
     assert!(requests.is_empty());
 }
 
+/// Guards against requests on open flows that starve behind openings with a higher
+/// priority, which are in another queue.
+#[test]
+fn a_request_gets_an_eighth_of_the_slots_of_openings_that_overtake_it() {
+    let (mut requests, _, now) = queues();
+    let mut openings = OpeningQueue::new(OpeningQueueSettings {
+        fair_queueing: true,
+        ..OpeningQueueSettings::default()
+    });
+    requests.push(&request(100, 1), 100, now);
+    for n in 0..16 {
+        openings.push(&opening(n), now, targets(1), n);
+    }
+    let pop = || requests.pop(&mut openings, PACE, now);
+    let served: Vec<NextWaiting<u8>> = std::iter::from_fn(pop).collect();
+    assert_eq!(served[8], NextWaiting::Request(100));
+    assert_eq!(served.len(), 17);
+}
+
 /// Guards against urgent openings that get no place while requests on open flows, which
 /// must be delivered, take every one, and against requests that wait for all openings.
 #[test]
@@ -120,10 +143,10 @@
     openings.push(&opening(6), now, targets(3), 6);
     let until = now + Duration::from_secs(1);
     let mut next = || requests.next_overdue(&mut openings, PACE, now, until);
-    let delivered: Vec<Overdue<u8>> = std::iter::from_fn(&mut next).collect();
+    let delivered: Vec<NextWaiting<u8>> = std::iter::from_fn(&mut next).collect();
     let is_opening: Vec<bool> = delivered
         .iter()
-        .map(|next| matches!(next, Overdue::Opening(_)))
+        .map(|next| matches!(next, NextWaiting::Opening(_)))
         .collect();
     assert_eq!(is_opening, [true, false, true, false]);
     assert_eq!(openings.len(), 2);
--- a/crates/relay/src/process/agent/openings.rs
+++ b/crates/relay/src/process/agent/openings.rs
@@ -213,7 +213,7 @@
     /// happens in time.
     pub(super) async fn serve_waiting_openings(&mut self, now: Instant) {
         if self.opening_queue.is_empty() {
-            return self.serve_requests(now).await;
+            return self.serve_waiting(now).await;
         }
         if !self.accepts_flows(now) {
             for arrival in self.opening_queue.take_all() {
@@ -223,15 +223,7 @@
             }
             return;
         }
-        for _ in 0..self.flow_table.free_admissions(now) {
-            if self.serve_first_request(now).await {
-                continue;
-            }
-            let Some(arrival) = self.opening_queue.pop(self.flow_table.pace(), now) else {
-                return;
-            };
-            self.deliver_opening(arrival, now).await;
-        }
+        self.serve_waiting(now).await;
         self.forward_waiting_openings(now).await;
         self.refuse_hopeless_openings(now).await;
     }
--- a/crates/relay/src/process/agent/requests.rs
+++ b/crates/relay/src/process/agent/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use flow::{Overdue, Segment};
+use flow::{NextWaiting, Segment};
 
 use super::{Agent, CallerDatagram, TICK_INTERVAL};
 use crate::Codec;
@@ -28,33 +28,30 @@
         loop {
             let pace = self.flow_table.pace();
             let openings = &mut self.opening_queue;
-            match self.request_queue.next_overdue(openings, pace, now, until) {
-                Some(Overdue::Opening(arrival)) => self.deliver_opening(arrival, now).await,
-                Some(Overdue::Request(arrival)) => self.deliver_request(arrival, now).await,
-                None => return,
-            }
+            let next = self.request_queue.next_overdue(openings, pace, now, until);
+            let Some(next) = next else {
+                return;
+            };
+            self.deliver_waiting(next, now).await;
         }
     }
 
-    /// Delivers the request that goes before all openings, if there is one.
-    pub(super) async fn serve_first_request(&mut self, now: Instant) -> bool {
-        let pace = self.flow_table.pace();
-        let request = self
-            .request_queue
-            .pop_before(&mut self.opening_queue, pace, now);
-        let Some(arrival) = request else {
-            return false;
-        };
-        self.deliver_request(arrival, now).await;
-        true
-    }
-
-    /// Delivers requests while the upstream can be given more and no opening waits.
-    pub(super) async fn serve_requests(&mut self, now: Instant) {
+    /// Delivers the openings and requests that come first while the upstream can be given
+    /// more.
+    pub(super) async fn serve_waiting(&mut self, now: Instant) {
         for _ in 0..self.flow_table.free_admissions(now) {
-            if !self.serve_first_request(now).await {
+            let pace = self.flow_table.pace();
+            let Some(next) = self.request_queue.pop(&mut self.opening_queue, pace, now) else {
                 return;
-            }
+            };
+            self.deliver_waiting(next, now).await;
+        }
+    }
+
+    async fn deliver_waiting(&mut self, next: NextWaiting<CallerDatagram>, now: Instant) {
+        match next {
+            NextWaiting::Opening(arrival) => self.deliver_opening(arrival, now).await,
+            NextWaiting::Request(arrival) => self.deliver_request(arrival, now).await,
         }
     }
 
--- a/crates/relay/tests/slot_load.rs
+++ b/crates/relay/tests/slot_load.rs
@@ -12,8 +12,8 @@
 };
 
 use flow::{
-    CallerAction, CallerShare, FlowTable, FlowTableSettings, OpeningQueue, OpeningQueueSettings,
-    Origin, Overdue, RequestQueue, Segment, UpstreamStatus,
+    CallerAction, CallerShare, FlowTable, FlowTableSettings, NextWaiting, OpeningQueue,
+    OpeningQueueSettings, Origin, RequestQueue, Segment, UpstreamStatus,
 };
 use queueing::{Arrival, FairOrder, Order, Place, Ties, Urgency};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -250,10 +250,18 @@
             let Some(next) = self.requests.next_overdue(openings, pace, now, until) else {
                 return;
             };
-            match next {
-                Overdue::Opening(job) => self.open_waiting(job),
-                Overdue::Request(job) => self.deliver(job),
+            self.deliver_waiting(next);
+        }
+    }
+
+    fn deliver_waiting(&mut self, next: NextWaiting<Job>) {
+        match next {
+            NextWaiting::Opening(job) => {
+                self.table
+                    .accept_opening(&opening_of(&job.seg), self.instant());
+                self.open(job);
             }
+            NextWaiting::Request(job) => self.deliver(job),
         }
     }
 
@@ -293,12 +301,6 @@
         }
     }
 
-    fn open_waiting(&mut self, job: Job) {
-        self.table
-            .accept_opening(&opening_of(&job.seg), self.instant());
-        self.open(job);
-    }
-
     fn open(&mut self, job: Job) {
         let opening = opening_of(&job.seg);
         let now = self.instant();
@@ -353,11 +355,10 @@
         let now = self.instant();
         let pace = self.table.pace();
         for _ in 0..self.table.free_admissions(now) {
-            if let Some(job) = self.requests.pop_before(&mut self.openings, pace, now) {
-                self.deliver(job);
-            } else if let Some(job) = self.openings.pop(pace, now) {
-                self.open_waiting(job);
-            }
+            let Some(next) = self.requests.pop(&mut self.openings, pace, now) else {
+                break;
+            };
+            self.deliver_waiting(next);
         }
         for job in self.openings.take_hopeless(pace, now) {
             self.record(job, None);
