--- a/crates/admit/tests/admission.rs
+++ b/crates/admit/tests/admission.rs
@@ -90,6 +90,82 @@
     deferred(n, Decision::Refuse(reason))
 }
 
+/// An admission with one slot that request 1 uses, callers with equal shares and no peers.
+fn fair_admission(now: Instant) -> Admission {
+    let settings = Settings {
+        fair_queueing: true,
+        ..Settings::default()
+    };
+    let mut a = admission_with_settings(now, 1, &[], settings);
+    assert_eq!(a.arrive(now, request_of(1, 1)), Decision::Run);
+    a
+}
+
+fn request_of(n: u64, caller: u8) -> RequestInfo {
+    RequestInfo {
+        caller: Some([100, 64, 0, caller].into()),
+        ..request(n)
+    }
+}
+
+/// Guards against a caller that fills the queue, so that others are refused or wait behind
+/// all of its requests.
+#[test]
+fn callers_get_equal_shares_of_slots_and_of_the_queue() {
+    let now = Instant::now();
+    let mut a = fair_admission(now);
+    let until = now + Settings::default().queue_timeout;
+    let queued = Decision::Queue { until };
+    for n in 2..=5 {
+        assert_eq!(a.arrive(now, request_of(n, 1)), queued);
+    }
+    // The queue holds four requests; the last one of the heavy caller makes room.
+    assert_eq!(a.arrive(now, request_of(6, 2)), queued);
+    assert_eq!(a.next_deadline(), Some(now));
+    assert_eq!(a.tick(now), [refuse(5, RefusalReason::QueueFull)]);
+    let beyond = a.arrive(now, request_of(7, 1));
+    assert_eq!(beyond, Decision::Refuse(RefusalReason::QueueFull));
+    for (ends, starts) in [(1, 2), (2, 6), (6, 3), (3, 4)] {
+        let outcome = RequestOutcome::Completed;
+        assert_eq!(a.finish(now, RequestId(ends), outcome), [run(starts)]);
+    }
+}
+
+/// Guards against a queue that holds requests which no slot can serve in time, and against
+/// refused callers that return before the backlog is served.
+#[test]
+fn a_request_that_no_slot_serves_in_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut a = admission_with_full_slot(now, &[]);
+    let later = now + ms(400);
+    assert_eq!(a.finish(later, RequestId(1), RequestOutcome::Completed), []);
+    assert_eq!(a.arrive(later, request(2)), Decision::Run);
+    let until = later + Settings::default().queue_timeout;
+    assert_eq!(a.arrive(later, request(3)), Decision::Queue { until });
+    // Two requests of 400 ms each go before it, and it waits for 500 ms at most.
+    let reason = RefusalReason::QueueTimeout;
+    assert_eq!(a.arrive(later, request(4)), Decision::Refuse(reason));
+    let retries = (0..10).map(|_| a.refusal(later, &class(), reason).retry_after.0);
+    let retries: Vec<u64> = retries.collect();
+    // Places from 400 ms on, every 400 ms.
+    assert!(retries.iter().all(|after| (1..=5).contains(after)));
+    assert!(retries.iter().any(|after| *after >= 3), "{retries:?}");
+}
+
+/// Guards against a queued request that is kept until its deadline although requests turn
+/// out to take too long for it.
+#[test]
+fn a_queued_request_is_refused_once_it_cannot_be_served_in_time() {
+    let now = Instant::now();
+    let mut a = admission_with_full_slot(now, &[]);
+    let mut info = request(3);
+    info.deadline = Some(now + ms(450));
+    assert!(matches!(a.arrive(now, request(2)), Decision::Queue { .. }));
+    assert!(matches!(a.arrive(now, info), Decision::Queue { .. }));
+    let finished = a.finish(now + ms(300), RequestId(1), RequestOutcome::Completed);
+    assert_eq!(finished, [run(2), refuse(3, RefusalReason::Deadline)]);
+}
+
 /// Guards against peers that are asked out of order: own data centre first,
 /// then by free slots, each once, and then the queue.
 #[test]
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -54,14 +54,14 @@
 
 pub use connection::{FlowRecord, FlowTuple, RecordedStage, Segment};
 pub use process::{
-    AdmittedShare, AgentPool, AgentStatus, BatchTarget, CallerAction, CheckpointPart,
+    AdmittedShare, AgentPool, AgentStatus, BatchTarget, CallerAction, CallerShare, CheckpointPart,
     CheckpointedFlow, Claim, ColdBound, ColdLimit, DropReason, DueBatch, DuePart, FlowCheckpoint,
     FlowCheckpointSettings, FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings,
     FlowListTransfer, FlowListTransferSettings, FlowQuery, FlowTable, FlowTableSettings,
     KeeperCandidates, KeeperNode, KeeperRole, KeptFlowLists, KeptFlowListsSettings, LinkAdmission,
-    Load, MAX_BATCH, OpeningQueue, OpeningQueueSettings, Origin, Placement, QueryBatches,
-    RateLimiter, RecoveredFlows, ReleasedDatagram, RequestQueue, ResetReason, SearchResults,
-    ServicePace, ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering, SteeringDecision,
-    SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest, UpstreamAction,
-    UpstreamHealth, UpstreamStatus,
+    Load, MAX_BATCH, NextWaiting, OpeningQueue, OpeningQueueSettings, Origin, Placement,
+    QueryBatches, RateLimiter, RecoveredFlows, ReleasedDatagram, RequestQueue, ResetReason,
+    SearchResults, ServicePace, ServiceTime, ServiceTimeEstimate, ServiceTimeTracker, Steering,
+    SteeringDecision, SteeringSettings, TrialArbiter, TrialArbiterSettings, TrialRequest,
+    UpstreamAction, UpstreamHealth, UpstreamStatus,
 };
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -149,7 +149,7 @@
             codec,
             flow_table: FlowTable::new(cfg.flow_table, now),
             opening_queue: OpeningQueue::new(cfg.opening_queue),
-            request_queue: RequestQueue::new(cfg.opening_queue),
+            request_queue: RequestQueue::default(),
             pool: AgentPool::default(),
             report_schedule: ReportSchedule::new(now),
             balancers: BalancerTable::default(),
@@ -465,7 +465,8 @@
         } else if let Some(request) = self.request_queue.take_before(&seg) {
             self.deliver_request(request, now).await;
         }
-        if self.flow_table.exceeds_admissions(&seg, now) {
+        let may_wait = self.cfg.opening_queue.fair_queueing;
+        if may_wait && self.flow_table.exceeds_admissions(&seg, now) {
             return self.queue_request(&seg, arrival, now);
         }
         // This copy takes the place of one that waits.
