member, agent: members state that their data centre is evacuated

Cause: the membership lists upstreams of evacuated data centres as leaving with share 0, so that an agent could not tell an evacuation from a drain, and hedging never used its state for it.

Change: UpstreamMember::evacuated, set by the registry. A member that is evacuated is encoded as a map of field names, which earlier processes read and of which they ignore unknown names; any other one is the same bytes as before. An agent counts such members as evacuated, before their state and share.

Measured: tests of types, member, route, balancer and agent pass; the encoding is read in both directions with the earlier structure.

--- a/crates/agent/src/version/mod.rs
+++ b/crates/agent/src/version/mod.rs
@@ -74,7 +74,8 @@
     ///
     /// Until the last step of its ramp, an upstream has at most half of a full
     /// share. One that is just as far below it because of its load gets no hedges
-    /// either.
+    /// either. A control host from before members stated evacuations lists evacuated
+    /// upstreams as leaving, which excludes them too.
     #[must_use]
     pub fn hedge_states(&self, own_id: UpstreamId) -> BTreeMap<UpstreamId, CandidateState> {
         let members = self.service.iter().flat_map(|state| &state.members);
@@ -82,6 +83,7 @@
             .filter(|(id, _)| **id != own_id)
             .map(|(&id, member)| {
                 let state = match member.state {
+                    _ if member.evacuated => CandidateState::Evacuated,
                     UpstreamState::Ready if member.share.0 * 2 > Share::FULL.0 => {
                         CandidateState::Warm
                     }
--- a/crates/agent/tests/datagrams.rs
+++ b/crates/agent/tests/datagrams.rs
@@ -198,6 +198,7 @@
         state: UpstreamState::Ready,
         share: Share(share),
         previous_share: Share(share),
+        evacuated: false,
     }
 }
 
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -25,6 +25,7 @@
             state: UpstreamState::Ready,
             share: Share(share),
             previous_share: Share(share),
+            evacuated: false,
         };
         (UpstreamId(upstream), member)
     };
--- a/crates/bench/src/bin/datagrams.rs
+++ b/crates/bench/src/bin/datagrams.rs
@@ -329,6 +329,7 @@
             state: UpstreamState::Ready,
             share: Share::FULL,
             previous_share: Share::FULL,
+            evacuated: false,
         };
         let of_service = members.entry(service_of(size, n)).or_default();
         of_service.insert(upstream_id(n), member);
--- a/crates/bench/src/bin/route.rs
+++ b/crates/bench/src/bin/route.rs
@@ -239,6 +239,7 @@
         state: UpstreamState::Ready,
         share: Share::FULL,
         previous_share: Share::FULL,
+        evacuated: false,
     };
     ServiceState {
         service: Service {
--- a/crates/member/src/process/registry.rs
+++ b/crates/member/src/process/registry.rs
@@ -105,13 +105,15 @@
         let record = self.records.get(&announcement.service);
         let member = record.and_then(|r| r.members.get(&announcement.id));
         let has_share = member.is_some_and(|m| m.share > Share(0));
-        let drained = self.is_drained(host, &announcement.data_centre);
+        let drained = self.drained_hosts.contains(host);
+        let evacuated = self.evacuated.contains(&announcement.data_centre);
         let changed = match self.upstreams.get_mut(&announcement.id) {
             Some(u) if u.announcement.service == announcement.service => {
                 if u.host != *host {
                     move_to_host(&mut self.by_host, u, host, announcement.id);
                 }
                 u.drained = drained;
+                u.evacuated = evacuated;
                 u.renew(now, host, announcement, has_share, &self.settings)
             }
             _ => {
@@ -148,7 +150,8 @@
 
     fn add_upstream(&mut self, now: Instant, host: &HostName, announcement: &UpstreamAnnouncement) {
         let mut upstream = Upstream::new(now, host, announcement, &self.settings);
-        upstream.drained = self.is_drained(host, &announcement.data_centre);
+        upstream.drained = self.drained_hosts.contains(host);
+        upstream.evacuated = self.evacuated.contains(&announcement.data_centre);
         self.by_host
             .entry(host.clone())
             .or_default()
@@ -265,7 +268,7 @@
         }
         for id in self.by_host.get(host).into_iter().flatten() {
             if let Some(u) = self.upstreams.get_mut(id) {
-                u.drained = drain || self.evacuated.contains(&u.announcement.data_centre);
+                u.drained = drain;
                 self.dirty_services.insert(u.announcement.service.clone());
             }
         }
@@ -284,16 +287,11 @@
         }
         let upstreams = self.upstreams.values_mut();
         for u in upstreams.filter(|u| u.announcement.data_centre == *data_centre) {
-            u.drained = evacuated || self.drained_hosts.contains(&u.host);
+            u.evacuated = evacuated;
             self.dirty_services.insert(u.announcement.service.clone());
         }
     }
 
-    /// Whether an operator has drained the host or evacuated its data centre.
-    fn is_drained(&self, host: &HostName, data_centre: &DataCentre) -> bool {
-        self.drained_hosts.contains(host) || self.evacuated.contains(data_centre)
-    }
-
     /// The services that have upstreams in evacuated data centres and none elsewhere,
     /// except for some that leave. An upstream of an evacuated data centre counts also
     /// when it has announced that it leaves, because its agent does so on request.
--- a/crates/member/src/process/upstream.rs
+++ b/crates/member/src/process/upstream.rs
@@ -22,8 +22,10 @@
     announced_at: Instant,
     /// Instant at which the lease expires.
     pub(crate) lease_until: Instant,
-    /// Whether an operator has drained the host or evacuated its data centre.
+    /// Whether an operator has drained the host.
     pub(crate) drained: bool,
+    /// Whether an operator has evacuated the data centre.
+    pub(crate) evacuated: bool,
     /// `None` until the upstream is listed.
     ramp: Option<Ramp>,
     load: LoadLevel,
@@ -44,6 +46,7 @@
             announced_at: now,
             lease_until: now + settings.lease,
             drained: false,
+            evacuated: false,
             ramp: None,
             load: LoadLevel::default(),
             next_check: None,
@@ -109,7 +112,7 @@
     /// Returns true if the upstream announced that it leaves, its host has a drain
     /// mark, or its data centre is evacuated.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.drained || self.announcement.state == UpstreamState::Leaving
+        self.drained || self.evacuated || self.announcement.state == UpstreamState::Leaving
     }
 
     /// Returns true if the upstream must be removed even if its service is
@@ -184,7 +187,7 @@
     /// Returns the upstream as a member with this share.
     pub(crate) fn member(&self, share: Share) -> UpstreamMember {
         let state = match self.announcement.state {
-            UpstreamState::Ready if self.drained => UpstreamState::Leaving,
+            UpstreamState::Ready if self.is_leaving() => UpstreamState::Leaving,
             state => state,
         };
         UpstreamMember {
@@ -195,6 +198,7 @@
             state,
             share,
             previous_share: Share(0),
+            evacuated: self.evacuated,
         }
     }
 
--- a/crates/member/tests/shares.rs
+++ b/crates/member/tests/shares.rs
@@ -77,8 +77,8 @@
 }
 
 /// Guards against new work for the upstreams of an evacuated data centre, for those that
-/// move there or start there later, and against an end of the evacuation that clears
-/// the drain mark of a host.
+/// move there or start there later, against members that do not state the evacuation, and
+/// against an end of the evacuation that clears the drain mark of a host.
 #[test]
 fn upstreams_of_an_evacuated_data_centre_have_no_share() {
     let east: DataCentre = "east".parse().unwrap();
@@ -92,6 +92,11 @@
     leader.registry.set_evacuated(&east, true);
     leader.tick();
     assert_eq!(leader.shares(), [0, 0, 1024]);
+    let evacuated = |leader: &Leader| -> Vec<bool> {
+        let members = leader.registry.members(SERVICE).values();
+        members.map(|member| member.evacuated).collect()
+    };
+    assert_eq!(evacuated(&leader), [true, true, false]);
     assert_eq!(leader.registry.status(SERVICE).leaving_upstreams, 2);
     assert!(leader.registry.services_without_upstreams().is_empty());
 
@@ -114,10 +119,12 @@
     let all = [in_east(1), in_east(2), in_east(3), in_east(4)];
     leader.run(500, &all);
     assert_eq!((leader.share(1), leader.share(3)), (Some(0), Some(1024)));
+    assert_eq!(evacuated(&leader), [false; 4]);
     leader.registry.set_evacuated(&east, true);
     leader.registry.set_drain(&host(1), false);
     leader.run(500, &all);
     assert_eq!(leader.share(1), Some(0));
+    assert_eq!(evacuated(&leader), [true; 4]);
 }
 
 /// Guards against an upstream without a share after its recovery.
--- a/crates/route/tests/routing_table.rs
+++ b/crates/route/tests/routing_table.rs
@@ -34,6 +34,7 @@
             state: UpstreamState::Ready,
             share: Share(share),
             previous_share: Share(former),
+            evacuated: false,
         };
         (UpstreamId(upstream), member)
     };
--- a/crates/types/src/version/membership.rs
+++ b/crates/types/src/version/membership.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Serialize, Serializer,
+    ser::{SerializeMap, SerializeStruct},
+};
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
@@ -86,7 +89,11 @@
 }
 
 /// An upstream within a published membership.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Processes from before `evacuated` existed read the fields as an array of the other
+/// seven, or as a map of which they ignore unknown names. A member that is evacuated is
+/// therefore encoded as a map, and any other one as the array of before.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct UpstreamMember {
     /// Host of the agent.
     pub host: HostName,
@@ -102,6 +109,35 @@
     pub share: Share,
     /// Weight in the placement of new flows before the last change.
     pub previous_share: Share,
+    /// Whether its data centre is evacuated. Its state is then not ready, and its share 0.
+    #[serde(default)]
+    pub evacuated: bool,
+}
+
+impl Serialize for UpstreamMember {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if self.evacuated {
+            let mut map = serializer.serialize_map(Some(8))?;
+            map.serialize_entry("host", &self.host)?;
+            map.serialize_entry("data_centre", &self.data_centre)?;
+            map.serialize_entry("data_address", &self.data_address)?;
+            map.serialize_entry("peer_address", &self.peer_address)?;
+            map.serialize_entry("state", &self.state)?;
+            map.serialize_entry("share", &self.share)?;
+            map.serialize_entry("previous_share", &self.previous_share)?;
+            map.serialize_entry("evacuated", &true)?;
+            return map.end();
+        }
+        let mut fields = serializer.serialize_struct("UpstreamMember", 7)?;
+        fields.serialize_field("host", &self.host)?;
+        fields.serialize_field("data_centre", &self.data_centre)?;
+        fields.serialize_field("data_address", &self.data_address)?;
+        fields.serialize_field("peer_address", &self.peer_address)?;
+        fields.serialize_field("state", &self.state)?;
+        fields.serialize_field("share", &self.share)?;
+        fields.serialize_field("previous_share", &self.previous_share)?;
+        fields.end()
+    }
 }
 
 /// A service and its upstreams, as published to nodes.
