agent, hedge: races of hedging; no module cycle around the request handler

Cause: three faults in races. A slot that a peer had reserved stayed taken for 200 ms if it arrived at the moment in which the request was answered. A hedge that was decided and not sent kept its part of the budget. If the first copy had not started and the hedge was lost, the request was reported as not run. Also, request/handle and request/idempotency, and request/handle and request/hedge, used each other.

Change: HedgeRace runs the race of any two copies. HedgeSlot returns on drop what the hedge did not use. Budgets confirm or refund each hedge; pending ones take room from the addend, so that late refunds don't exceed it. A hedge is checked again after its slot was reserved. The parts that the handler shares with keyed requests are in request/caller_request and request/answer.

--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -11,7 +11,7 @@
     ReservationAnswer, RetryBudget, decide_retry,
 };
 use client::HttpClient;
-use hedge::Repeatable;
+use hedge::{Repeatable, Withdrawal};
 use rand::Rng;
 use serde::Serialize;
 use tokio::{
@@ -23,7 +23,7 @@
 use wire::{OfferRequest, ReserveReply, ReserveRequest};
 
 use super::{
-    AdmissionCommand, AdmissionHandle, AdmissionReply, HedgeReply, HedgeTimer, PeerSlot,
+    AdmissionCommand, AdmissionHandle, AdmissionReply, HedgeReply, HedgeSlot, HedgeTimer, PeerSlot,
     commands::{AdmissionConfig, UpstreamStatus},
     hedging::PeerHedging,
     peer::{OFFER_PATH, RELEASE_PATH, RESERVE_PATH},
@@ -133,7 +133,16 @@
             C::Arrive(info, repeatable, tx) => self.arrive(now, info, repeatable, tx),
             C::Answered(class, latency) => self.hedging.answered(now, &class, latency),
             C::Hedge(class, tx) => self.hedge(now, class, tx),
-            C::HedgeReserved(slot, granted, tx) => self.answer_hedge(now, slot, granted, tx),
+            C::HedgeReserved(slot, withdrawal, granted, tx) => {
+                self.answer_hedge(now, slot, withdrawal, granted, tx);
+            }
+            C::HedgeSent(withdrawal) => self.hedging.confirm(&withdrawal),
+            C::HedgeUnused(slot, withdrawal) => {
+                if let Some(withdrawal) = withdrawal {
+                    self.hedging.refund(&withdrawal);
+                }
+                self.release(slot.upstream, slot.reservation);
+            }
             C::Finish(id, outcome) => {
                 let deferred = self.admission.finish(now, id, outcome);
                 self.carry_out_all(deferred);
@@ -317,14 +326,16 @@
     /// Decides about a hedge and requests a reservation for it; the answer arrives
     /// as a command.
     fn hedge(&mut self, now: Instant, class: ClassName, tx: oneshot::Sender<HedgeReply>) {
-        let upstream = match self.hedging.choose(now, &class, &self.admission.loads()) {
-            Ok(upstream) => upstream,
+        let (upstream, withdrawal) = match self.hedging.choose(now, &class, &self.admission.loads())
+        {
+            Ok(choice) => choice,
             Err(denial) => {
                 let _ = tx.send(HedgeReply::Denied(denial));
                 return;
             }
         };
         let (Some(peer), Some(service)) = (self.peers.get(&upstream).cloned(), self.service) else {
+            self.hedging.refund(&withdrawal);
             let _ = tx.send(HedgeReply::PeerRefused);
             return;
         };
@@ -348,25 +359,35 @@
                 peer,
                 reservation,
             };
-            handle.send(AdmissionCommand::HedgeReserved(slot, granted, tx));
+            handle.send(AdmissionCommand::HedgeReserved(
+                slot, withdrawal, granted, tx,
+            ));
         });
     }
 
-    /// Tells a request whether its hedge has a slot. A slot that it no longer needs
-    /// is released.
+    /// Tells a request whether its hedge has a slot. Dropping the slot returns what the
+    /// hedge does not use: the request may have ended, or the peer may no longer get
+    /// hedges.
     fn answer_hedge(
         &mut self,
         now: Instant,
         slot: PeerSlot,
+        withdrawal: Withdrawal,
         granted: bool,
         tx: oneshot::Sender<HedgeReply>,
     ) {
         if !granted {
             self.hedging.mark_saturated(now);
+            self.hedging.refund(&withdrawal);
             let _ = tx.send(HedgeReply::PeerRefused);
-        } else if let Err(HedgeReply::Send(slot)) = tx.send(HedgeReply::Send(slot)) {
-            self.release(slot.upstream, slot.reservation);
+            return;
         }
+        let may_send = self.hedging.may_send(slot.upstream, &withdrawal);
+        let slot = HedgeSlot::new(slot, withdrawal, self.handle.clone());
+        let _ = tx.send(match may_send {
+            Ok(()) => HedgeReply::Send(slot),
+            Err(denial) => HedgeReply::Denied(denial),
+        });
     }
 
     /// Releases a reservation at a peer. If the message is lost, the reservation
--- a/crates/agent/src/process/commands.rs
+++ b/crates/agent/src/process/commands.rs
@@ -9,7 +9,7 @@
     Attempt, ClaimAnswer, LoadReport, PeerAnswer, RefusalReason, RequestInfo, RequestOutcome,
     RetryDecision,
 };
-use hedge::{CandidateState, Denial, Repeatable};
+use hedge::{CandidateState, Denial, Repeatable, Withdrawal};
 use tokio::sync::{mpsc, oneshot};
 use types::{
     ClassLoads, ClassName, Connections, RequestId, ReservationId, ServiceId, Target, UpstreamId,
@@ -17,6 +17,7 @@
 };
 use wire::{OfferRequest, ReserveReply, ReserveRequest};
 
+use super::{HedgeSlot, PeerSlot};
 use crate::{request::AttemptError, version::Peer};
 
 /// Reply of admission to a request.
@@ -48,22 +49,11 @@
     pub due: Option<Instant>,
 }
 
-/// A slot that a peer has reserved.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerSlot {
-    /// Id of the peer's upstream.
-    pub upstream: UpstreamId,
-    /// The peer.
-    pub peer: Peer,
-    /// Reservation of the slot.
-    pub reservation: ReservationId,
-}
-
 /// Reply to a request that asks for a hedge.
 #[derive(Debug)]
 pub enum HedgeReply {
     /// Send it to this peer too.
-    Send(PeerSlot),
+    Send(HedgeSlot),
     /// It is not hedged.
     Denied(Denial),
     /// The chosen peer did not reserve a slot.
@@ -111,7 +101,12 @@
     /// A request has waited until its [`HedgeTimer`] was due.
     Hedge(ClassName, oneshot::Sender<HedgeReply>),
     /// A peer answered the reservation request for a hedge.
-    HedgeReserved(PeerSlot, bool, oneshot::Sender<HedgeReply>),
+    HedgeReserved(PeerSlot, Withdrawal, bool, oneshot::Sender<HedgeReply>),
+    /// A hedge was sent.
+    HedgeSent(Withdrawal),
+    /// A hedge ended without an answer of the peer. With a [`Withdrawal`], it was not
+    /// sent.
+    HedgeUnused(PeerSlot, Option<Withdrawal>),
     /// A request that ran at the agent's own upstream ended.
     Finish(RequestId, RequestOutcome),
     /// A request that was queued or running was cancelled.
--- a/crates/agent/src/process/hedging.rs
+++ b/crates/agent/src/process/hedging.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use hedge::{Candidate, CandidateState, Denial, Hedging, Repeatable, Settings};
+use hedge::{Candidate, CandidateState, Denial, Hedging, Repeatable, Settings, Withdrawal};
 use types::{ClassLoad, ClassLoads, ClassName, HedgeBudget, Slots, Target, UpstreamId};
 
 use super::HedgeTimer;
@@ -92,7 +92,7 @@
         now: Instant,
         class: &ClassName,
         own: &ClassLoads,
-    ) -> Result<UpstreamId, Denial> {
+    ) -> Result<(UpstreamId, Withdrawal), Denial> {
         let total = self.total_load(class, own);
         self.hedging.observe_load(now, &total);
         let candidates = self.states.iter().map(|(&id, &state)| Candidate {
@@ -104,6 +104,28 @@
         self.hedging.decide(now, class, &candidates)
     }
 
+    /// Whether a hedge may still be sent to the peer that was chosen for it. The budget
+    /// or the state of the peer may have changed while the peer reserved the slot.
+    pub(crate) fn may_send(&self, peer: UpstreamId, withdrawal: &Withdrawal) -> Result<(), Denial> {
+        if !self.budgets.contains_key(&withdrawal.class) {
+            return Err(Denial::Off);
+        }
+        match self.states.get(&peer) {
+            Some(CandidateState::Warm) => Ok(()),
+            _ => Err(Denial::NoUpstream),
+        }
+    }
+
+    /// Records that a hedge was sent.
+    pub(crate) fn confirm(&mut self, withdrawal: &Withdrawal) {
+        self.hedging.confirm(withdrawal);
+    }
+
+    /// Returns the part of the budget of a hedge that was not sent.
+    pub(crate) fn refund(&mut self, withdrawal: &Withdrawal) {
+        self.hedging.refund(withdrawal);
+    }
+
     fn load(&self, peer: UpstreamId, class: &ClassName) -> ClassLoad {
         let load = self.loads.get(&peer).and_then(|loads| loads.get(class));
         load.copied().unwrap_or_default()
--- a/crates/agent/src/request/handle.rs
+++ b/crates/agent/src/request/handle.rs
@@ -1,89 +1,32 @@
 //! Handler of one request of a caller.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use admit::{
-    Attempt, Failure, Progress, RefusalReason, RequestInfo, RequestOutcome, RetryDecision,
-};
-use auth::Credentials;
+use admit::RefusalReason;
 use bytes::Bytes;
 use h3::{
     error::{Code, StreamError},
-    server::{RequestResolver, RequestStream},
+    server::RequestResolver,
 };
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::BodyExt;
-use tokio::{sync::watch, time::timeout};
+use http::{HeaderValue, Method, Request, Uri, header};
+use tokio::time::timeout;
 use types::{ClassName, ServiceId, ServiceState};
 use wire::ClaimHeader;
 
 use super::{
-    AttemptError, CallerBody, EndToEndHeaders, ForwardTarget, ForwardedRequest, ForwardedResponse,
-    RequestGuard, RequestIdGenerator, body::RecvStream, deadline_of, hedge::Winner, idempotency,
-    is_idempotent,
+    CallerBody, EndToEndHeaders, RequestContext,
+    answer::{RequestFailure, SendStream, send_failure},
+    body::RecvStream,
+    caller_request::CallerRequest,
+    deadline_of, idempotency,
 };
-use crate::{
-    connection::{self, H3Connection, StreamCompletions},
-    process::{AdmissionCommand, AdmissionHandle, AdmissionReply, IdempotencyHandle, Metrics},
-};
-
-/// Value of `Retry-After` in a 503 response.
-const RETRY_AFTER_SECS: &str = "1";
+use crate::connection::{H3Connection, StreamCompletions};
 
 /// Time to wait for the end of the stream of a request that has no body; it
 /// covers the retransmission of a lost packet. After it the body is forwarded
 /// as it arrives.
 const EMPTY_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sending half of a caller's stream.
-pub(super) type SendStream = RequestStream<connection::SendStream<Bytes>, Bytes>;
-
-/// State that all requests of an agent share.
-#[derive(Clone)]
-pub struct RequestContext {
-    /// The admission task.
-    pub admission: AdmissionHandle,
-    /// Generator of request ids.
-    pub request_ids: RequestIdGenerator,
-    /// Address of the agent's own upstream.
-    pub upstream_address: SocketAddr,
-    /// State of the service; `None` while it is not configured.
-    pub service: watch::Receiver<Option<ServiceState>>,
-    /// The task that stores responses by idempotency key.
-    pub idempotency: IdempotencyHandle,
-    /// Metrics of the agent.
-    pub metrics: Metrics,
-    /// Certificates for mutual TLS with peers; `None` means plain HTTP.
-    pub credentials: Option<Credentials>,
-}
-
-/// A request of a caller, as received.
-pub(super) struct CallerRequest {
-    pub(super) cx: RequestContext,
-    pub(super) service: ServiceId,
-    pub(super) class: ClassName,
-    pub(super) method: Method,
-    /// Path and query.
-    pub(super) uri: Uri,
-    headers: EndToEndHeaders,
-    deadline: Option<Instant>,
-    pub(super) body: CallerBody,
-    pub(super) started_at: Instant,
-}
-
-/// Why a request has no response of an upstream.
-pub(super) enum RequestFailure {
-    /// The request was not run.
-    NotRun(Option<RefusalReason>),
-    /// The request may have been run.
-    OutcomeUnknown(Failure),
-    /// The caller no longer waits.
-    CallerGone,
-}
-
 /// Serves one request until the caller has received the whole response.
 ///
 /// # Errors
@@ -168,207 +111,6 @@
     }
 }
 
-impl CallerRequest {
-    /// Repeats attempts until there is a response or no further retry is
-    /// allowed.
-    pub(super) async fn run(
-        &self,
-    ) -> Result<(ForwardedResponse, Option<RequestGuard>), RequestFailure> {
-        let mut elsewhere = false;
-        let mut repeatable = Some(self.repeatable());
-        loop {
-            let id = self.cx.request_ids.next();
-            let mut request_guard = RequestGuard::new(id, self.cx.admission.clone());
-            let info = RequestInfo {
-                deadline: self.deadline,
-                exclude_local: elsewhere,
-                ..RequestInfo::new(id, self.class.clone())
-            };
-            let hedging = repeatable.take();
-            let reply = self
-                .cx
-                .admission
-                .ask(|tx| AdmissionCommand::Arrive(info, hedging, tx))
-                .await;
-            let attempt_error = match reply {
-                None => return Err(RequestFailure::NotRun(None)),
-                Some(AdmissionReply::Refuse(reason)) => {
-                    return Err(RequestFailure::NotRun(Some(reason)));
-                }
-                Some(AdmissionReply::Run { hedge }) => match self.forward_or_hedge(hedge).await {
-                    Ok(Winner::Primary(forwarded)) => return Ok((forwarded, Some(request_guard))),
-                    Ok(Winner::Hedge(forwarded, primary_error)) => {
-                        // Without an outcome, the request counts as cancelled.
-                        if let Some(attempt_error) = primary_error {
-                            request_guard.set_outcome(outcome_of_error(attempt_error));
-                        }
-                        return Ok((forwarded, None));
-                    }
-                    Err(attempt_error) => {
-                        request_guard.set_outcome(outcome_of_error(attempt_error));
-                        elsewhere |= attempt_error.failure == Failure::Connect;
-                        attempt_error
-                    }
-                },
-                Some(AdmissionReply::HandOff {
-                    upstream,
-                    peer,
-                    reservation,
-                }) => {
-                    let target = ForwardTarget::Peer {
-                        peer,
-                        upstream,
-                        service: self.service,
-                        reservation,
-                    };
-                    let forwarded_request = self.forwarded_request(target);
-                    match forwarded_request
-                        .send_to_peer(self.cx.credentials.as_ref())
-                        .await
-                    {
-                        Ok(forwarded) => return Ok((forwarded, None)),
-                        Err(attempt_error) => attempt_error,
-                    }
-                }
-            };
-            drop(request_guard);
-            self.check_retry(&attempt_error).await?;
-        }
-    }
-
-    pub(super) async fn forward_to_upstream(&self) -> Result<ForwardedResponse, AttemptError> {
-        let result = self
-            .forwarded_request(ForwardTarget::Upstream(self.cx.upstream_address))
-            .send()
-            .await;
-        self.cx.admission.report_attempt(&result);
-        result
-    }
-
-    pub(super) fn forwarded_request(&self, target: ForwardTarget) -> ForwardedRequest<CallerBody> {
-        let mut request = Request::new(self.body.clone());
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        ForwardedRequest {
-            target,
-            request,
-            headers: self.headers.clone(),
-            deadline: self.deadline,
-        }
-    }
-
-    /// Returns `Ok` if the request may be retried.
-    async fn check_retry(&self, attempt_error: &AttemptError) -> Result<(), RequestFailure> {
-        let not_started = attempt_error.progress == Progress::NotStarted;
-        if self.body.is_consumed() {
-            // The body is consumed and cannot be resent.
-            return Err(if not_started {
-                RequestFailure::NotRun(None)
-            } else {
-                RequestFailure::OutcomeUnknown(attempt_error.failure)
-            });
-        }
-        let attempt = Attempt {
-            progress: attempt_error.progress,
-            failure: attempt_error.failure,
-            idempotent: is_idempotent(&self.method),
-            deadline: self.deadline,
-        };
-        let verdict = self
-            .cx
-            .admission
-            .ask(|tx| AdmissionCommand::CheckRetry(attempt, tx))
-            .await;
-        match verdict {
-            Some(RetryDecision::Retry) => Ok(()),
-            Some(RetryDecision::Done) => Err(RequestFailure::CallerGone),
-            _ if not_started => Err(RequestFailure::NotRun(None)),
-            _ => Err(RequestFailure::OutcomeUnknown(attempt_error.failure)),
-        }
-    }
-
-    /// Forwards a response to the caller. Resets the stream if the response is
-    /// incomplete.
-    async fn forward_response(
-        &self,
-        forwarded: ForwardedResponse,
-        mut request_guard: Option<RequestGuard>,
-        send: &mut SendStream,
-    ) -> Result<(), StreamError> {
-        let (parts, mut body, _connection) = forwarded.into_parts();
-        self.cx
-            .metrics
-            .answer_seconds
-            .with_label_values(&[self.class.as_str()])
-            .observe(self.started_at.elapsed().as_secs_f64());
-        let mut response = Response::new(());
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = EndToEndHeaders::from_headers(&parts.headers).headers;
-        send.send_response(response).await?;
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                // The response is truncated. Finishing the stream would make it
-                // look complete.
-                send.stop_stream(Code::H3_INTERNAL_ERROR);
-                if let Some(request_guard) = &mut request_guard {
-                    request_guard.set_outcome(RequestOutcome::Failed);
-                }
-                self.count_result("broken");
-                return Ok(());
-            };
-            if let Ok(data) = frame.into_data() {
-                send.send_data(data).await?;
-            }
-        }
-        if let Some(request_guard) = &mut request_guard {
-            request_guard.set_outcome(outcome_of_status(parts.status));
-        }
-        drop(request_guard);
-        self.count_result("answered");
-        send.finish().await
-    }
-
-    pub(super) fn count_result(&self, result: &str) {
-        self.cx.metrics.count_request(self.class.as_str(), result);
-    }
-}
-
-impl RequestFailure {
-    pub(super) fn label(&self) -> &'static str {
-        match self {
-            RequestFailure::NotRun(_) => "not_run",
-            RequestFailure::OutcomeUnknown(_) => "unknown",
-            RequestFailure::CallerGone => "cancelled",
-        }
-    }
-}
-
-/// Outcome of a request whose response was received completely.
-pub(crate) fn outcome_of_status(status: StatusCode) -> RequestOutcome {
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        RequestOutcome::Shed
-    } else {
-        RequestOutcome::Completed
-    }
-}
-
-/// Outcome of a request whose attempt failed.
-pub(crate) fn outcome_of_error(attempt_error: AttemptError) -> RequestOutcome {
-    match attempt_error.progress {
-        Progress::NotStarted => RequestOutcome::NotStarted,
-        _ => RequestOutcome::Failed,
-    }
-}
-
-/// Status and outcome field of the response to a request whose attempt failed.
-pub(crate) fn status_of_error(attempt_error: AttemptError) -> (StatusCode, &'static str) {
-    match (attempt_error.progress, attempt_error.failure) {
-        (Progress::NotStarted, _) => (StatusCode::SERVICE_UNAVAILABLE, ClaimHeader::NOT_RUN),
-        (_, Failure::Deadline) => (StatusCode::GATEWAY_TIMEOUT, ClaimHeader::UNKNOWN),
-        _ => (StatusCode::BAD_GATEWAY, ClaimHeader::UNKNOWN),
-    }
-}
-
 fn match_class(state: &ServiceState, uri: &Uri) -> Option<(ServiceId, ClassName)> {
     let (class, _) = state.service.class_of(uri.path().as_bytes())?;
     Some((state.service.id, class.clone()))
@@ -402,57 +144,3 @@
     );
     length.is_none() && bodiless
 }
-
-pub(super) async fn send_failure(
-    send: &mut SendStream,
-    request_failure: &RequestFailure,
-) -> Result<(), StreamError> {
-    let (status, outcome, text) = match request_failure {
-        RequestFailure::CallerGone => {
-            send.stop_stream(Code::H3_REQUEST_CANCELLED);
-            return Ok(());
-        }
-        RequestFailure::NotRun(reason) => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            ClaimHeader::NOT_RUN,
-            reason.map_or_else(
-                || "no upstream could be reached".to_owned(),
-                |r| r.to_string(),
-            ),
-        ),
-        RequestFailure::OutcomeUnknown(failure) => {
-            let attempt_error = AttemptError {
-                progress: Progress::Started,
-                failure: *failure,
-            };
-            let (status, outcome) = status_of_error(attempt_error);
-            (
-                status,
-                outcome,
-                "the answer of the upstream was lost".into(),
-            )
-        }
-    };
-    send_text(send, status, outcome, &text).await
-}
-
-/// Sends a text response that the agent itself generates.
-pub(super) async fn send_text(
-    send: &mut SendStream,
-    status: StatusCode,
-    outcome: &'static str,
-    text: &str,
-) -> Result<(), StreamError> {
-    let mut headers = EndToEndHeaders::default();
-    headers.set(ClaimHeader::OUTCOME, &outcome);
-    headers.set(header::CONTENT_TYPE.as_str(), &"text/plain");
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.set(header::RETRY_AFTER.as_str(), &RETRY_AFTER_SECS);
-    }
-    let mut response = Response::new(());
-    *response.status_mut() = status;
-    *response.headers_mut() = headers.headers;
-    send.send_response(response).await?;
-    send.send_data(Bytes::from(format!("{text}\n"))).await?;
-    send.finish().await
-}
--- a/crates/agent/src/request/hedge.rs
+++ b/crates/agent/src/request/hedge.rs
@@ -1,159 +1,155 @@
-//! Hedging of one request.
+//! The race between a request and its hedge.
 
-use std::{
-    cell::Cell,
-    future::Future,
-    pin::{Pin, pin},
-};
+use std::{cell::Cell, future::Future, pin::pin, time::Instant};
 
-use admit::{Failure, Progress};
+use admit::Progress;
 use futures_util::future::{Either, select};
-use hedge::Repeatable;
-use http_body::Body;
 use tokio::time::sleep_until;
+use types::ClassName;
 
-use super::{AttemptError, ForwardTarget, ForwardedResponse, handle::CallerRequest};
-use crate::process::{AdmissionCommand, HedgeReply, HedgeTimer, PeerSlot};
-
-/// Largest part of a response body that is read before the response counts as
-/// complete. It bounds the memory of a hedged request.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+use super::AttemptError;
+use crate::process::{AdmissionCommand, AdmissionHandle, HedgeReply, PeerSlot};
 
 /// The response that a request gets.
-pub(super) enum Winner {
+#[derive(Debug, PartialEq, Eq)]
+pub enum Winner<T> {
     /// The one of the agent's own upstream.
-    Primary(ForwardedResponse),
+    Primary(T),
     /// The one of a peer. The request to the own upstream failed or, with `None`,
     /// was cancelled.
-    Hedge(ForwardedResponse, Option<AttemptError>),
+    Hedge(T, Option<AttemptError>),
+}
+
+/// How a race ended.
+#[derive(Debug, PartialEq, Eq)]
+pub struct RaceEnd<T> {
+    /// The response.
+    pub result: Result<Winner<T>, AttemptError>,
+    /// Value of the metrics' label; `None` if the hedge was not due.
+    pub label: Option<&'static str>,
 }
 
-impl CallerRequest {
-    /// Whether the request may run at two upstreams at once. Idempotent methods that
-    /// change something are excluded: the losing copy could run after a later
-    /// request of the caller and undo it.
-    pub(super) fn repeatable(&self) -> Repeatable {
-        if self.method.is_safe() && self.body.is_end_stream() {
-            Repeatable::Yes
-        } else {
-            Repeatable::No
+/// A request that is hedged once it is due. The first complete response wins and the
+/// other request is cancelled; cancelling the race cancels both.
+#[derive(Debug, Clone, Copy)]
+pub struct HedgeRace<'a> {
+    /// The task that decides on hedges.
+    pub admission: &'a AdmissionHandle,
+    /// Class of the request.
+    pub class: &'a ClassName,
+    /// When to ask for a hedge.
+    pub due: Instant,
+}
+
+/// Why a hedge gave no response.
+struct HedgeFailure {
+    label: &'static str,
+    /// Whether an upstream may have run it.
+    may_have_run: bool,
+}
+
+impl HedgeFailure {
+    fn not_run(label: &'static str) -> Self {
+        HedgeFailure {
+            label,
+            may_have_run: false,
         }
     }
 
-    /// Sends the request to the own upstream and, once the timer is due, possibly
-    /// to a peer. The first complete response wins and the other request is
-    /// cancelled.
-    pub(super) async fn forward_or_hedge(
-        &self,
-        hedge: Option<HedgeTimer>,
-    ) -> Result<Winner, AttemptError> {
-        let mut primary = pin!(self.forward_to_upstream());
-        let due = hedge.and_then(|timer| timer.due);
-        let before_hedge = match due {
-            None => Some(primary.as_mut().await),
-            Some(due) => tokio::select! {
-                biased;
-                result = &mut primary => Some(result),
-                () = sleep_until(due.into()) => None,
-            },
-        };
-        let result = match before_hedge {
-            Some(result) => result.map(Winner::Primary),
-            None => self.race(primary).await,
+    /// The error of a request of which both copies failed. It was not run only if neither
+    /// copy was.
+    fn join(&self, primary: AttemptError) -> AttemptError {
+        let progress = match primary.progress {
+            Progress::NotStarted if self.may_have_run => Progress::Started,
+            progress => progress,
         };
-        if hedge.is_some() && result.is_ok() {
-            let waited = self.started_at.elapsed();
-            let answered = AdmissionCommand::Answered(self.class.clone(), waited);
-            self.cx.admission.send(answered);
+        AttemptError {
+            progress,
+            ..primary
         }
-        result
     }
+}
 
-    async fn race(
-        &self,
-        primary: Pin<&mut impl Future<Output = Result<ForwardedResponse, AttemptError>>>,
-    ) -> Result<Winner, AttemptError> {
+impl HedgeRace<'_> {
+    /// Runs `primary` and, once due, `hedge` with the slot that a peer has reserved.
+    /// `complete` reads the response of a primary that was due for a hedge.
+    pub async fn run<T, H>(
+        self,
+        primary: impl Future<Output = Result<T, AttemptError>>,
+        complete: impl AsyncFnOnce(T) -> Result<T, AttemptError>,
+        hedge: impl FnOnce(PeerSlot) -> H,
+    ) -> RaceEnd<T>
+    where
+        H: Future<Output = Result<T, AttemptError>>,
+    {
+        let mut primary = pin!(primary);
+        let before_hedge = tokio::select! {
+            biased;
+            result = &mut primary => Some(result),
+            () = sleep_until(self.due.into()) => None,
+        };
+        if let Some(result) = before_hedge {
+            return RaceEnd {
+                result: result.map(Winner::Primary),
+                label: None,
+            };
+        }
         let sent = Cell::new(false);
-        let first = pin!(async { read_ahead(primary.await?).await });
-        let second = pin!(self.send_hedge(&sent));
+        let first = pin!(async { complete(primary.await?).await });
+        let second = pin!(self.hedge(&sent, hedge));
         // The request that is still running is cancelled when it is dropped.
-        match select(first, second).await {
-            Either::Left((Ok(forwarded), _)) => {
-                self.count_hedge(if sent.get() { "lost" } else { "not_needed" });
-                Ok(Winner::Primary(forwarded))
+        let (result, label) = match select(first, second).await {
+            Either::Left((Ok(response), _)) => {
+                let label = if sent.get() { "lost" } else { "not_needed" };
+                (Ok(Winner::Primary(response)), label)
             }
-            Either::Left((Err(attempt_error), second)) => match second.await {
-                Ok(forwarded) => {
-                    self.count_hedge("won");
-                    Ok(Winner::Hedge(forwarded, Some(attempt_error)))
-                }
-                Err(result) => {
-                    self.count_hedge(result);
-                    Err(attempt_error)
-                }
+            Either::Left((Err(error), second)) => match second.await {
+                Ok(response) => (Ok(Winner::Hedge(response, Some(error))), "won"),
+                Err(failure) => (Err(failure.join(error)), failure.label),
             },
-            Either::Right((Ok(forwarded), _)) => {
-                self.count_hedge("won");
-                Ok(Winner::Hedge(forwarded, None))
-            }
-            Either::Right((Err(result), first)) => {
-                self.count_hedge(result);
-                first.await.map(Winner::Primary)
+            Either::Right((Ok(response), _)) => (Ok(Winner::Hedge(response, None)), "won"),
+            Either::Right((Err(failure), first)) => {
+                let result = first.await.map_err(|error| failure.join(error));
+                (result.map(Winner::Primary), failure.label)
             }
+        };
+        RaceEnd {
+            result,
+            label: Some(label),
         }
     }
 
-    /// Sends the request to a peer that reserves a slot for it. Fails with the
-    /// metrics' label.
-    async fn send_hedge(&self, sent: &Cell<bool>) -> Result<ForwardedResponse, &'static str> {
+    /// Asks for a slot at a peer and sends the request there.
+    async fn hedge<T, H>(
+        self,
+        sent: &Cell<bool>,
+        hedge: impl FnOnce(PeerSlot) -> H,
+    ) -> Result<T, HedgeFailure>
+    where
+        H: Future<Output = Result<T, AttemptError>>,
+    {
         let class = self.class.clone();
         let reply = self
-            .cx
             .admission
-            .ask(|tx| AdmissionCommand::Hedge(class, tx));
-        let slot = match reply.await {
+            .ask(|tx| AdmissionCommand::Hedge(class, tx))
+            .await;
+        let mut slot = match reply {
             Some(HedgeReply::Send(slot)) => slot,
-            Some(HedgeReply::Denied(denial)) => return Err(denial.label()),
-            Some(HedgeReply::PeerRefused) | None => return Err("peer_refused"),
+            Some(HedgeReply::Denied(denial)) => {
+                return Err(HedgeFailure::not_run(denial.label()));
+            }
+            Some(HedgeReply::PeerRefused) | None => {
+                return Err(HedgeFailure::not_run("peer_refused"));
+            }
         };
-        let PeerSlot {
-            upstream,
-            peer,
-            reservation,
-        } = slot;
-        log::debug!(event = "hedge_sent", class:% = self.class, upstream:% = upstream; "request sent to a second upstream");
         sent.set(true);
-        let target = ForwardTarget::Peer {
-            peer,
-            upstream,
-            service: self.service,
-            reservation,
-        };
-        let forwarded = self
-            .forwarded_request(target)
-            .send_to_peer(self.cx.credentials.as_ref())
-            .await
-            .map_err(|_| "failed")?;
-        // An error of the second upstream must not replace the response that the
-        // first one may still give.
-        if forwarded.response.status().is_server_error() {
-            return Err("failed");
+        let result = hedge(slot.send()).await;
+        if result.is_ok() {
+            slot.answered();
         }
-        read_ahead(forwarded).await.map_err(|_| "failed")
-    }
-
-    fn count_hedge(&self, result: &'static str) {
-        self.cx.metrics.count_hedge(self.class.as_str(), result);
-    }
-}
-
-async fn read_ahead(mut forwarded: ForwardedResponse) -> Result<ForwardedResponse, AttemptError> {
-    let body = forwarded.response.body_mut();
-    match body.read_ahead(MAX_READ_AHEAD_BYTES).await {
-        Ok(()) => Ok(forwarded),
-        Err(_) => Err(AttemptError {
-            progress: Progress::Started,
-            failure: Failure::Broken,
-        }),
+        result.map_err(|error| HedgeFailure {
+            label: "failed",
+            may_have_run: error.progress != Progress::NotStarted,
+        })
     }
 }
--- a/crates/agent/src/request/idempotency.rs
+++ b/crates/agent/src/request/idempotency.rs
@@ -12,7 +12,8 @@
 
 use super::{
     EndToEndHeaders, ForwardedResponse, KeyPermit, RequestGuard,
-    handle::{CallerRequest, RequestFailure, SendStream, send_failure},
+    answer::{RequestFailure, SendStream, send_failure, send_text},
+    caller_request::CallerRequest,
     is_idempotent, outcome_of_status,
 };
 use crate::process::HomeReply;
@@ -253,5 +254,5 @@
             "whether a request with this key has run is not known",
         ),
     };
-    super::handle::send_text(send, status, outcome, text).await
+    send_text(send, status, outcome, text).await
 }
--- a/crates/hedge/src/lib.rs
+++ b/crates/hedge/src/lib.rs
@@ -35,7 +35,10 @@
 //!
 //! let load = ClassLoad { slots: Slots(4), in_flight: Slots(1), queued: Slots(0) };
 //! let candidate = Candidate { id: UpstreamId(7), state: CandidateState::Warm, load };
-//! assert_eq!(hedging.decide(now + delay, &class, &[candidate]), Ok(UpstreamId(7)));
+//! let (upstream, withdrawal) = hedging.decide(now + delay, &class, &[candidate]).unwrap();
+//! assert_eq!(upstream, UpstreamId(7));
+//! // The request was answered before the hedge was sent.
+//! hedging.refund(&withdrawal);
 //! # Ok::<(), types::Error>(())
 //! ```
 
@@ -43,4 +46,4 @@
 pub mod request;
 
 pub use process::{BudgetWindow, Hedging, LatencyWindow, Settings};
-pub use request::{Candidate, CandidateState, Denial, Repeatable};
+pub use request::{Candidate, CandidateState, Denial, Repeatable, Withdrawal};
--- a/crates/hedge/src/process/budget.rs
+++ b/crates/hedge/src/process/budget.rs
@@ -38,6 +38,9 @@
     buckets: VecDeque<Bucket>,
     /// Unused share of the requests, in units of [`HedgeBudget::WHOLE`].
     credit: u64,
+    /// Hedges that are neither confirmed nor refunded. Their refund must not let more
+    /// than `MAX_BURST` hedges follow each other, so the credit leaves room for it.
+    pending: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -57,6 +60,7 @@
             origin: now,
             buckets: VecDeque::new(),
             credit: 0,
+            pending: 0,
         }
     }
 
@@ -76,10 +80,12 @@
         let Some(budget) = self.budget else { return };
         let bucket = self.current_bucket(now);
         bucket.requests = bucket.requests.saturating_add(1);
-        self.credit = (self.credit + budget.parts()).min(MAX_BURST * HedgeBudget::WHOLE);
+        let limit = MAX_BURST.saturating_sub(self.pending) * HedgeBudget::WHOLE;
+        self.credit = (self.credit + budget.parts()).min(limit);
     }
 
-    /// Takes one hedge from the budget. Returns false if the budget is used up.
+    /// Takes one hedge from the budget, to be confirmed once it is sent and refunded
+    /// otherwise. Returns false if the budget is used up.
     #[must_use]
     pub fn withdraw(&mut self, now: Instant) -> bool {
         let Some(budget) = self.budget else {
@@ -98,16 +104,43 @@
             && self.credit >= HedgeBudget::WHOLE;
         if allowed {
             self.credit -= HedgeBudget::WHOLE;
+            self.pending += 1;
             let bucket = self.current_bucket(now);
             bucket.hedges = bucket.hedges.saturating_add(1);
         }
         allowed
     }
 
+    /// Records that a hedge was sent.
+    pub fn confirm(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// Returns a hedge that was withdrawn at `at` and not sent. It no longer counts in
+    /// the ten seconds after that instant.
+    pub fn refund(&mut self, at: Instant) {
+        self.pending = self.pending.saturating_sub(1);
+        let limit = MAX_BURST.saturating_sub(self.pending) * HedgeBudget::WHOLE;
+        self.credit = (self.credit + HedgeBudget::WHOLE).min(limit);
+        let number = self.bucket_number(at);
+        // The instant of another task's clock reading may have counted in a later bucket.
+        let withdrawn = self
+            .buckets
+            .iter_mut()
+            .find(|b| b.number >= number && b.hedges > 0);
+        if let Some(bucket) = withdrawn {
+            bucket.hedges -= 1;
+        }
+    }
+
+    fn bucket_number(&self, at: Instant) -> u64 {
+        let elapsed = at.saturating_duration_since(self.origin);
+        u64::try_from(elapsed.as_millis() / BUCKET.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Removes expired buckets and returns the one of `now`.
     fn current_bucket(&mut self, now: Instant) -> &mut Bucket {
-        let elapsed = now.saturating_duration_since(self.origin);
-        let number = u64::try_from(elapsed.as_millis() / BUCKET.as_millis()).unwrap_or(u64::MAX);
+        let number = self.bucket_number(now);
         // Clocks of several tasks may be read in one order and reported in
         // another; time never goes back here.
         let number = number.max(self.buckets.back().map_or(0, |b| b.number));
--- a/crates/hedge/src/process/hedging.rs
+++ b/crates/hedge/src/process/hedging.rs
@@ -8,7 +8,7 @@
 use types::{ClassLoad, ClassName, HedgeBudget, UpstreamId};
 
 use super::{BudgetWindow, LatencyWindow, Settings};
-use crate::request::{Candidate, Denial, Repeatable};
+use crate::request::{Candidate, Denial, Repeatable, Withdrawal};
 
 /// Decides on the hedges of one process for its service.
 #[derive(Debug, Clone)]
@@ -109,8 +109,8 @@
     }
 
     /// Decides whether a request that has waited for its delay is hedged, and at
-    /// which of the candidates. The hedge counts against the budget even if it
-    /// turns out that it cannot be sent.
+    /// which of the candidates. The hedge counts against the budget; it is to
+    /// be confirmed once it is sent and refunded otherwise.
     ///
     /// # Errors
     ///
@@ -120,7 +120,8 @@
         now: Instant,
         class: &ClassName,
         candidates: &[Candidate],
-    ) -> Result<UpstreamId, Denial> {
+    ) -> Result<(UpstreamId, Withdrawal), Denial> {
+        let name = class;
         let class = self.classes.get_mut(class).ok_or(Denial::Off)?;
         class.budget.budget().ok_or(Denial::Off)?;
         if self.saturated_until.is_some_and(|until| now < until) {
@@ -136,6 +137,24 @@
             return Err(Denial::Budget);
         }
         self.next_choice = self.next_choice.wrapping_add(1);
-        Ok(choices[self.next_choice % choices.len()].id)
+        let withdrawal = Withdrawal {
+            class: name.clone(),
+            at: now,
+        };
+        Ok((choices[self.next_choice % choices.len()].id, withdrawal))
+    }
+
+    /// Records that a hedge was sent.
+    pub fn confirm(&mut self, withdrawal: &Withdrawal) {
+        if let Some(class) = self.classes.get_mut(&withdrawal.class) {
+            class.budget.confirm();
+        }
+    }
+
+    /// Returns the part of the budget of a hedge that was decided but not sent.
+    pub fn refund(&mut self, withdrawal: &Withdrawal) {
+        if let Some(class) = self.classes.get_mut(&withdrawal.class) {
+            class.budget.refund(withdrawal.at);
+        }
     }
 }
--- a/crates/hedge/tests/decisions.rs
+++ b/crates/hedge/tests/decisions.rs
@@ -45,7 +45,8 @@
 }
 
 /// Guards against a budget that is exceeded when requests come in bursts, pauses
-/// or right at the edge of a bucket.
+/// or right at the edge of a bucket, or when hedges that were not sent are refunded late,
+/// and against refunds that are lost.
 #[test]
 fn hedges_stay_within_the_budget_in_every_window_of_ten_seconds() {
     let start = Instant::now();
@@ -56,6 +57,7 @@
         budget.set_budget(HedgeBudget::from_percent(percent));
         let mut at = Duration::ZERO;
         let (mut arrivals, mut extra) = (Vec::new(), Vec::new());
+        let (mut pending, mut refunded) = (Vec::new(), 0);
         let (mut gap_us, mut demand) = (1000, 0.1);
         while at < ms(60_000) {
             if rng.random_bool(0.002) {
@@ -66,9 +68,31 @@
             budget.count_request(start + at);
             arrivals.push(at);
             if rng.random_bool(demand) && budget.withdraw(start + at) {
-                extra.push(at);
+                pending.push(at);
             }
+            // Until its slot is reserved, a hedge is not known to be sent.
+            if !pending.is_empty() && rng.random_bool(0.2) {
+                let at = pending.swap_remove(rng.random_range(0..pending.len()));
+                if rng.random_bool(0.5) {
+                    budget.confirm();
+                    extra.push(at);
+                } else {
+                    budget.refund(start + at);
+                    refunded += 1;
+                }
+            }
+        }
+        extra.sort();
+        for at in pending {
+            budget.refund(start + at);
         }
+        let end = start + at + 2 * WINDOW;
+        (0..50_000).for_each(|_| budget.count_request(end));
+        let burst = (0..10).filter(|_| budget.withdraw(end)).count();
+        assert_eq!(
+            burst, 4,
+            "seed {seed}: {refunded} refunds, not all in the budget"
+        );
         assert!(!extra.is_empty(), "seed {seed}: no hedge was allowed");
         // Counts the elements later than `from` and not later than `to`.
         let count = |of: &[Duration], from: Option<Duration>, to: Duration| {
@@ -154,7 +178,8 @@
     assert_eq!(hedging.decide(now, &class, &unfit), Err(Denial::NoUpstream));
     let mut peers = unfit.to_vec();
     peers.extend([candidate(6, Warm, 2), candidate(7, Warm, 1)]);
-    assert_eq!(hedging.decide(now, &class, &peers), Ok(UpstreamId(7)));
+    let (chosen, _) = hedging.decide(now, &class, &peers).unwrap();
+    assert_eq!(chosen, UpstreamId(7));
 
     hedging.observe_load(now, &load(100, 74));
     assert!(hedging.decide(now, &class, &peers).is_ok());
--- a/crates/hedge/tests/load.rs
+++ b/crates/hedge/tests/load.rs
@@ -162,13 +162,16 @@
                 load: self.reported[u],
             })
             .collect();
-        let Ok(UpstreamId(peer)) = self.agents[home].decide(at, &self.class, &peers) else {
+        let decision = self.agents[home].decide(at, &self.class, &peers);
+        let Ok((UpstreamId(peer), withdrawal)) = decision else {
             return;
         };
         if self.in_flight[peer as usize] < SLOTS {
+            self.agents[home].confirm(&withdrawal);
             self.hedged.push(request);
             self.start(now, peer as usize, request, 1);
         } else {
+            self.agents[home].refund(&withdrawal);
             self.agents[home].mark_saturated(at);
         }
     }
