admit, agent, limpetd: a limit of the requests at a cold upstream

Change: ColdLimit and ColdBound move to crate cold; flow exports them as before. Admission starts no more requests at an upstream that is cold than the bound and the stated rate allow, on any path (callers, queue, reservations of peers). The queue's own code changes in one condition.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -14,7 +14,8 @@
 //! Invariants: requests in progress plus reservations never exceed the slots
 //! of a class, except after the slots were lowered, when the sum only decreases;
 //! each request gets exactly one final decision; a handed-off request is neither
-//! queued nor handed off again.
+//! queued nor handed off again; no more requests start at a cold upstream than
+//! [`ColdSettings`] allow, if they are set.
 //!
 //! ```
 //! use std::{collections::BTreeMap, time::Instant};
@@ -40,7 +41,7 @@
 pub mod request;
 pub mod version;
 
-pub use process::{Admission, QueueOrder, RetryBudget, Settings};
+pub use process::{Admission, ColdSettings, QueueOrder, RetryBudget, Settings};
 pub use request::{
     Attempt, ClaimAnswer, Decision, DeferredDecision, Failure, Offer, PeerAnswer, Progress,
     RefusalReason, RequestInfo, RequestOutcome, ReservationAnswer, RetryDecision, decide_retry,
--- a/crates/admit/src/process/admission.rs
+++ b/crates/admit/src/process/admission.rs
@@ -13,7 +13,7 @@
 use crate::{
     Decision, DeferredDecision, LoadReport, PeerAnswer, RefusalReason, RequestInfo, RequestOutcome,
     Settings,
-    process::health::Health,
+    process::{ColdSettings, cold_start::ColdStart, health::Health},
     request::state::{RequestState, Reservation, Running},
     version::{Class, Peers},
 };
@@ -29,6 +29,8 @@
     pub(crate) rng: SmallRng,
     pub(crate) leaving: bool,
     pub(crate) health: Health,
+    /// Limit of the requests at a cold upstream; `None` if there is none.
+    pub(crate) cold_start: Option<ColdStart>,
     pub(crate) connections: u32,
     pub(crate) max_connections: u32,
     /// Classes with a target, and deleted ones until their last request ends.
@@ -52,6 +54,7 @@
             rng: SmallRng::seed_from_u64(seed),
             leaving: false,
             health: Health::default(),
+            cold_start: None,
             connections: 0,
             classes: BTreeMap::new(),
             peers: Peers::default(),
@@ -61,6 +64,12 @@
         }
     }
 
+    /// Limits the requests at the upstream while it is cold, from the start of the agent
+    /// at `now`.
+    pub fn limit_cold_starts(&mut self, now: Instant, settings: &ColdSettings) {
+        self.cold_start = Some(ColdStart::new(now, settings));
+    }
+
     /// Applies the targets of a configuration version. A lowered target does
     /// not abort requests in progress: their number decreases as they finish.
     /// Queued requests of a deleted class are refused.
@@ -103,6 +112,9 @@
     /// Records that a connection to the upstream could not be opened. After
     /// `down_after_failures` consecutive failures the upstream is `Down`.
     pub fn connect_failed(&mut self, now: Instant) -> Vec<DeferredDecision> {
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.connect_failed();
+        }
         if self.health.record_failure(now, &self.settings) {
             return self.handle_serving_change(now);
         }
@@ -111,6 +123,9 @@
 
     /// Records that a connection to the upstream was opened, which ends `Down`.
     pub fn connect_succeeded(&mut self, now: Instant) -> Vec<DeferredDecision> {
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.connect_succeeded(now);
+        }
         let was_down = self.health.is_down();
         self.health.record_success();
         if was_down {
@@ -208,11 +223,12 @@
         if request.deadline.is_some_and(|at| at <= now) {
             return Decision::Refuse(RefusalReason::Deadline);
         }
+        let has_cold_room = self.cold_room(now) > 0;
         let class = self.classes.get(&request.class);
         let Some(class) = class.filter(|class| class.has_target()) else {
             return Decision::Refuse(RefusalReason::UnknownClass);
         };
-        if serving && !request.exclude_local && class.has_free_slot() {
+        if serving && !request.exclude_local && has_cold_room && class.has_free_slot() {
             self.start(now, request.id, request.class);
             return Decision::Run;
         }
@@ -315,13 +331,16 @@
         for id in expired {
             decisions.extend(self.release(now, id));
         }
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.tick(now);
+        }
         let names: Vec<ClassName> = self.classes.keys().cloned().collect();
         for name in &names {
             let class = self.classes.get_mut(name);
             let (limit_expired, ask_due) = class.map_or((false, false), |class| {
                 (class.drop_expired_limit(now), class.next_ask_at <= now)
             });
-            if limit_expired {
+            if limit_expired || self.cold_start.is_some() {
                 decisions.extend(self.start_queued(now, name));
             }
             if ask_due {
@@ -352,8 +371,14 @@
             .map(|class| class.next_ask_at)
             .min()
             .filter(|_| asking_enabled);
+        let is_held = |class: &&Class| class.has_free_slot() && !class.is_queue_empty();
+        let cold_start = self.cold_start.as_ref().filter(|_| self.is_serving());
+        let cold = cold_start
+            .and_then(ColdStart::next_allowed_at)
+            .filter(|_| self.classes.values().any(|class| is_held(&class)));
         [
             timeout,
+            cold,
             reservation_expiry,
             limit_expiry,
             ask,
@@ -368,6 +393,13 @@
         self.state() == UpstreamState::Ready
     }
 
+    /// Requests that may start now as far as the upstream is cold. Those with a
+    /// reservation may start as well.
+    pub(crate) fn cold_room(&self, now: Instant) -> usize {
+        let allowance = self.cold_start.as_ref().map(|cold| cold.allowance(now));
+        allowance.map_or(usize::MAX, |n| n.saturating_sub(self.reservations.len()))
+    }
+
     pub(crate) fn can_ask_peers(&self) -> bool {
         self.settings.hand_off_enabled && !self.peers.is_empty()
     }
@@ -376,6 +408,9 @@
         if let Some(class_state) = self.classes.get_mut(&class) {
             class_state.in_flight += 1;
         }
+        if let Some(cold_start) = &mut self.cold_start {
+            cold_start.record_start(now);
+        }
         let running = Running {
             class,
             started_at: now,
--- a/crates/admit/src/request/reserve.rs
+++ b/crates/admit/src/request/reserve.rs
@@ -29,8 +29,9 @@
         // use.
         self.peers.record_full(now, from, class, &self.settings);
         let serving = self.is_serving();
+        let may_start = serving && now < deadline && self.cold_room(now) > 0;
         match self.classes.get_mut(class) {
-            Some(class_state) if serving && now < deadline && class_state.has_free_slot() => {
+            Some(class_state) if may_start && class_state.has_free_slot() => {
                 let expires = deadline.min(now + self.settings.reservation_timeout);
                 class_state.reserved += 1;
                 let class = class.clone();
@@ -54,8 +55,10 @@
             return offers;
         }
         let expires = now + self.settings.reservation_timeout;
+        let cold_room = self.cold_room(now);
         for (name, class_state) in &mut self.classes {
-            while class_state.has_free_slot()
+            while offers.len() < cold_room
+                && class_state.has_free_slot()
                 && let Some(peer) = class_state.take_refused_peer(now)
             {
                 let id = ReservationId(self.rng.random());
@@ -90,7 +93,11 @@
             .reservations
             .get(&id)
             .is_some_and(|reservation| now < reservation.expires);
-        if !valid || self.health.is_down() || self.requests.contains_key(&request) {
+        let is_held = self
+            .cold_start
+            .as_ref()
+            .is_some_and(|cold| cold.allowance(now) == 0);
+        if !valid || is_held || self.health.is_down() || self.requests.contains_key(&request) {
             return ClaimAnswer::Lapsed;
         }
         if let Some(reservation) = self.reservations.remove(&id) {
--- a/crates/admit/src/request/waiting.rs
+++ b/crates/admit/src/request/waiting.rs
@@ -168,7 +168,7 @@
 
     pub(crate) fn next_to_start(&self, now: Instant, name: &ClassName) -> Option<RequestId> {
         let class = self.classes.get(name)?;
-        let may_start = self.is_serving() && class.has_free_slot();
+        let may_start = self.is_serving() && class.has_free_slot() && self.cold_room(now) > 0;
         class.next_queued(now, &self.settings).filter(|_| may_start)
     }
 
--- a/crates/agent/src/process/admission.rs
+++ b/crates/agent/src/process/admission.rs
@@ -81,9 +81,13 @@
         handle: AdmissionHandle,
         rx: mpsc::UnboundedReceiver<AdmissionCommand>,
     ) -> Self {
-        let seed = rand::rng().random();
+        let (now, seed) = (Instant::now(), rand::rng().random());
+        let mut admission = Admission::new(cfg.admission.clone(), seed);
+        if let Some(cold) = &cfg.cold {
+            admission.limit_cold_starts(now, cold);
+        }
         AdmissionTask {
-            admission: Admission::new(cfg.admission.clone(), seed),
+            admission,
             retry_budget: RetryBudget::new(),
             own_id,
             data_centre: cfg.data_centre.clone(),
@@ -91,7 +95,7 @@
             service: None,
             peers: BTreeMap::new(),
             pending_requests: BTreeMap::new(),
-            hedging: PeerHedging::new(Instant::now()),
+            hedging: PeerHedging::new(now),
             open_connections: Connections(0),
             http,
             handle,
--- a/crates/agent/src/process/settings.rs
+++ b/crates/agent/src/process/settings.rs
@@ -35,6 +35,8 @@
     pub drain_timeout: Duration,
     /// Settings of admission control.
     pub admission: admit::Settings,
+    /// What the upstream handles while it is cold; `None` sets no limit.
+    pub cold: Option<admit::ColdSettings>,
     /// Certificates for mutual TLS with control hosts and peers; `None` means
     /// plain HTTP.
     pub credentials: Option<auth::Credentials>,
@@ -62,6 +64,7 @@
             load_path: None,
             drain_timeout: Duration::from_hours(1),
             admission: admit::Settings::default(),
+            cold: None,
             credentials: None,
         }
     }
--- a/crates/flow/src/process/cold_limit.rs
+++ b/crates/cold/src/process/cold_limit.rs
@@ -1,4 +1,4 @@
-//! Limit of new flows at a cold upstream.
+//! Limit of new flows, or of requests, at a cold upstream.
 //!
 //! The agent beside an upstream is the only process that sees all flows that the
 //! upstream gets, so the limit is kept there. It holds for any span of a second, not for
@@ -44,7 +44,7 @@
     /// negative, above a million or not a number.
     ///
     /// ```
-    /// use flow::ColdBound;
+    /// use cold::ColdBound;
     ///
     /// let bound = ColdBound::new(1.5, 5.0).unwrap();
     /// assert_eq!(bound.max_flows("20.5".parse().ok()), 35);
@@ -83,7 +83,7 @@
 
 /// The flows that an agent's upstream got lately, and how many it may get while it is
 /// cold.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ColdLimit {
     /// `None` if the deployment states no bound, so that nothing is limited.
     bound: Option<ColdBound>,
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -1,7 +1,6 @@
 //! Types that live as long as the process.
 
 mod agent_pool;
-mod cold_limit;
 mod cost_index;
 mod flow_list;
 mod flow_table;
@@ -16,7 +15,7 @@
 mod upstream_health;
 
 pub use agent_pool::{AgentPool, AgentStatus, Placement};
-pub use cold_limit::{ColdBound, ColdLimit};
+pub use cold::{ColdBound, ColdLimit};
 pub use flow_list::{
     FlowListId, FlowListPart, FlowListRecovery, FlowListRecoverySettings, FlowListTransfer,
     FlowListTransferSettings, KeeperCandidates, KeeperNode, KeeperRole, KeptFlowLists,
--- a/crates/limpetd/src/error.rs
+++ b/crates/limpetd/src/error.rs
@@ -17,6 +17,9 @@
     /// The certificate lacks the DNS name that this role requires.
     #[error("--tls-certificate {file}: expected a certificate with the DNS name {name}", file = .0.display(), name = .1)]
     CertificateName(PathBuf, &'static str),
+    /// The numbers of the limit of a cold upstream are out of range.
+    #[error("--cold-excess {0} and --cold-slack {1}: expected numbers from 0 to 1000000")]
+    ColdBound(f64, f64),
     /// The balancer cannot start, or it failed while running.
     #[error(transparent)]
     Balancer(#[from] balancer::Error),
@@ -48,7 +51,10 @@
     /// The exit status of the process: 2 for a wrong setting, else 1.
     pub fn exit_status(&self) -> u8 {
         match self {
-            Error::Credentials(_) | Error::CertificateName(..) | Error::Pem(..) => 2,
+            Error::Credentials(_)
+            | Error::CertificateName(..)
+            | Error::ColdBound(..)
+            | Error::Pem(..) => 2,
             _ => 1,
         }
     }
--- a/crates/limpetd/src/process/cli.rs
+++ b/crates/limpetd/src/process/cli.rs
@@ -7,10 +7,12 @@
     time::Duration,
 };
 
+use admit::ColdSettings;
 use agent::ServiceCertificate;
 use clap::{Args, Parser, Subcommand};
+use cold::ColdBound;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
-use types::{ClassName, DataCentre, HostName, PathPrefix, ServiceName};
+use types::{ClassName, DataCentre, HostName, PathPrefix, RequestRate, ServiceName};
 
 use super::tls::TlsArgs;
 use crate::error::{Error, Result};
@@ -53,7 +55,7 @@
     #[command(
         after_help = "Example: limpetd agent --host app1 --data-centre sofia --control 10.0.0.1:7000 --service vouchers --upstream 127.0.0.1:8080 --data-listen 10.0.2.1:7200 --peer-listen 10.0.2.1:7201"
     )]
-    Agent(AgentArgs),
+    Agent(Box<AgentArgs>),
     /// Run everything in one process on the loopback, with a stand-in upstream
     #[command(
         after_help = "Example: limpetd local, then: limpetctl call https://127.0.0.1:4433/ --insecure"
@@ -247,10 +249,59 @@
     #[arg(long, env = "LIMPET_STAY_AT_MOST", value_name = "TIME", default_value = "1h", value_parser = parse_drain_timeout)]
     stay_at_most: Duration,
 
+    #[command(flatten)]
+    cold: ColdArgs,
+
     #[command(flatten)]
     tls: TlsArgs,
 }
 
+/// Limit of the requests at a cold upstream.
+#[derive(Debug, Args)]
+struct ColdArgs {
+    /// Requests per second that the upstream handles while it is cold; no limit if unset
+    #[arg(long = "cold-per-s", env = "LIMPET_COLD_PER_S", value_name = "RATE")]
+    rate: Option<RequestRate>,
+
+    /// Time for which the upstream is cold after it started
+    #[arg(long = "cold-start", env = "LIMPET_COLD_START", value_name = "TIME", default_value = "10s", value_parser = humantime::parse_duration)]
+    start: Duration,
+
+    /// Factor by which the requests of a second may exceed that rate
+    #[arg(
+        long = "cold-excess",
+        env = "LIMPET_COLD_EXCESS",
+        value_name = "FACTOR",
+        default_value = "1.5"
+    )]
+    excess: f64,
+
+    /// Number of requests by which they may exceed it beyond that
+    #[arg(
+        long = "cold-slack",
+        env = "LIMPET_COLD_SLACK",
+        value_name = "NUMBER",
+        default_value = "5"
+    )]
+    slack: f64,
+}
+
+impl ColdArgs {
+    fn settings(&self) -> Result<Option<ColdSettings>> {
+        let Some(rate) = self.rate else {
+            return Ok(None);
+        };
+        let bound = ColdBound::new(self.excess, self.slack);
+        let bound = bound.ok_or(Error::ColdBound(self.excess, self.slack))?;
+        let duration = self.start;
+        Ok(Some(ColdSettings {
+            rate,
+            bound,
+            duration,
+        }))
+    }
+}
+
 impl AgentArgs {
     pub(super) fn service_certificate(&self) -> Result<ServiceCertificate> {
         if let (Some(certificate), Some(key)) = (&self.certificate, &self.key) {
@@ -275,6 +326,7 @@
             data_listen: self.data_listen,
             peer_listen: self.peer_listen,
             drain_timeout: self.stay_at_most,
+            cold: self.cold.settings()?,
             ..settings
         })
     }
--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -104,6 +104,8 @@
     pub stay_at_most: &'static str,
     /// Path of the upstreams' load report; the agents read none if unset.
     pub load_path: Option<&'static str>,
+    /// Requests per second that a cold upstream handles; no limit if unset.
+    pub cold_per_s: Option<&'static str>,
     /// Whether the processes use mutual TLS.
     pub tls: bool,
 }
@@ -119,6 +121,7 @@
             connections: 2000,
             stay_at_most: "1h",
             load_path: None,
+            cold_per_s: None,
             tls: false,
         }
     }
@@ -305,6 +308,9 @@
             CertificateIdentity::NODE_DNS_NAME,
             peer_address(self.plan, n),
         ));
+        if let Some(rate) = self.plan.cold_per_s {
+            args.extend([format!("--cold-per-s={rate}"), "--cold-start=1h".into()]);
+        }
         if let Some(path) = self.plan.load_path {
             args.push(format!("--load-path={path}"));
         }
