limpetctl check: findings and differences of a configuration document

Change: the parser moves from platform/src/document.rs into the crate document, which platform re-exports, so that limpetctl can use it. It now collects all errors; parse returns the first as before, by RoutingSet::refusals, whose first element is the result of RoutingSet::check. document::check adds warnings and notes, document::compare the differences from the version in force. The mutation test of the parser also compares it with the check's errors.

--- a/platform/tests/document.rs
+++ b/crates/document/tests/read.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::document::{DocumentError, parse};
+use document::{DocumentError, check, parse};
 use serde_json::{Value, json};
 use types::{Priority, RequestTargets, RouteWeight, RoutingSetNumber};
 
@@ -217,7 +217,7 @@
 }
 
 /// Guards against mutations of a valid document that are accepted although a rule is
-/// broken, or rejected although none is.
+/// broken, or rejected although none is, and against a check that decides otherwise.
 #[test]
 fn mutated_documents_are_valid_only_if_no_rule_is_broken() {
     for seed in 0..2000 {
@@ -262,6 +262,8 @@
             if !broken.iter().any(parent_is_gone) {
                 let valid = read(&document).is_ok();
                 assert_eq!(valid, broken.is_empty(), "{broken:?}: {document}");
+                let (_, report) = check(&Bytes::from(document.to_string()));
+                assert_eq!(report.errors.is_empty(), valid, "{report:?}: {document}");
             }
             Ok(())
         })
--- a/crates/limpetctl/src/process/exit.rs
+++ b/crates/limpetctl/src/process/exit.rs
@@ -44,4 +44,9 @@
   1  answered with an error status, or the answer broke off
   2  usage: a setting is missing or wrong; nothing was sent
   3  the request was not run
-  5  the request may have been run";
+  5  the request may have been run
+
+Exit codes of `check`:
+  0  nothing was found that is an error or a warning
+  1  warnings
+  2  errors, or the control host of --against was not reached";
--- a/crates/limpetctl/src/process/mod.rs
+++ b/crates/limpetctl/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub use output::{Format, Output, Report, print_stderr, table};
 pub use parse::{Body, RuleArg};
 pub use settings::{
-    CallArgs, ChangeFlags, Command, ControlCommand, ExplainArgs, GlobalFlags, KeyCommand,
-    RoutesCommand, ServiceCommand, Settings, TargetCommand, UpstreamCommand, exit_with_usage_error,
+    CallArgs, ChangeFlags, CheckArgs, Command, ControlCommand, ExplainArgs, GlobalFlags,
+    KeyCommand, RoutesCommand, STDIN_NAME, ServiceCommand, Settings, TargetCommand,
+    UpstreamCommand, exit_with_usage_error,
 };
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -13,6 +13,9 @@
 
 use super::{Format, exit::EXIT_CODES, parse};
 
+/// The file name that means the standard input.
+pub const STDIN_NAME: &str = "-";
+
 /// Command-line tool for operators of limpetplank, and an HTTP/3 client.
 ///
 /// Example: limpetctl --control 192.0.2.1:7100 status
@@ -185,6 +188,12 @@
     /// Example: `limpetctl call https://vouchers.example/feed --resolve
     /// 198.51.100.1:443 --ca roots.pem`
     Call(Box<CallArgs>),
+    /// Checks a configuration document before it is sent
+    ///
+    /// The exit status is 1 after a warning and 2 after an error.
+    ///
+    /// Example: limpetctl check routes.json --against 192.0.2.1:7100
+    Check(CheckArgs),
     /// Shows the timeline of one flow or request from the logs of several processes
     ///
     /// Example: limpetctl explain 100.64.0.7:40001-198.18.0.1:443 logs/*.log
@@ -390,6 +399,19 @@
     },
 }
 
+#[derive(Debug, Args)]
+pub struct CheckArgs {
+    /// The document, for example routes.json; - is the standard input
+    pub file: PathBuf,
+    /// Operators' address of a control host with whose version in force the document is
+    /// compared, for example --against 192.0.2.1:7100
+    #[arg(long, env = "LIMPET_AGAINST", value_name = "IP:PORT", value_parser = parse::address)]
+    pub against: Option<SocketAddr>,
+    /// Writes JSON, like --output json
+    #[arg(long, env = "LIMPET_JSON")]
+    pub json: bool,
+}
+
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
     /// Id of the flow or request, for example 100.64.0.7:40001-198.18.0.1:443
@@ -458,7 +480,10 @@
     fn needs_control(&self) -> bool {
         !matches!(
             self.command,
-            Command::Call(_) | Command::Completions { .. } | Command::Explain(_)
+            Command::Call(_)
+                | Command::Check(_)
+                | Command::Completions { .. }
+                | Command::Explain(_)
         )
     }
 
--- a/crates/limpetctl/src/request/explain.rs
+++ b/crates/limpetctl/src/request/explain.rs
@@ -7,12 +7,9 @@
 
 use crate::{
     error::{Error, Result},
-    process::{Exit, ExplainArgs, Output, Report, table},
+    process::{Exit, ExplainArgs, Output, Report, STDIN_NAME, table},
 };
 
-/// The file name that means the standard input.
-const STDIN_NAME: &str = "-";
-
 /// A timeline and its outcome.
 #[derive(Debug, Serialize)]
 struct ExplainView {
--- a/crates/limpetctl/src/request/mod.rs
+++ b/crates/limpetctl/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod call;
 mod change;
+mod check;
 mod control;
 mod evacuate;
 mod explain;
@@ -90,6 +91,9 @@
             return Ok(Exit::Done);
         }
         Command::Call(args) => return call::run(args, deadline(DEFAULT_CALL_TIMEOUT)).await,
+        Command::Check(args) => {
+            return check::run(args, out, deadline(DEFAULT_COMMAND_TIMEOUT)).await;
+        }
         Command::Explain(args) => return explain::run(args, out),
         _ => {}
     }
--- a/crates/types/src/version/routes.rs
+++ b/crates/types/src/version/routes.rs
@@ -184,22 +184,25 @@
     ///
     /// # Errors
     ///
-    /// The set has too many rules, or a rule without a weight above 0 or with a timeout
-    /// of 0.
+    /// The first of the [refusals](Self::refusals).
     pub fn check(&self) -> Result<(), Refusal> {
-        if self.rules.len() > Self::MAX_RULES {
-            let (rules, limit) = (self.rules.len(), Self::MAX_RULES);
-            return Err(Refusal::TooManyRules(self.number, rules, limit));
-        }
-        for (address, rule) in &self.rules {
-            if rule.weights.values().all(|weight| weight.0 == 0) {
-                return Err(Refusal::EmptyRule(self.number, *address));
-            }
-            if rule.targets.timeout.is_zero() {
-                return Err(Refusal::ZeroTimeout(self.number, *address));
-            }
-        }
-        Ok(())
+        self.refusals().next().map_or(Ok(()), Err)
+    }
+
+    /// Every reason to refuse the set: too many rules, and each rule without a weight
+    /// above 0 or with a timeout of 0.
+    pub fn refusals(&self) -> impl Iterator<Item = Refusal> {
+        let (rules, limit) = (self.rules.len(), Self::MAX_RULES);
+        let too_many = Refusal::TooManyRules(self.number, rules, limit);
+        let of_rules = self.rules.iter().flat_map(|(address, rule)| {
+            let is_empty = rule.weights.values().all(|weight| weight.0 == 0);
+            let has_no_time = rule.targets.timeout.is_zero();
+            let empty = is_empty.then_some(Refusal::EmptyRule(self.number, *address));
+            let no_time = has_no_time.then_some(Refusal::ZeroTimeout(self.number, *address));
+            empty.into_iter().chain(no_time)
+        });
+        let too_many = (rules > limit).then_some(too_many);
+        too_many.into_iter().chain(of_rules)
     }
 
     /// Difference between `base` and this set, or the whole set if `base` is
