tests of decoders: seeded mutations of valid inputs; limit the depth of messages

Cause: the decoders of the platform's text, the store's records and the messages of control hosts had no test of damaged input.

They found that a nested value in the reply of a control host overflows the stack of a thread (2 MiB, debug build), since rmp-serde allows a depth of 1024: wire::decode now allows 64.

--- a/crates/document/tests/read.rs
+++ b/crates/document/tests/read.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use document::{DocumentError, check, parse};
+use document::{DocumentError, InForce, check, compare, parse};
 use serde_json::{Value, json};
 use types::{Priority, RequestTargets, RouteWeight, RoutingSetNumber};
 
@@ -369,3 +369,21 @@
         .collect();
     assert_eq!(rates, [("one", Some("12.5".to_owned()))]);
 }
+
+/// Guards against text of operators that stops a control host, and against a check that
+/// decides otherwise.
+#[test]
+fn no_text_panics() {
+    let in_force = InForce {
+        document: check(&Bytes::from(document().to_string())).0,
+        ..InForce::default()
+    };
+    mutations::for_each(complete_document().to_string().as_bytes(), |text| {
+        let text = Bytes::copy_from_slice(text);
+        let (document, mut report) = check(&text);
+        assert_eq!(parse(&text).is_ok(), report.errors.is_empty());
+        if let Some(document) = document {
+            compare(&document, &in_force, &mut report);
+        }
+    });
+}
--- /dev/null
+++ b/crates/replica/tests/decoders.rs
@@ -0,0 +1,116 @@
+//! Messages and records of control hosts are decoded without a panic, whatever they hold.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use config::ConfigState;
+use consensus::{EntryPayload, Group, LogEntry, LogPosition, Message, MessageBody, Snapshot};
+use directory::{Ballot, FirstGroup};
+use replica::AcceptorState;
+use types::{
+    Change, ChangeId, ChangeRequest, MemberId, Revision, RouteWeight, RoutingRule, RoutingSet,
+    Term, UnixMillis,
+};
+use wire::request::QueryReply;
+
+fn request() -> ChangeRequest {
+    let rule = RoutingRule {
+        weights: [("vouchers".parse().unwrap(), RouteWeight(3))].into(),
+        ..RoutingRule::default()
+    };
+    let set = RoutingSet {
+        rules: [("198.18.0.1:443".parse().unwrap(), rule)].into(),
+        ..RoutingSet::default()
+    };
+    ChangeRequest {
+        id: ChangeId::generate(),
+        author: "alice".parse().unwrap(),
+        base: Revision(0),
+        change: Change::ReplaceRoutes(Arc::new(set)),
+    }
+}
+
+/// Guards against a message of another member that stops a control host.
+#[test]
+fn no_message_of_a_member_panics() {
+    let position = LogPosition {
+        term: Term(2),
+        index: Revision(5),
+    };
+    let entry = LogEntry {
+        index: Revision(6),
+        term: Term(2),
+        payload: EntryPayload::Command(wire::encode(&request()).unwrap().into()),
+    };
+    let snapshot = Snapshot {
+        position,
+        group: Group::default(),
+        state: vec![7; 40].into(),
+    };
+    let bodies = [
+        MessageBody::Append {
+            prev_log_position: position,
+            entries: vec![entry],
+            leader_commit: Revision(5),
+            round: 9,
+        },
+        MessageBody::InstallSnapshot { snapshot, round: 9 },
+    ];
+    for body in bodies {
+        let message = Message {
+            from: MemberId(1),
+            from_address: SocketAddr::from(([10, 0, 0, 1], 7000)),
+            to: MemberId(2),
+            term: Term(2),
+            body,
+        };
+        mutations::for_each(&wire::encode(&message).unwrap(), |input| {
+            let _ = wire::decode::<Message>(input);
+        });
+    }
+}
+
+/// Guards against a request or a reply that stops a control host or a tool. What is
+/// decoded is applied, too.
+#[test]
+fn no_request_or_reply_panics() {
+    let mut state = ConfigState::default();
+    let mut index = 0;
+    mutations::for_each(&wire::encode(&request()).unwrap(), |input| {
+        if let Ok(request) = wire::decode::<ChangeRequest>(input) {
+            index += 1;
+            state.apply(Revision(index), UnixMillis(1), &request);
+        }
+    });
+    let Change::ReplaceRoutes(set) = request().change else {
+        panic!("another change");
+    };
+    let reply = QueryReply::Routes(Some(set));
+    mutations::for_each(&wire::encode(&reply).unwrap(), |input| {
+        let _ = wire::decode::<QueryReply>(input);
+    });
+}
+
+/// Guards against a damaged record that stops a control host without a reason.
+#[test]
+fn no_record_panics() {
+    let group = FirstGroup::new(vec![(MemberId(7), [10, 0, 0, 2].into())]);
+    let ballot = Ballot {
+        round: 3,
+        proposer: [10, 0, 0, 2].into(),
+    };
+    let acceptor = AcceptorState {
+        promised: ballot,
+        accepted: Some((ballot, group)),
+        ..AcceptorState::new([[10, 0, 0, 2].into()].into())
+    };
+    mutations::for_each(&wire::encode(&acceptor).unwrap(), |input| {
+        let _ = wire::decode::<AcceptorState>(input);
+    });
+    let mut state = ConfigState::default();
+    state.apply(Revision(1), UnixMillis(1), &request());
+    let mut snapshot = Vec::new();
+    state.encode(&mut snapshot).unwrap();
+    mutations::for_each(&snapshot, |input| {
+        let _ = ConfigState::decode(input);
+    });
+}
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -288,3 +288,56 @@
     let found = open(DataDir::new(dir.path()).unwrap()).unwrap().1;
     assert_eq!(indexes(&found).len(), 20);
 }
+
+/// Guards against a damaged folder that ends a control host by a panic instead of an error
+/// with the name of the file.
+#[test]
+fn no_damage_panics() {
+    let disk = FakeDisk::default();
+    let (mut store, _) = open(disk.clone()).unwrap();
+    store.apply(&[append(1, 5, 1), snapshot(3, 1)]).unwrap();
+    store.apply(&[append(6, 3, 2)]).unwrap();
+    drop(store);
+    let synced = disk.crash(0);
+    for prefix in ["layout", "log-", "member", "snapshot-"] {
+        let mut valid = Vec::new();
+        synced.crash(0).edit(prefix, |data| valid.clone_from(data));
+        mutations::for_each(&valid, |input| {
+            let damaged = synced.crash(0);
+            damaged.edit(prefix, |data| *data = input.to_vec());
+            let _ = open(damaged);
+        });
+    }
+    // Records with a right checksum reach the decoder and the replay.
+    for prefix in ["log-", "snapshot-"] {
+        let name = synced
+            .names()
+            .into_iter()
+            .rfind(|name| name.starts_with(prefix));
+        let number = &name.unwrap()[prefix.len()..];
+        let number = u64::from_str_radix(number, 16).unwrap();
+        let mut valid = Vec::new();
+        synced.crash(0).edit(prefix, |data| {
+            let len = u32::from_le_bytes(data[..4].try_into().unwrap());
+            valid = data[8..8 + usize::try_from(len).unwrap()].to_vec();
+            assert!(data.starts_with(&record(number, &valid)));
+        });
+        mutations::for_each(&valid, |body| {
+            let changed = synced.crash(0);
+            changed.edit(prefix, |data| *data = record(number, body));
+            let _ = open(changed);
+        });
+    }
+}
+
+/// A record at the start of the file with this number.
+fn record(file_number: u64, body: &[u8]) -> Vec<u8> {
+    let len = u32::try_from(body.len()).unwrap().to_le_bytes();
+    let mut hasher = crc32fast::Hasher::new();
+    let parts: [&[u8]; 4] = [&file_number.to_le_bytes(), &[0; 8], &len, body];
+    for part in parts {
+        hasher.update(part);
+    }
+    let crc = hasher.finalize().to_le_bytes();
+    [&len, &crc, body].concat()
+}
--- a/crates/wire/src/process/mod.rs
+++ b/crates/wire/src/process/mod.rs
@@ -10,6 +10,10 @@
 /// Longest control message in bytes, with the protocol version.
 pub const MAX_MESSAGE_LEN: usize = 64 << 20;
 
+/// Deepest nesting of values that is decoded. Messages nest less than 20 deep; the default
+/// of 1024 overflows the 2 MiB stack of a thread in a debug build.
+const MAX_DEPTH: usize = 64;
+
 /// Media type of control messages in HTTP.
 pub const CONTENT_TYPE: &str = "application/msgpack";
 
@@ -54,7 +58,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the input is too large, of another protocol version, or not a `T`.
+/// Fails if the input is too large, nested too deeply, of another protocol version, or not
+/// a `T`.
 pub fn decode<T: DeserializeOwned>(input: &[u8]) -> Result<T> {
     if input.len() > MAX_MESSAGE_LEN {
         return Err(ErrorKind::Size(input.len(), MAX_MESSAGE_LEN).into());
@@ -62,7 +67,9 @@
     match input.split_first() {
         None => Err(ErrorKind::Truncated(0).into()),
         Some((&PROTOCOL_VERSION, body)) => {
-            Ok(rmp_serde::from_slice(body).map_err(ErrorKind::Decode)?)
+            let mut deserializer = rmp_serde::Deserializer::from_read_ref(body);
+            deserializer.set_max_depth(MAX_DEPTH);
+            Ok(T::deserialize(&mut deserializer).map_err(ErrorKind::Decode)?)
         }
         Some((&version, _)) => Err(ErrorKind::Version(version, PROTOCOL_VERSION).into()),
     }
