--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -194,9 +194,12 @@
     ///
     /// Example: limpetctl check routes.json --against 192.0.2.1:7100
     Check(CheckArgs),
-    /// Shows the timeline of one flow or request from the logs of several processes
+    /// Shows the timeline of one flow or request from the logs of several processes, or
+    /// the refusals and resets in them by cause
     ///
     /// Example: limpetctl explain 100.64.0.7:40001-198.18.0.1:443 logs/*.log
+    ///
+    /// Example: limpetctl explain --groups logs/*.log
     Explain(ExplainArgs),
     /// Writes completions for a shell
     ///
@@ -415,10 +418,16 @@
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
     /// Id of the flow or request, for example 100.64.0.7:40001-198.18.0.1:443
-    pub id: String,
+    #[arg(required_unless_present = "groups")]
+    pub id: Option<String>,
     /// Log files of one process each; - is the standard input
-    #[arg(required = true, value_name = "FILE")]
+    #[arg(required_unless_present = "groups", value_name = "FILE")]
     pub files: Vec<PathBuf>,
+    /// Groups all refusals and resets in these log files by cause, agent, route and
+    /// second, for example --groups logs/*.log
+    #[arg(long, env = "LIMPET_GROUPS", value_name = "FILE", num_args = 1..,
+        conflicts_with_all = ["id", "files", "around"])]
+    pub groups: Vec<PathBuf>,
     /// Time before and after the lines of the id in which lines on the state of
     /// the processes are shown too, for example --around 5s
     #[arg(long, env = "LIMPET_AROUND", value_name = "TIME", default_value = "2s",
--- a/crates/limpetctl/tests/explain.rs
+++ b/crates/limpetctl/tests/explain.rs
@@ -59,6 +59,29 @@
     assert_eq!(value["id"], FLOW);
 }
 
+/// Guards against groups without a count, a share or a cause, against a flow whose group
+/// is not shown, and against logs without failures that are reported as an error.
+#[test]
+fn failures_are_grouped() {
+    let dir = tempfile::tempdir().unwrap();
+    let [balancer, agent] = logs(&dir);
+    let mut text = String::new();
+    for args in [
+        &["explain", "--groups", &agent, &balancer][..],
+        &["--output", "json", "explain", "--groups", &agent, &balancer],
+        &["explain", FLOW, &agent, &balancer],
+        &["explain", "--groups", &balancer],
+    ] {
+        let (code, stdout, stderr) = run(args);
+        let args = args
+            .join(" ")
+            .replace(&dir.path().display().to_string(), "logs");
+        let session = format!("$ limpetctl {args}\n{stdout}{stderr}exit code {code:?}\n\n");
+        text.push_str(&session);
+    }
+    insta::assert_snapshot!(text);
+}
+
 /// Guards against an unknown id or a missing file that is reported as a success.
 #[test]
 fn an_unknown_id_or_file_fails_with_the_reason() {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -6,7 +6,8 @@
 //! incarnation are ordered by the monotonic clock (`up_ms`), and a line that
 //! reports a send comes before the line that reports its receipt in another
 //! incarnation. The [`Timeline`] of an id has that order, so a wall clock that
-//! was stepped does not change it.
+//! was stepped does not change it. [`FailureGroups`] show which refusals and resets share
+//! a cause.
 //!
 //! ```
 //! let balancer = concat!(
@@ -34,4 +35,7 @@
 
 pub use error::{Error, Result};
 pub use process::{Incarnation, LogCollection};
-pub use request::{ContextWindow, LogLine, Timeline, TimelineEntry};
+pub use request::{
+    CallerFailures, ContextWindow, FailureGroup, FailureGroups, FailureKey, LogLine, Timeline,
+    TimelineEntry,
+};
--- a/crates/trace/src/process/clock_correction.rs
+++ b/crates/trace/src/process/clock_correction.rs
@@ -108,7 +108,7 @@
 }
 
 /// Role of the processes that receive flows.
-const AGENT_ROLE: &str = "Agent";
+pub(super) const AGENT_ROLE: &str = "Agent";
 
 /// The hop by which an opening datagram reaches an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/trace/src/process/collection.rs
+++ b/crates/trace/src/process/collection.rs
@@ -13,7 +13,7 @@
 /// The log lines of several processes.
 #[derive(Debug, Default)]
 pub struct LogCollection {
-    incarnations: Vec<Incarnation>,
+    pub(super) incarnations: Vec<Incarnation>,
     /// Lines that are not in the log format of this project.
     unrecognized_lines: u64,
 }
@@ -159,9 +159,14 @@
 /// flow.
 const SEARCH_EVENTS: [&str; 5] = ["searching", "claim", "not_held", "learned", "link_full"];
 
+/// Events of flows and requests that wait.
+const WAITING_EVENTS: [&str; 4] = ["queued", "request_queued", "cold_held", "held_by_link"];
+
 /// Whether lines of a kind are logged for each flow, request or datagram.
 fn is_per_flow_kind(kind: &str) -> bool {
-    OUTCOME_EVENTS.contains(&kind) || SEARCH_EVENTS.contains(&kind)
+    OUTCOME_EVENTS.contains(&kind)
+        || SEARCH_EVENTS.contains(&kind)
+        || WAITING_EVENTS.contains(&kind)
 }
 
 /// Whether a line reports the state of a process rather than what it did with
--- a/crates/trace/src/process/mod.rs
+++ b/crates/trace/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock_correction;
 mod collection;
+mod failures;
 mod incarnation;
 
 pub use collection::LogCollection;
--- a/crates/trace/tests/timeline.rs
+++ b/crates/trace/tests/timeline.rs
@@ -66,6 +66,11 @@
     let mut second = ProcessLog::start("Agent", "192.0.2.9", step_ms, stepped_at_ms);
     let opened = flow_fields(r#""copy":0,"origin":"Passed","busy":3"#);
     second.write_line(1004, "opened", &opened);
+    second.write_line(
+        1499,
+        "queued",
+        r#""flow":"100.64.0.8:9-198.18.0.1:443","waiting":3"#,
+    );
     second.write_line(1500, "upstream", r#""accepting":0"#);
     balancer.write_line(1510, "agent", r#""agent":"192.0.2.9:7082","accepting":0"#);
     balancer.write_line(1511, "agent", r#""agent":"192.0.2.77:7082","accepting":0"#);
@@ -139,6 +144,8 @@
     // Only the state of the agent that is involved.
     let agents = states.iter().filter(|event| **event == "agent");
     assert_eq!(agents.count(), 1, "{states:?}");
+    // Not the flows of others, which are many while the cause is the same for all.
+    assert!(!states.contains(&"queued"), "{states:?}");
 }
 
 /// Guards against taking the incarnations of a restarted process for one.
@@ -167,3 +174,65 @@
         Timeline::default()
     );
 }
+
+/// Guards against failures that are counted twice, assigned to the wrong agent or second,
+/// or missing in the total.
+#[test]
+fn failures_are_grouped_by_what_they_share() {
+    // The agent's clock is 5 s behind.
+    let mut balancer = ProcessLog::start("Balancer", "192.0.2.1", 0, 0);
+    let mut agent = ProcessLog::start("Agent", "192.0.2.8", -5000, 0);
+    let flow = |caller: u8, port: u16| format!("100.64.0.{caller}:{port}-198.18.0.1:443");
+    let fields = |port| format!(r#""flow":"{}","copy":0,"#, flow(7, port));
+    for port in 0..6 {
+        let placed = fields(port) + r#""agent":"192.0.2.8:7082""#;
+        balancer.write_line(900, "placed", &placed);
+        agent.write_line(901, "opened", &(fields(port) + r#""origin":"Placed""#));
+    }
+    for (up, port) in [1500, 2100]
+        .into_iter()
+        .flat_map(|up| (0..6).map(move |port| (up, port)))
+    {
+        let causes = ["upstream_restarted", "no_slot_in_time"];
+        let cause = causes[usize::from(port >= 3)];
+        agent.write_line(
+            up,
+            "reset",
+            &(fields(port) + &format!(r#""cause":"{cause}""#)),
+        );
+    }
+    // A balancer logs a reset without the agent at which it placed the flow.
+    let last = flow(9, 1);
+    let placed = format!(r#""flow":"{last}","copy":0,"agent":"192.0.2.8:7082""#);
+    balancer.write_line(1200, "placed", &placed);
+    let reset = format!(r#""flow":"{last}","cause":"no_slot_in_time""#);
+    balancer.write_line(1900, "reset", &reset);
+    balancer.write_line(2000, "lines_left_out", r#""counts":{"reset":4,"placed":9}"#);
+    let mut logs = LogCollection::default();
+    logs.read_source("balancer", balancer.text.as_bytes())
+        .unwrap();
+    logs.read_source("agent", agent.text.as_bytes()).unwrap();
+    let groups = logs.failure_groups();
+    let second = "2026-05-28T20:26:41Z";
+    let found: Vec<_> = groups
+        .groups
+        .iter()
+        .map(|group| {
+            let key = &group.key;
+            assert_eq!((key.agent.as_str(), key.second.as_str()), ("agent", second));
+            assert_eq!(key.route, "198.18.0.1:443");
+            (key.cause.as_str(), group.failures, group.callers)
+        })
+        .collect();
+    let expected = [("no_slot_in_time", 4, 2), ("upstream_restarted", 3, 1)];
+    assert_eq!(found, expected);
+    assert_eq!((groups.failures, groups.left_out), (7, 4));
+    let group = groups.group_of(&last).unwrap();
+    assert!((group.percent - 57.1).abs() < 1e-9, "{group:?}");
+    let largest = group.largest_caller.as_ref().unwrap();
+    assert_eq!(
+        (largest.address.as_str(), largest.failures),
+        ("100.64.0.7", 3)
+    );
+    assert_eq!(groups.group_of("100.64.0.9:2-198.18.0.1:443"), None);
+}
