--- a/crates/replica/tests/decoders.rs
+++ b/crates/replica/tests/decoders.rs
@@ -1,9 +1,12 @@
 //! Messages and records of control hosts are decoded without a panic, whatever they hold.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use config::ConfigState;
-use consensus::{EntryPayload, Group, LogEntry, LogPosition, Message, MessageBody, Snapshot};
+use consensus::{
+    Consensus, EntryPayload, Group, Input, LogEntry, LogPosition, MemberIdentity, Message,
+    MessageBody, RestoredState, Settings, Snapshot,
+};
 use directory::{Ballot, FirstGroup};
 use replica::AcceptorState;
 use types::{
@@ -29,7 +32,8 @@
     }
 }
 
-/// Guards against a message of another member that stops a control host.
+/// Guards against a message of another member that stops a control host, also when it is
+/// applied and an election follows.
 #[test]
 fn no_message_of_a_member_panics() {
     let position = LogPosition {
@@ -64,7 +68,30 @@
             body,
         };
         mutations::for_each(&wire::encode(&message).unwrap(), |input| {
-            let _ = wire::decode::<Message>(input);
+            let Ok(message) = wire::decode::<Message>(input) else {
+                return;
+            };
+            let now = Instant::now();
+            let identity = MemberIdentity {
+                id: MemberId(2),
+                address: SocketAddr::from(([10, 0, 0, 2], 7000)),
+            };
+            let restored = RestoredState::default();
+            let mut member = Consensus::new(Settings::default(), identity, restored, 7, now);
+            let voters = [1, 2, 3].map(|n| (MemberId(n), SocketAddr::from(([10, 0, 0, 1], 7000))));
+            let mut inputs = vec![
+                Input::Bootstrap(Group::from_voters(voters)),
+                Input::Message(message),
+            ];
+            inputs.extend([Input::Tick, Input::Tick]);
+            for input in inputs {
+                let now = now.max(member.next_deadline());
+                let output = member.step(now, input);
+                let mut write = output.write;
+                while let Some(synced) = write {
+                    write = member.step(now, Input::WriteSynced(synced.id)).write;
+                }
+            }
         });
     }
 }
