consensus: elect a leader although writes are slow, and ignore pre-votes from before a stall

Cause: a candidate whose election timeout (400 to 800 ms) passed began another election, also while its own vote was not on disk, and no longer counted the votes of the former one. Each election takes two writes one after the other, its own vote and that of a voter. Also, a pre-candidate that was stalled counted pre-votes that were granted before, and deposed a leader that had returned meanwhile.

Change: a candidate waits for its own vote, its timeout starts again when the requests for votes are sent, votes of the term still elect it while it asks for new pre-votes, and timeouts double with each failed election, at most twice. A member whose deadline passed by more than a heartbeat interval waits for one more timeout and drops its pre-votes. Messages and files are unchanged.

--- a/crates/consensus/src/process/election.rs
+++ b/crates/consensus/src/process/election.rs
@@ -8,16 +8,38 @@
 use std::net::SocketAddr;
 use types::{MemberId, Revision, Term};
 
+/// Limit on the exponent by which timeouts grow with failed elections: the longest one
+/// is then 3.2 s by default, and a group must elect a leader within 5 s after a stall.
+const MAX_BACKOFF_EXPONENT: u32 = 2;
+
+/// A pre-candidate's state.
+#[derive(Debug)]
+pub(super) struct PreCandidateState {
+    /// The members that would vote for this one in the next term.
+    supporters: BTreeSet<MemberId>,
+    /// The votes of the current term, if this member is a candidate in it. They still
+    /// elect it: voters with slow disks answer later than an election timeout.
+    votes: BTreeSet<MemberId>,
+}
+
 impl Consensus {
     /// Sets the election deadline with random jitter, which avoids repeated split
     /// votes.
     pub(super) fn reset_election_deadline(&mut self) {
-        let (min, max) = (
-            self.settings.election_timeout_min,
-            self.settings.election_timeout_max,
-        );
-        let timeout = self.rng.random_range(min..=max.max(min));
-        self.deadline = self.now + timeout;
+        self.deadline_extended = false;
+        let min = self.settings.election_timeout_min;
+        let max = self.settings.election_timeout_max.max(min);
+        let timeout = self.rng.random_range(min..=max);
+        self.deadline = self.now + timeout * self.backoff();
+    }
+
+    /// The factor of timeouts after failed elections. If a vote takes longer to reach the
+    /// disk than an election timeout, members would start elections while they wait for
+    /// the votes of another one.
+    fn backoff(&self) -> u32 {
+        let terms = self.term.0 - self.last_led_term.0;
+        let failed = u32::try_from(terms).unwrap_or(u32::MAX).saturating_sub(1);
+        1 << failed.min(MAX_BACKOFF_EXPONENT)
     }
 
     pub(super) fn enter_term(&mut self, term: Term) {
@@ -50,14 +72,43 @@
         (was_voter || group.is_voter(self.identity.id)).then(|| group.clone())
     }
 
+    /// Waits for another election timeout if this process did not run when the last one
+    /// passed: messages of a leader may be queued behind this input, and pre-votes that
+    /// were granted before may no longer hold. The timeout is extended only once, so that
+    /// a process which always runs late still starts elections.
+    pub(super) fn check_stalled(&mut self) {
+        let stalled = self.now >= self.deadline + self.settings.heartbeat_interval;
+        if !stalled || self.deadline_extended || matches!(self.role_state, RoleState::Leader(_)) {
+            return;
+        }
+        if matches!(self.role_state, RoleState::PreCandidate(_)) {
+            self.become_follower();
+        }
+        self.reset_election_deadline();
+        self.deadline_extended = true;
+    }
+
     /// Requests pre-votes before the term is raised, so that a member that returns
     /// from a partition does not depose a working leader.
     pub(super) fn begin_pre_vote(&mut self) {
+        let votes = match &mut self.role_state {
+            // Its requests for votes wait for the disk. A later term would wait longer,
+            // and with a disk slower than an election timeout without end.
+            RoleState::Candidate(_) if !self.disk.vote_synced() => {
+                return self.reset_election_deadline();
+            }
+            RoleState::Candidate(votes) => std::mem::take(votes),
+            RoleState::PreCandidate(state) => std::mem::take(&mut state.votes),
+            RoleState::Follower(_) | RoleState::Leader(_) => BTreeSet::new(),
+        };
         self.become_follower();
         let Some(group) = self.electing_group().filter(|_| !self.disk.failed()) else {
             return;
         };
-        self.role_state = RoleState::PreCandidate(BTreeSet::from([self.identity.id]));
+        self.role_state = RoleState::PreCandidate(PreCandidateState {
+            supporters: BTreeSet::from([self.identity.id]),
+            votes,
+        });
         let last = self.log.durable_position();
         self.send_to_voters(
             &group,
@@ -107,21 +158,22 @@
 
     pub(super) fn receive_pre_vote_reply(&mut self, from: MemberId, asked: Term, granted: bool) {
         let term = self.term;
-        if let RoleState::PreCandidate(votes) = &mut self.role_state
+        if let RoleState::PreCandidate(state) = &mut self.role_state
             && asked == term
             && granted
         {
-            votes.insert(from);
+            state.supporters.insert(from);
             self.count_pre_votes();
         }
     }
 
     fn count_pre_votes(&mut self) {
-        let RoleState::PreCandidate(votes) = &self.role_state else {
+        let RoleState::PreCandidate(state) = &self.role_state else {
             return;
         };
+        let supports = |id| state.supporters.contains(&id);
         let group = self.electing_group();
-        if let Some(group) = group.filter(|group| group.has_majority(|id| votes.contains(&id))) {
+        if let Some(group) = group.filter(|group| group.has_majority(supports)) {
             self.begin_election(&group);
         }
     }
@@ -159,26 +211,33 @@
     }
 
     pub(super) fn receive_vote_reply(&mut self, from: MemberId, granted: bool) {
-        if let RoleState::Candidate(votes) = &mut self.role_state
-            && granted
-        {
+        let (RoleState::Candidate(votes)
+        | RoleState::PreCandidate(PreCandidateState { votes, .. })) = &mut self.role_state
+        else {
+            return;
+        };
+        if granted {
             votes.insert(from);
             self.count_votes();
         }
     }
 
-    /// Counts this candidate's own vote once it is on disk.
+    /// Counts this candidate's own vote once it is on disk. The election timeout starts
+    /// again, since the requests for votes are only sent now.
     pub(super) fn count_own_vote(&mut self) {
         if let RoleState::Candidate(votes) = &mut self.role_state
             && self.disk.vote_synced()
             && votes.insert(self.identity.id)
         {
+            self.reset_election_deadline();
             self.count_votes();
         }
     }
 
     fn count_votes(&mut self) {
-        let RoleState::Candidate(votes) = &self.role_state else {
+        let (RoleState::Candidate(votes)
+        | RoleState::PreCandidate(PreCandidateState { votes, .. })) = &self.role_state
+        else {
             return;
         };
         // Without its own vote on disk, a candidate whose process restarts
@@ -190,6 +249,7 @@
         if won {
             let first = index_after(self.log.last_position().index);
             self.role_state = RoleState::Leader(LeaderState::new(first));
+            self.last_led_term = self.term;
             self.append_as_leader(EntryPayload::Noop);
             self.begin_heartbeat_round();
         }
--- a/crates/consensus/src/process/follower.rs
+++ b/crates/consensus/src/process/follower.rs
@@ -48,6 +48,7 @@
         let RoleState::Follower(follower) = &mut self.role_state else {
             return false;
         };
+        self.last_led_term = self.term;
         follower.leader = Some(sender);
         follower.last_heard = Some(self.now);
         follower.round = follower.round.max(round);
--- a/crates/consensus/src/process/mod.rs
+++ b/crates/consensus/src/process/mod.rs
@@ -21,6 +21,7 @@
 use crate::request::{Completion, Rejection, RequestToken};
 use crate::version::Log;
 use disk::DiskState;
+use election::PreCandidateState;
 use follower::FollowerState;
 use leader::LeaderState;
 use rand::SeedableRng;
@@ -43,6 +44,8 @@
     term: Term,
     /// The candidate that got this member's vote in `term`.
     vote: Option<MemberId>,
+    /// The last term with a known leader; the term on disk after a start.
+    last_led_term: Term,
     log: Log,
     disk: DiskState,
     /// At most the last index of the log; never decreases.
@@ -53,6 +56,8 @@
     role_state: RoleState,
     /// When an election or the next heartbeat round is due.
     deadline: Instant,
+    /// Whether the election deadline was extended after a stall of this process.
+    deadline_extended: bool,
     /// Id of the next transfer.
     next_transfer: TransferId,
     out: Output,
@@ -62,8 +67,7 @@
 #[derive(Debug)]
 enum RoleState {
     Follower(FollowerState),
-    /// The members that would grant a vote.
-    PreCandidate(BTreeSet<MemberId>),
+    PreCandidate(PreCandidateState),
     /// The members that granted their vote. Includes this one only once its own
     /// vote is on disk.
     Candidate(BTreeSet<MemberId>),
@@ -90,12 +94,14 @@
             now,
             term: restored.term,
             vote: restored.vote,
+            last_led_term: restored.term,
             log,
             disk: DiskState::new(now),
             commit: applied,
             applied,
             role_state: RoleState::Follower(FollowerState::default()),
             deadline: now,
+            deadline_extended: false,
             next_transfer: TransferId(1),
             out: Output::default(),
         };
@@ -110,6 +116,7 @@
         // First, so that a leader whose process was suspended steps down before
         // it processes messages that were queued meanwhile.
         self.check_quorum();
+        self.check_stalled();
         match input {
             Input::Tick => {}
             Input::Message(message) => self.receive(message),
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -31,6 +31,10 @@
     queued_inputs: Vec<Input>,
     pub suspended: bool,
     pub disk_full: bool,
+    /// Writes are neither completed nor failed while this is set.
+    pub disk_stalled: bool,
+    /// When the pending write is on disk at the earliest.
+    synced_at: Instant,
     applied_index: Revision,
     /// The effective group after the last step.
     group: Option<Group>,
@@ -47,6 +51,8 @@
 pub struct Cluster {
     settings: Settings,
     pub now: Instant,
+    /// Minimum duration of a write.
+    pub write_time: Duration,
     pub processes: BTreeMap<MemberId, SimulatedProcess>,
     pub queue: Vec<Envelope>,
     /// Pairs (from, to) whose messages are lost.
@@ -95,6 +101,7 @@
         let mut cluster = Cluster {
             settings,
             now: Instant::now(),
+            write_time: Duration::ZERO,
             processes: BTreeMap::new(),
             queue: Vec::new(),
             blocked_links: BTreeSet::new(),
@@ -133,6 +140,8 @@
             queued_inputs: Vec::new(),
             suspended: false,
             disk_full: false,
+            disk_stalled: false,
+            synced_at: self.now,
             applied_index: Revision(0),
             group: None,
         };
@@ -201,8 +210,10 @@
     }
 
     fn apply_output(&mut self, id: MemberId, out: Output) {
+        let synced_at = self.now + self.write_time;
         let node = self.processes.get_mut(&id).unwrap();
         if let Some(write) = out.write {
+            node.synced_at = synced_at;
             assert!(
                 node.pending_write.is_none(),
                 "{id} has two writes outstanding"
@@ -333,8 +344,9 @@
     }
 
     pub fn sync(&mut self, id: MemberId) {
+        let now = self.now;
         let node = self.processes.get_mut(&id).unwrap();
-        if node.suspended {
+        if node.suspended || node.disk_stalled || now < node.synced_at {
             return;
         }
         let Some(write) = node.pending_write.take() else {
@@ -400,6 +412,11 @@
         self.processes[&id].member.as_ref().map(Consensus::status)
     }
 
+    pub fn next_deadline(&self, id: MemberId) -> Instant {
+        let member = self.processes[&id].member.as_ref();
+        member.unwrap().next_deadline()
+    }
+
     /// The running leader of the latest term.
     pub fn leader(&self) -> Option<MemberId> {
         let running = self
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -58,7 +58,8 @@
 /// Makes member 1 a candidate in the term after `term` with the vote of
 /// member 3, before its own vote is synced.
 fn start_candidacy(cluster: &mut Cluster, term: u64) {
-    cluster.now += std::time::Duration::from_secs(2);
+    // A later input would count as a stall of the process.
+    cluster.now = cluster.next_deadline(IDS[0]);
     cluster.input(IDS[0], Input::Tick);
     let granted = MessageBody::PreVoteReply {
         request_term: Term(term),
@@ -130,6 +131,33 @@
     assert!(cluster.is_confirmed(read));
 }
 
+/// Guards against an election that is lost because a voter's disk takes longer than an
+/// election timeout.
+#[test]
+fn a_vote_that_arrives_after_the_election_timeout_counts() {
+    let mut cluster = Cluster::new(3, 4);
+    let [id, a, b, _] = IDS;
+    cluster.sync(id);
+    cluster.now = cluster.next_deadline(id);
+    cluster.input(id, Input::Tick);
+    let granted = MessageBody::PreVoteReply {
+        request_term: Term(0),
+        granted: true,
+    };
+    cluster.input(id, message(a, id, Term(0), granted));
+    cluster.sync(id);
+    cluster.now = cluster.next_deadline(id);
+    cluster.input(id, Input::Tick);
+    assert_eq!(cluster.status(id).role, Role::PreCandidate);
+    let refused = MessageBody::VoteReply { granted: false };
+    cluster.input(id, message(b, id, Term(1), refused));
+    assert_eq!(cluster.status(id).role, Role::PreCandidate);
+    let granted = MessageBody::VoteReply { granted: true };
+    cluster.input(id, message(a, id, Term(1), granted));
+    assert_eq!(cluster.status(id).role, Role::Leader);
+    assert_eq!(cluster.status(id).term, Term(1));
+}
+
 /// Guards against a leader that is resumed after a suspension and acts on its
 /// expired leadership.
 #[test]
