control: tests of a slow disk, and no dependence of the full-disk test on the real disk

Cause: a_full_disk_rejects_changes_and_serves_reads got Unavailable for 10 s for the first change of a single host. The syncs of the test go to the real disk. Measured beside builds of other work trees (load average about 10): median 0.3 ms, p99 25 ms, largest 3.6 s (9,772 syncs in 240 s).

Change: a new test starts one and three hosts with syncs of 900 ms and requires that the first change is accepted. The disk of these tests no longer syncs the real disk: no test there cuts the power, so a sync has no effect that they check, and a stall of the machine's disk does not decide them.

What the fix does not cover: a machine whose processes all stand still for longer than the timeout of a change.

--- a/crates/control/tests/host.rs
+++ b/crates/control/tests/host.rs
@@ -30,10 +30,21 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A data folder whose writes fail while `full` is set.
+/// Timeout of the first change on slow disks: four elections with the longest timeout
+/// (3.2 s) and two writes each, and five more writes for the first group, the first entry
+/// of the term and the change.
+const SLOW_TIMEOUT: Duration = Duration::from_millis(4 * (3200 + 2 * 900) + 5 * 900);
+
+/// Time that a write takes on a slow disk, longer than any first election timeout.
+const SLOW_SYNC: Duration = Duration::from_millis(900);
+
+/// A data folder whose writes fail while `full` is set. Its syncs reach no disk, since no
+/// test cuts the power: beside builds, a sync of the real disk took up to 3.6 s. The store
+/// thread waits for each of them if `slow` is set.
 struct FaultyDisk {
     dir: DataDir,
     full: Arc<AtomicBool>,
+    slow: bool,
 }
 
 impl Disk for FaultyDisk {
@@ -62,8 +73,12 @@
         self.dir.truncate(file, len)
     }
 
-    fn sync(&self, file: &mut File) -> io::Result<()> {
-        self.dir.sync(file)
+    fn sync(&self, _: &mut File) -> io::Result<()> {
+        // The folder is created by the thread of the test.
+        if self.slow && std::thread::current().name() == Some("store") {
+            std::thread::sleep(SLOW_SYNC);
+        }
+        Ok(())
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -75,7 +90,7 @@
     }
 
     fn sync_dir(&self) -> io::Result<()> {
-        self.dir.sync_dir()
+        Ok(())
     }
 }
 
@@ -87,7 +102,7 @@
 }
 
 impl Host {
-    fn start(folder: &Path, listen: SocketAddr, group: &[SocketAddr]) -> Host {
+    fn start(folder: &Path, listen: SocketAddr, group: &[SocketAddr], slow: bool) -> Host {
         let cfg = Settings {
             listen,
             initial_group: group.iter().copied().collect(),
@@ -98,6 +113,7 @@
         let disk = FaultyDisk {
             dir: DataDir::new(folder).unwrap(),
             full: full.clone(),
+            slow,
         };
         let (stop, stopped) = watch::channel(false);
         let metrics = prometheus::Registry::new();
@@ -155,7 +171,12 @@
 
     fn start(&self, n: usize) -> Host {
         let folder = self.dir.path().join(n.to_string());
-        Host::start(&folder, self.addresses[n], &self.addresses)
+        Host::start(&folder, self.addresses[n], &self.addresses, false)
+    }
+
+    fn start_slow(&self, n: usize) -> Host {
+        let folder = self.dir.path().join(n.to_string());
+        Host::start(&folder, self.addresses[n], &self.addresses, true)
     }
 
     async fn change(&self, req: &ChangeRequest) -> ChangeReply {
@@ -257,6 +278,29 @@
     host.stop().await;
 }
 
+/// Guards against a host that cannot elect itself while a write takes longer than an
+/// election timeout, so that no change is accepted.
+#[actix_rt::test]
+async fn a_slow_disk_delays_changes_and_does_not_prevent_them() {
+    for (subnet, hosts) in [(5, 1), (6, 3)] {
+        let cluster = Cluster::new(subnet, hosts);
+        let hosts: Vec<Host> = (0..usize::from(hosts))
+            .map(|n| cluster.start_slow(n))
+            .collect();
+        let created = request(Revision(0), create("vouchers", 4433));
+        let deadline = Instant::now() + SLOW_TIMEOUT;
+        let reply = cluster.operator.change(&created, deadline).await;
+        assert!(
+            matches!(reply, ChangeReply::Final(Answer::Accepted(_))),
+            "{} hosts: {reply:?}",
+            hosts.len()
+        );
+        for host in hosts {
+            host.stop().await;
+        }
+    }
+}
+
 /// Guards against a snapshot that loses the configuration or the answers to
 /// changes, and against a data folder that stays locked after the host has stopped.
 #[actix_rt::test]
