relay: openings go before overdue requests in time to find a place

Cause: under overload, requests on open flows that may wait no longer were delivered together with the openings that go before them. They filled the upstream's queue before the first requests of the new flows arrived, and the upstream rejected half of the orders. Change: an agent delivers these openings first, within the cold limit, and the overdue requests 8 ms later, or at once if there are no such openings.

--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -175,7 +175,8 @@
 
     /// New flows that the upstream may get now because of the cold limit; `None` if
     /// nothing is limited.
-    fn cold_allowance(&self, now: Instant) -> Option<usize> {
+    #[must_use]
+    pub fn cold_allowance(&self, now: Instant) -> Option<usize> {
         self.is_cold(now)
             .then(|| self.cold_limit.allowance(now))
             .flatten()
--- a/crates/flow/src/process/request_queue.rs
+++ b/crates/flow/src/process/request_queue.rs
@@ -42,8 +42,6 @@
     waiting: BTreeMap<FlowTuple, WaitingRequest>,
     /// Targets by service address, from the latest opening. Only openings carry them.
     targets: BTreeMap<SocketAddrV4, RequestTargets>,
-    /// Whether an opening went before the next overdue request.
-    was_overtaken: bool,
 }
 
 /// What is delivered next of the openings and requests that wait.
@@ -61,7 +59,6 @@
             queue: WaitingQueue::default(),
             waiting: BTreeMap::new(),
             targets: BTreeMap::new(),
-            was_overtaken: false,
         }
     }
 }
@@ -120,33 +117,56 @@
         self.queue.remove(key)
     }
 
-    /// Takes what is to be delivered next because a request must not wait beyond `until`:
-    /// the request that comes first of these, and before it one opening that goes before
-    /// it. Otherwise requests that no place is free for would take all places that become
-    /// free, and a more urgent opening would never get one.
-    pub fn next_overdue<O: Order<CallerShare>>(
-        &mut self,
+    /// Takes the openings to deliver before the requests that must not wait beyond `until`:
+    /// those that go before the first of them, at most one for each and at most `max`.
+    /// Otherwise requests that no place is free for would take all places that become free,
+    /// and a more urgent opening would never get one.
+    pub fn take_openings_before_overdue<O: Order<CallerShare>>(
+        &self,
         openings: &mut OpeningQueue<T, O>,
         pace: Duration,
         now: Instant,
         until: Instant,
-    ) -> Option<NextWaiting<T>> {
+        max: usize,
+    ) -> Vec<T> {
         let slot = openings.settings.free_slot(pace, now);
-        let is_overdue = |key: &FlowTuple| {
-            let request = self.waiting.get(key);
-            request.is_some_and(|request| until > request.since + MAX_WAIT)
-        };
-        let (request, rank) = self.queue.first_of(&openings.order, slot, is_overdue)?;
-        let opening = openings.waiting.first(&openings.order, slot);
-        if let Some((opening, opening_rank)) = opening
-            && opening_rank < rank
-            && !self.was_overtaken
-        {
-            self.was_overtaken = true;
-            return self.serve_opening(&opening, openings, slot);
+        let overdue = self
+            .waiting
+            .keys()
+            .filter(|key| self.is_overdue(key, until));
+        let mut taken = Vec::new();
+        for _ in 0..overdue.count().min(max) {
+            let is_overdue = |key: &FlowTuple| self.is_overdue(key, until);
+            let request = self.queue.first_of(&openings.order, slot, is_overdue);
+            let opening = openings.waiting.first(&openings.order, slot);
+            let Some(((key, opening_rank), (_, rank))) = opening.zip(request) else {
+                break;
+            };
+            if opening_rank >= rank {
+                break;
+            }
+            taken.extend(self.serve_opening(&key, openings, slot));
         }
-        self.was_overtaken = false;
-        self.serve_request(&request, openings, slot)
+        taken
+    }
+
+    /// Takes the first of the requests that must not wait beyond `until`.
+    pub fn pop_overdue<O: Order<CallerShare>>(
+        &mut self,
+        openings: &mut OpeningQueue<T, O>,
+        pace: Duration,
+        now: Instant,
+        until: Instant,
+    ) -> Option<T> {
+        let slot = openings.settings.free_slot(pace, now);
+        let is_overdue = |key: &FlowTuple| self.is_overdue(key, until);
+        let (key, _) = self.queue.first_of(&openings.order, slot, is_overdue)?;
+        self.serve_request(&key, openings, slot)
+    }
+
+    fn is_overdue(&self, key: &FlowTuple, until: Instant) -> bool {
+        let request = self.waiting.get(key);
+        request.is_some_and(|request| until > request.since + MAX_WAIT)
     }
 
     /// Takes what gets the next free slot. `pace` is the interval at which the upstream
@@ -162,9 +182,13 @@
         let opening = openings.waiting.first(&openings.order, slot);
         match (request, opening) {
             (Some((key, rank)), opening) if opening.as_ref().is_none_or(|o| rank <= o.1) => {
-                self.serve_request(&key, openings, slot)
+                let item = self.serve_request(&key, openings, slot);
+                item.map(NextWaiting::Request)
+            }
+            (_, Some((key, _))) => {
+                let item = self.serve_opening(&key, openings, slot);
+                item.map(NextWaiting::Opening)
             }
-            (_, Some((key, _))) => self.serve_opening(&key, openings, slot),
             (_, None) => None,
         }
     }
@@ -174,12 +198,11 @@
         key: &FlowTuple,
         openings: &mut OpeningQueue<T, O>,
         slot: FreeSlot,
-    ) -> Option<NextWaiting<T>> {
+    ) -> Option<T> {
         self.waiting.remove(key)?;
         let openings_in_time = openings.waiting.priorities_in_time(slot);
         let order = &mut openings.order;
-        let item = self.queue.serve(key, order, slot, openings_in_time)?;
-        Some(NextWaiting::Request(item))
+        self.queue.serve(key, order, slot, openings_in_time)
     }
 
     fn serve_opening<O: Order<CallerShare>>(
@@ -187,10 +210,9 @@
         key: &FlowTuple,
         openings: &mut OpeningQueue<T, O>,
         slot: FreeSlot,
-    ) -> Option<NextWaiting<T>> {
+    ) -> Option<T> {
         let requests_in_time = self.queue.priorities_in_time(slot);
         let order = &mut openings.order;
-        let item = openings.waiting.serve(key, order, slot, requests_in_time)?;
-        Some(NextWaiting::Opening(item))
+        openings.waiting.serve(key, order, slot, requests_in_time)
     }
 }
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -35,6 +35,12 @@
 /// Interval between checks for due reports and expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time from delivering the openings that go before overdue requests until the requests: a
+/// round trip to a caller, 2 to 6 ms, and the work of the processes on it. If they were
+/// delivered at once, they would take the free places of the upstream's queue before the
+/// first requests of the new flows arrive.
+const OVERDUE_DELAY: Duration = Duration::from_millis(8);
+
 /// Size of the receive buffers, as large as any UDP datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -166,6 +172,7 @@
         let mut from_upstream = vec![0; MAX_DATAGRAM_BYTES];
         let mut from_peers = vec![0; MAX_DATAGRAM_BYTES];
         let mut tick_at = Instant::now();
+        let mut overdue_at = None;
         loop {
             let cold_admission_at = self.next_cold_admission_at(Instant::now());
             tokio::select! {
@@ -196,10 +203,18 @@
                 () = sleep_until(cold_admission_at.unwrap_or(tick_at).into()), if cold_admission_at.is_some() => {
                     self.serve_waiting_openings(Instant::now()).await;
                 }
+                () = sleep_until(overdue_at.unwrap_or(tick_at).into()), if overdue_at.is_some() => {
+                    overdue_at = None;
+                    self.deliver_overdue_requests(Instant::now()).await;
+                }
                 () = sleep_until(tick_at.into()) => {
                     let now = Instant::now();
                     tick_at = now + TICK_INTERVAL;
-                    self.deliver_overdue_requests(now).await;
+                    if self.open_before_overdue(now).await {
+                        overdue_at = Some(now + OVERDUE_DELAY);
+                    } else {
+                        self.deliver_overdue_requests(now).await;
+                    }
                     self.serve_waiting_openings(now).await;
                     self.send_due_reports(now).await;
                     self.advance_restart(now).await;
