agent: the slot of a hedge beside the commands that carry it

Cause: hedge_slot and commands used each other, a module cycle that the change of the races had brought in.

Change: HedgeSlot and PeerSlot are in commands.

Measured: tests of agent pass; a scan of the imports of agent, admit, hedge and platform finds no other cycle between files.

--- a/crates/agent/src/process/mod.rs
+++ b/crates/agent/src/process/mod.rs
@@ -7,7 +7,6 @@
 mod datagram;
 mod endpoint;
 mod endpoint_socket;
-mod hedge_slot;
 mod hedging;
 mod keys;
 mod load;
@@ -21,8 +20,9 @@
 
 pub use balancers::{AnyKnown, BalancerPolicy, BalancerTracker, ReachableOnly};
 pub use certificate::ServiceCertificate;
-pub use commands::{AdmissionCommand, AdmissionHandle, AdmissionReply, HedgeReply, HedgeTimer};
-pub use hedge_slot::{HedgeSlot, PeerSlot};
+pub use commands::{
+    AdmissionCommand, AdmissionHandle, AdmissionReply, HedgeReply, HedgeSlot, HedgeTimer, PeerSlot,
+};
 pub use keys::{HomeReply, IdempotencyCommand, IdempotencyHandle};
 pub use metrics::Metrics;
 pub use packet_router::{PacketDecision, PacketRouter};
