replica: a test of elections on slow disks, and no dependence of full_disks on the real disk

Cause: in lost_hosts_are_replaced_one_after_the_other a change got Unknown after a host was lost. The two remaining hosts need both votes, each a write; with writes of 500 ms and more they elected nobody (simulated clock), and the change stayed unanswered.

Change: a new test in full_disks.rs ends the leader of three hosts with syncs of 900 ms, and requires that the rest accepts a change. The disks of this file no longer sync the real disk, since no test of it cuts the power.

--- a/crates/replica/tests/full_disks.rs
+++ b/crates/replica/tests/full_disks.rs
@@ -1,4 +1,4 @@
-//! Disks of control hosts that are full for some seconds each.
+//! Disks of control hosts that are full for some seconds each, or slow.
 
 use std::{
     fs::File,
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use actix_rt::{System, spawn, time::sleep};
+use actix_rt::{System, spawn, task::JoinHandle, time::sleep};
 use bytes::Bytes;
 use prometheus::Registry;
 use replica::{ChangeOutcome, ReadOutcome, ReplicaHandle, Settings, start_on};
@@ -28,11 +28,22 @@
 /// How long each disk is full, longer than an election timeout.
 const FULL_TIME: Duration = Duration::from_secs(2);
 
-/// A data folder whose disk takes no more bytes while `full` is set.
+/// Time that a sync takes on a slow disk, longer than any first election timeout.
+const SLOW_SYNC: Duration = Duration::from_millis(900);
+
+/// Time in which a group on slow disks elects a leader and accepts a change: four
+/// elections with the longest timeout (3.2 s) and two writes each, and four more writes
+/// for the first entry of the term and the change.
+const SLOW_TIMEOUT: Duration = Duration::from_millis(4 * (3200 + 2 * 900) + 4 * 900);
+
+/// A data folder whose disk takes no more bytes while `full` is set, and waits for each
+/// sync while `slow` is set. No test cuts the power, so no sync reaches the real disk,
+/// where it takes seconds beside builds.
 #[derive(Clone)]
 struct FillableDisk {
     folder: DataDir,
     full: Arc<AtomicBool>,
+    slow: Arc<AtomicBool>,
     /// Also refuses to create, truncate, rename and sync.
     refuses_all: bool,
 }
@@ -84,9 +95,12 @@
         self.folder.truncate(file, len)
     }
 
-    fn sync(&self, file: &mut File) -> io::Result<()> {
+    fn sync(&self, _: &mut File) -> io::Result<()> {
         self.check_change()?;
-        self.folder.sync(file)
+        if self.slow.load(Ordering::SeqCst) {
+            std::thread::sleep(SLOW_SYNC);
+        }
+        Ok(())
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -99,18 +113,29 @@
     }
 
     fn sync_dir(&self) -> io::Result<()> {
-        self.check_change()?;
-        self.folder.sync_dir()
+        self.check_change()
     }
 }
 
 struct Host {
     replica: ReplicaHandle,
     full: Arc<AtomicBool>,
+    slow: Arc<AtomicBool>,
     dir: TempDir,
+    registry: Registry,
+    task: JoinHandle<()>,
     _stop: watch::Sender<bool>,
 }
 
+impl Host {
+    fn leads(&self) -> bool {
+        let families = self.registry.gather();
+        let mut families = families.iter();
+        let family = families.find(|family| family.name() == "limpet_replica_leader");
+        family.is_some_and(|family| family.get_metric()[0].get_gauge().get_value() > 0.0)
+    }
+}
+
 async fn start_hosts(test: u8, refuses_all: bool) -> Vec<Host> {
     let net = u8::try_from(std::process::id() % 120).unwrap() + 100;
     let ip = |n: u8| Ipv4Addr::new(127, net, test, n);
@@ -119,9 +144,11 @@
     for n in 1..=HOSTS {
         let dir = tempfile::tempdir().unwrap();
         let full = Arc::new(AtomicBool::new(false));
+        let slow = Arc::new(AtomicBool::new(false));
         let disk = FillableDisk {
             folder: DataDir::new(dir.path()).unwrap(),
             full: full.clone(),
+            slow: slow.clone(),
             refuses_all,
         };
         let data_centre = "dc".parse().unwrap();
@@ -130,13 +157,17 @@
             ..Settings::new(ip(n), data_centre, dir.path().to_owned(), seeds.clone())
         };
         let (stop, stopped) = watch::channel(false);
-        let started = start_on(disk, settings, &Registry::new(), stopped).await;
+        let registry = Registry::new();
+        let started = start_on(disk, settings, &registry, stopped).await;
         let (replica, run) = started.expect("the host starts");
-        spawn(async move { run.await.expect("the host runs") });
+        let task = spawn(async move { run.await.expect("the host runs") });
         hosts.push(Host {
             replica,
             full,
+            slow,
             dir,
+            registry,
+            task,
             _stop: stop,
         });
     }
@@ -255,3 +286,21 @@
         assert_eq!(outcome, ChangeOutcome::Accepted);
     });
 }
+
+/// Guards against two remaining hosts that never elect a leader because a write takes
+/// longer than an election timeout: a change then stays unanswered (`Unknown`).
+#[test]
+fn the_rest_of_a_group_on_slow_disks_elects_a_leader() {
+    System::new().block_on(async {
+        let mut hosts = start_hosts(36, false).await;
+        let outcome = change(&hosts[0], 1, Duration::from_secs(15)).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted);
+        for host in &hosts {
+            host.slow.store(true, Ordering::SeqCst);
+        }
+        let leader = hosts.iter().position(Host::leads).expect("a leader");
+        hosts.remove(leader).task.abort();
+        let outcome = change(&hosts[0], 2, SLOW_TIMEOUT).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted);
+    });
+}
