relay: the agent's task in three files

Change: what comes from the upstream and from peers is handled in files of their own; no line of code changed.

--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -3,8 +3,10 @@
 mod checkpoint;
 mod neighbours;
 mod openings;
+mod peers;
 mod requests;
 mod restart;
+mod upstream;
 
 use std::{
     collections::BTreeMap,
@@ -16,8 +18,8 @@
 use checkpoint::CheckpointState;
 use directory::NodeRecord;
 use flow::{
-    AgentPool, CallerAction, Claim, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
-    OpeningQueueSettings, Origin, RequestQueue, Segment, UpstreamAction, UpstreamStatus,
+    AgentPool, CallerAction, FlowTable, FlowTableSettings, FlowTuple, OpeningQueue,
+    OpeningQueueSettings, Origin, RequestQueue, Segment, UpstreamStatus,
 };
 use openings::OpeningRoute;
 use prometheus::Registry;
@@ -27,16 +29,13 @@
     sync::{mpsc, oneshot, watch},
     time::sleep_until,
 };
-use types::{
-    DataCentre, PlacementPolicy, RequestRate, RequestTargets, ServiceLimits, ServiceName,
-    UpstreamId,
-};
+use types::{DataCentre, PlacementPolicy, RequestRate, RequestTargets, ServiceLimits, ServiceName};
 
 use super::{
     ControlUpdate, balancer_table::BalancerTable, metrics::RelayMetrics,
     report_schedule::ReportSchedule,
 };
-use crate::{Callers, Codec, Error, Message, Performance, QueriedFlows, Result, ServiceTag};
+use crate::{Codec, Error, Message, Result, ServiceTag};
 
 /// Interval between checks for due reports and expired state.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -250,26 +249,6 @@
         }
     }
 
-    async fn apply_upstream_update(&mut self, update: UpstreamUpdate) {
-        let now = Instant::now();
-        let before = self.flow_table.upstream().copied();
-        self.flow_table.set_upstream(update.upstream, now);
-        let state =
-            |upstream: Option<UpstreamStatus>| upstream.map(|u| (u.incarnation, u.accepting));
-        if state(before) != state(update.upstream) {
-            log::info!(
-                event = "upstream",
-                incarnation = update.upstream.and_then(|u| u.incarnation).unwrap_or(0),
-                accepting = u64::from(update.upstream.is_some_and(|u| u.accepting)),
-                slots = update.upstream.map_or(0, |u| u.slots.0);
-                "incarnation or readiness of the upstream changed"
-            );
-            self.send_due_reports(now).await;
-        }
-        // The receiver may have been dropped.
-        let _ = update.applied.send(());
-    }
-
     async fn apply_policy(&mut self, policy: PlacementPolicy) {
         let now = Instant::now();
         let evacuated = policy.evacuated.contains(&self.cfg.data_centre);
@@ -297,172 +276,6 @@
         !self.leaving && self.flow_table.accepts_new_flows(now)
     }
 
-    async fn handle_peer_datagram(&mut self, datagram: &[u8], from: SocketAddrV4) {
-        let now = Instant::now();
-        let message = match wire::decode(datagram) {
-            Ok(message) => message,
-            Err(e) => {
-                log::debug!(event = "bad_message", from:% = from, error:% = e; "dropping a datagram that is not a valid message of a node");
-                self.metrics
-                    .dropped_datagrams
-                    .with_label_values(&["malformed"])
-                    .inc();
-                return;
-            }
-        };
-        match message {
-            Message::Datagram {
-                tag,
-                origin,
-                via,
-                declined_by,
-                payload,
-            } => {
-                let targets = RequestTargets::default();
-                let arrival = CallerDatagram {
-                    origin,
-                    via,
-                    declined_by,
-                    targets,
-                    arrived_at: now,
-                    payload,
-                };
-                self.handle_forwarded_datagram(tag, arrival, now).await;
-            }
-            Message::Opening {
-                tag,
-                origin,
-                via,
-                declined_by,
-                targets,
-                waited_ms,
-                payload,
-            } => {
-                let waited = Duration::from_millis(waited_ms);
-                let arrival = CallerDatagram {
-                    origin,
-                    via,
-                    declined_by,
-                    targets,
-                    arrived_at: now.checked_sub(waited).unwrap_or(now),
-                    payload,
-                };
-                self.handle_forwarded_datagram(tag, arrival, now).await;
-            }
-            Message::ClaimQuery { tag, header } => {
-                self.handle_claim_query(tag, &header, from, now).await;
-            }
-            Message::ClaimQueries {
-                tag,
-                service,
-                flows,
-            } => {
-                self.handle_claim_queries(tag, service, &flows, from, now)
-                    .await;
-            }
-            Message::Report(report) if report.service == self.cfg.service => {
-                self.pool.apply_report(from, report.candidate(now));
-                self.serve_waiting_openings(now).await;
-            }
-            Message::Performance(Performance {
-                incarnation,
-                service_time,
-                share,
-            }) => {
-                let id = UpstreamId(incarnation);
-                self.pool.apply_performance(from, id, service_time, share);
-            }
-            Message::Report(_)
-            | Message::NotHeld { .. }
-            | Message::Claim { .. }
-            | Message::Claims { .. }
-            | Message::FlowTaken { .. }
-            | Message::HeldFlows { .. } => {
-                self.metrics
-                    .dropped_datagrams
-                    .with_label_values(&["not_for_agents"])
-                    .inc();
-            }
-            message @ (Message::KeepFlows(_)
-            | Message::FlowsKept { .. }
-            | Message::KeptFlowsQuery { .. }
-            | Message::KeptFlows(_)
-            | Message::TrialRequest { .. }
-            | Message::TrialAnswer { .. }) => self.handle_restart_message(message, from, now).await,
-        }
-    }
-
-    async fn handle_forwarded_datagram(
-        &mut self,
-        tag: ServiceTag,
-        arrival: CallerDatagram,
-        now: Instant,
-    ) {
-        if tag == self.tag {
-            return self.handle_caller_datagram(arrival, now).await;
-        }
-        // The address belonged to an agent of another service before.
-        self.metrics
-            .dropped_datagrams
-            .with_label_values(&["other_service"])
-            .inc();
-        self.send_not_held(arrival.via, arrival.payload).await;
-    }
-
-    async fn handle_claim_query(
-        &mut self,
-        tag: ServiceTag,
-        header: &[u8],
-        from: SocketAddrV4,
-        now: Instant,
-    ) {
-        let Some(seg) = self.codec.parse(header) else {
-            return;
-        };
-        let key = seg.key_from_caller();
-        if let Some(claim) = self.claim(tag, &seg, now) {
-            self.send_message(from, &Message::Claim { key, claim })
-                .await;
-        }
-    }
-
-    async fn handle_claim_queries(
-        &mut self,
-        tag: ServiceTag,
-        service: SocketAddrV4,
-        flows: &QueriedFlows,
-        from: SocketAddrV4,
-        now: Instant,
-    ) {
-        let [mut holds, mut perhaps, mut no] = [(); 3].map(|()| Callers::default());
-        for flow in &flows.0 {
-            let callers = match self.claim(tag, &flow.segment(service), now) {
-                Some(Claim::Holds) => &mut holds,
-                Some(Claim::Perhaps) => &mut perhaps,
-                Some(Claim::No) => &mut no,
-                None => continue,
-            };
-            callers.0.push(flow.caller);
-        }
-        let claims = Message::Claims {
-            service,
-            holds,
-            perhaps,
-            no,
-        };
-        self.send_message(from, &claims).await;
-    }
-
-    /// The claim for the flow of a datagram, unless it is not known yet: the list of the
-    /// former process may name the flow, and the balancer asks again.
-    fn claim(&self, tag: ServiceTag, seg: &Segment, now: Instant) -> Option<Claim> {
-        if tag != self.tag {
-            return Some(Claim::No);
-        }
-        let claim = self.flow_table.claim(&seg.key_from_caller(), seg, now);
-        (claim != Claim::Perhaps || !self.restart.is_recovering()).then_some(claim)
-    }
-
     async fn handle_caller_datagram(&mut self, arrival: CallerDatagram, now: Instant) {
         self.metrics.received_datagrams.inc();
         let Some(seg) = self.codec.parse(&arrival.payload) else {
@@ -579,74 +392,6 @@
         self.send_message(via, &Message::NotHeld { payload }).await;
     }
 
-    async fn handle_upstream_datagram(&mut self, datagram: &mut [u8]) {
-        let now = Instant::now();
-        let Some(seg) = self.codec.parse(datagram) else {
-            self.metrics
-                .dropped_datagrams
-                .with_label_values(&["malformed"])
-                .inc();
-            return;
-        };
-        let action = self.flow_table.upstream_datagram(&seg, now);
-        if let Some(time) = self.flow_table.take_first_byte_time() {
-            self.metrics.first_byte.observe(time.as_secs_f64());
-        }
-        match action {
-            UpstreamAction::ToCaller { learned } => {
-                let key = seg.key_from_upstream();
-                if learned {
-                    self.handle_learned_flow(key).await;
-                }
-                self.metrics
-                    .sent_datagrams
-                    .with_label_values(&["caller"])
-                    .inc();
-                let to = SocketAddrV4::new(*seg.destination.ip(), self.cfg.caller_port);
-                // The network may lose the datagram too, so a failed send is ignored.
-                let _ = self.caller_socket.send_to(datagram, to).await;
-                self.serve_waiting_openings(now).await;
-            }
-            UpstreamAction::PassOn => {
-                let key = seg.key_from_caller();
-                self.codec.clear_bounce(datagram);
-                log::info!(event = "bounced", flow:% = key; "upstream returned the opening datagram of a new flow");
-                let payload = Bytes::copy_from_slice(datagram);
-                self.forward_bounced_opening(&seg, payload, now).await;
-            }
-            UpstreamAction::NotHeld => {
-                let key = seg.key_from_caller();
-                log::info!(event = "not_held", flow:% = key; "upstream returned a datagram that was delivered on trial; it does not hold the flow");
-                if let Some(via) = self.tried_flow_balancers.remove(&key) {
-                    self.codec.clear_bounce(datagram);
-                    self.send_not_held(via, Bytes::copy_from_slice(datagram))
-                        .await;
-                }
-            }
-            UpstreamAction::Reset => self.reset_flow(&seg, "upstream_lost_flow").await,
-            UpstreamAction::Drop => {}
-        }
-    }
-
-    /// Reports to the balancer that sent a datagram on trial that the flow is held
-    /// here.
-    async fn handle_learned_flow(&mut self, key: FlowTuple) {
-        self.metrics
-            .flow_events
-            .with_label_values(&["learned"])
-            .inc();
-        log::info!(event = "learned", flow:% = key; "upstream holds a flow that was not in the flow table");
-        if let Some(via) = self.tried_flow_balancers.remove(&key) {
-            self.send_flow_taken(key, via).await;
-        }
-    }
-
-    async fn send_flow_taken(&self, key: FlowTuple, via: SocketAddrV4) {
-        let service = self.cfg.service.clone();
-        self.send_message(via, &Message::FlowTaken { key, service })
-            .await;
-    }
-
     async fn send_message(&self, to: SocketAddrV4, message: &Message) {
         match wire::encode(message) {
             // The network may lose the datagram too, so a failed send is ignored.
