limpetd: a test that signals an ended process fails there and prints its end

Cause: not found for the refused connection of a_leader_that_wakes_answers_nobody. Read and ruled out: reused process ids (the harness signals and kills only children whose status it has not read, or through std, which does not signal afterwards), shared addresses (each test has its own range; a second copy cannot bind), panics in Instant arithmetic (there is none in the control process), and an exit without a log line (each way out of the process logs one, unless the log file cannot grow). A SIGHUP to an orphaned process group would end the test too.

Change: the harness asks for the state of a process before it signals it, and leaves its status unread. A failed test prints the OOM kills of the machine and whether the folder of the logs takes writes. The entry in KNOWN-RED.txt stays.

--- a/crates/limpetd/tests/harness/mod.rs
+++ b/crates/limpetd/tests/harness/mod.rs
@@ -23,7 +23,10 @@
 use client::{HttpClient, OperatorClient};
 use http::Request;
 use nix::{
-    sys::signal::{Signal, kill},
+    sys::{
+        signal::{Signal, kill},
+        wait::{Id, WaitPidFlag, WaitStatus, waitid},
+    },
     unistd::Pid,
 };
 use standin::{Fabric, FabricHandle, Upstream, UpstreamHandle};
@@ -59,10 +62,15 @@
         Process { child }
     }
 
-    /// Sends a signal to the process.
+    /// Sends a signal to the process; panics if it has ended. An ended process whose
+    /// status was not read accepts signals, and a later failure would not show the cause.
     pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process id");
-        kill(Pid::from_raw(id), signal).expect("signal");
+        let id = Pid::from_raw(i32::try_from(self.child.id()).expect("process id"));
+        // The status is left for `exit_status`, so that the id is not reused.
+        let flags = WaitPidFlag::WEXITED | WaitPidFlag::WNOHANG | WaitPidFlag::WNOWAIT;
+        let status = waitid(Id::Pid(id), flags).expect("process status");
+        assert_eq!(status, WaitStatus::StillAlive, "ended before {signal}");
+        kill(id, signal).expect("signal");
     }
 
     /// Sends SIGKILL and waits until the process has exited.
@@ -139,7 +147,8 @@
     process_starts: u32,
 }
 
-/// On a failed test, keeps the logs and prints which processes had exited.
+/// On a failed test, keeps the logs and prints which processes had exited, and what could
+/// have ended them without a line in their logs.
 impl Drop for Site {
     fn drop(&mut self) {
         if !std::thread::panicking() {
@@ -156,6 +165,13 @@
                 }
             }
         }
+        // A process that the kernel killed for memory logs nothing, and neither does one
+        // whose log file cannot grow.
+        let counters = std::fs::read_to_string("/proc/vmstat").unwrap_or_default();
+        let oom_kills = counters.lines().find(|line| line.starts_with("oom_kill "));
+        eprintln!("memory: {oom_kills:?} since the machine started");
+        let written = std::fs::write(self.dir.path().join("probe"), vec![0; 1 << 16]);
+        eprintln!("writing to the folder of the logs: {written:?}");
         let kept_dir = self.dir.path().with_extension("kept");
         if std::fs::rename(self.dir.path(), &kept_dir).is_ok() {
             eprintln!("logs are kept in {}", kept_dir.display());
