--- a/crates/admit/src/request/decision.rs
+++ b/crates/admit/src/request/decision.rs
@@ -1,8 +1,8 @@
 //! Inputs and decisions of one request.
 
-use std::time::Instant;
+use std::{net::IpAddr, time::Instant};
 
-use types::{ClassLoads, ClassName, RequestId, ReservationId, UpstreamId};
+use types::{ClassLoads, ClassName, RequestId, ReservationId, RetryAfter, UpstreamId};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub id: RequestId,
     /// Class of work.
     pub class: ClassName,
+    /// Address of the caller; `None` if it is unknown.
+    pub caller: Option<IpAddr>,
     /// Deadline of the caller.
     pub deadline: Option<Instant>,
     /// Whether a peer handed the request off. Such a request runs at once or
@@ -28,6 +30,7 @@
         RequestInfo {
             id,
             class,
+            caller: None,
             deadline: None,
             handed_off: false,
             exclude_local: false,
@@ -107,6 +110,26 @@
     DuplicateId,
 }
 
+/// A refusal as the caller is told of it. The request was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: RefusalReason,
+    /// When the caller may send it again.
+    pub retry_after: RetryAfter,
+}
+
+impl Refusal {
+    /// A refusal that does not depend on the backlog.
+    #[must_use]
+    pub fn without_backlog(reason: RefusalReason) -> Self {
+        Refusal {
+            reason,
+            retry_after: RetryAfter(1),
+        }
+    }
+}
+
 /// A decision about a request that was queued or waiting for a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DeferredDecision {
