--- a/crates/admit/src/request/waiting.rs
+++ b/crates/admit/src/request/waiting.rs
@@ -234,9 +234,9 @@
     }
 
     pub(crate) fn next_to_start(&mut self, now: Instant, name: &ClassName) -> Option<RequestId> {
-        let is_serving = self.is_serving();
+        let may_start = self.is_serving() && self.cold_room(now) > 0;
         let class = self.classes.get_mut(name)?;
-        let may_start = is_serving && class.has_free_slot();
+        let may_start = may_start && class.has_free_slot();
         may_start.then(|| class.next_queued(now, &self.settings))?
     }
 
--- a/crates/flow/src/process/mod.rs
+++ b/crates/flow/src/process/mod.rs
@@ -1,7 +1,6 @@
 //! Types that live as long as the process.
 
 mod agent_pool;
-mod cold_limit;
 mod cost_index;
 mod flow_checkpoint;
 mod flow_list;
@@ -17,7 +16,7 @@
 mod upstream_health;
 
 pub use agent_pool::{AgentPool, AgentStatus, Placement};
-pub use cold_limit::{ColdBound, ColdLimit};
+pub use cold::{ColdBound, ColdLimit};
 pub use flow_checkpoint::{
     CheckpointPart, CheckpointedFlow, DuePart, FlowCheckpoint, FlowCheckpointSettings,
 };
--- a/crates/limpetctl/src/process/settings.rs
+++ b/crates/limpetctl/src/process/settings.rs
@@ -13,6 +13,9 @@
 
 use super::{Format, exit::EXIT_CODES, parse};
 
+/// The file name that means the standard input.
+pub const STDIN_NAME: &str = "-";
+
 /// Command-line tool for operators of limpetplank, and an HTTP/3 client.
 ///
 /// Example: limpetctl --control 192.0.2.1:7100 status
@@ -185,9 +188,18 @@
     /// Example: `limpetctl call https://vouchers.example/feed --resolve
     /// 198.51.100.1:443 --ca roots.pem`
     Call(Box<CallArgs>),
-    /// Shows the timeline of one flow or request from the logs of several processes
+    /// Checks a configuration document before it is sent
+    ///
+    /// The exit status is 1 after a warning and 2 after an error.
+    ///
+    /// Example: limpetctl check routes.json --against 192.0.2.1:7100
+    Check(CheckArgs),
+    /// Shows the timeline of one flow or request from the logs of several processes, or
+    /// the refusals and resets in them by cause
     ///
     /// Example: limpetctl explain 100.64.0.7:40001-198.18.0.1:443 logs/*.log
+    ///
+    /// Example: limpetctl explain --groups logs/*.log
     Explain(ExplainArgs),
     /// Writes completions for a shell
     ///
@@ -390,13 +402,32 @@
     },
 }
 
+#[derive(Debug, Args)]
+pub struct CheckArgs {
+    /// The document, for example routes.json; - is the standard input
+    pub file: PathBuf,
+    /// Operators' address of a control host with whose version in force the document is
+    /// compared, for example --against 192.0.2.1:7100
+    #[arg(long, env = "LIMPET_AGAINST", value_name = "IP:PORT", value_parser = parse::address)]
+    pub against: Option<SocketAddr>,
+    /// Writes JSON, like --output json
+    #[arg(long, env = "LIMPET_JSON")]
+    pub json: bool,
+}
+
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
     /// Id of the flow or request, for example 100.64.0.7:40001-198.18.0.1:443
-    pub id: String,
+    #[arg(required_unless_present = "groups")]
+    pub id: Option<String>,
     /// Log files of one process each; - is the standard input
-    #[arg(required = true, value_name = "FILE")]
+    #[arg(required_unless_present = "groups", value_name = "FILE")]
     pub files: Vec<PathBuf>,
+    /// Groups all refusals and resets in these log files by cause, agent, route and
+    /// second, for example --groups logs/*.log
+    #[arg(long, env = "LIMPET_GROUPS", value_name = "FILE", num_args = 1..,
+        conflicts_with_all = ["id", "files", "around"])]
+    pub groups: Vec<PathBuf>,
     /// Time before and after the lines of the id in which lines on the state of
     /// the processes are shown too, for example --around 5s
     #[arg(long, env = "LIMPET_AROUND", value_name = "TIME", default_value = "2s",
@@ -458,7 +489,10 @@
     fn needs_control(&self) -> bool {
         !matches!(
             self.command,
-            Command::Call(_) | Command::Completions { .. } | Command::Explain(_)
+            Command::Call(_)
+                | Command::Check(_)
+                | Command::Completions { .. }
+                | Command::Explain(_)
         )
     }
 
