document: the paths of the operators' interface lie in the adapter's folder

Cause: limpetctl had its own copy of two paths of the platform's interface. Change: crate document names them, for the interface and for limpetctl. Result: clippy of document, platform and limpetctl is clean.

--- a/crates/limpetctl/src/request/check.rs
+++ b/crates/limpetctl/src/request/check.rs
@@ -9,7 +9,9 @@
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
-use document::{CheckReport, Document, Finding, FindingCode, InForce};
+use document::{
+    CONFIG_PATH, CheckReport, Document, EVACUATIONS_PATH, Finding, FindingCode, InForce,
+};
 use http::{Method, StatusCode};
 use net::send_request;
 use serde::{Deserialize, de::DeserializeOwned};
@@ -20,12 +22,6 @@
     process::{CheckArgs, Exit, Format, Output, Report, STDIN_NAME, table},
 };
 
-/// Path of the configuration at the operators' address of a control host.
-const CONFIG_PATH: &str = "/api/config";
-
-/// Path of the evacuated data centres there, and, with a slash and its name, of one.
-const EVACUATIONS_PATH: &str = "/api/evacuations";
-
 /// Longest answer that is read. A document of the largest allowed number of routes has
 /// about 4 MB.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
