Newcomer's reading: names and reasons of checkpoints; the platform's paths in one place

Cause: a constant needed its comment, two comments gave no reason, and the tests of limpetctl had the platform's paths.

--- a/crates/directory/src/process/record_store.rs
+++ b/crates/directory/src/process/record_store.rs
@@ -22,6 +22,7 @@
         (0..SHARDS).map(RecordShard)
     }
 
+    /// The last byte of the address spreads the hosts of a subnet evenly.
     fn of(owner: SocketAddrV4) -> Self {
         let [.., last] = owner.ip().octets();
         RecordShard(last % SHARDS)
@@ -37,8 +38,8 @@
 /// Limits of a [`RecordStore`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordStoreSettings {
-    /// Records that were not sent again for this long are removed. Nodes send theirs
-    /// every 5 s; a node that is away for longer finds its flows ended.
+    /// Records that were not sent again for this long are removed. Agents send theirs every
+    /// 5 s, and the callers of an agent that is away for a minute have given up.
     pub retention: Duration,
     /// Maximum size of all records. It is a small part of the memory of a control host
     /// and of its disk, and room for 40,000 flows at 50 bytes each.
--- a/crates/flow/src/process/flow_checkpoint.rs
+++ b/crates/flow/src/process/flow_checkpoint.rs
@@ -11,12 +11,13 @@
 
 use crate::FlowRecord;
 
-/// Flows in one part, so that a part fits in a datagram of 1,400 bytes: an encoded flow
-/// takes at most 60 bytes. Parts are divided when they hold more than this on average.
-const FLOWS_PER_PART: usize = 12;
+/// The number of parts doubles when they hold more flows than this on average. It is about
+/// half of the maximum, because a hash spreads the flows over the parts unevenly.
+const MAX_MEAN_FLOWS_PER_PART: usize = 12;
 
-/// Maximum number of flows in one part. The flows of a checkpoint are spread over its
-/// parts by a hash; a part with more loses some, which are searched for after a crash.
+/// Maximum number of flows in one part, so that it fits in a datagram of 1,400 bytes: an
+/// encoded flow takes at most 60. Further flows of a part are left out, and are searched
+/// for after a crash.
 const MAX_FLOWS_PER_PART: usize = 22;
 
 /// Maximum number of parts, room for 6,000 flows.
@@ -174,7 +175,7 @@
     /// The number of parts for this many flows, a power of two. It shrinks only when the
     /// parts are mostly empty, because all of them are sent again when it changes.
     fn part_count(&self, flows: usize) -> usize {
-        let needed = flows.div_ceil(FLOWS_PER_PART).next_power_of_two();
+        let needed = flows.div_ceil(MAX_MEAN_FLOWS_PER_PART).next_power_of_two();
         let current = self.parts.len();
         let needed = if needed < current && needed * 4 > current {
             current
--- a/crates/limpetctl/tests/check.rs
+++ b/crates/limpetctl/tests/check.rs
@@ -10,10 +10,15 @@
 };
 
 use common::{Session, refusing_address};
+use document::{CONFIG_PATH, EVACUATIONS_PATH};
 use insta::assert_snapshot;
 
 /// Starts a fake operators' interface that answers each path with a status and body.
-fn operators_interface(answers: &'static [(&str, u16, &str)]) -> SocketAddr {
+fn operators_interface(answers: &[(&str, u16, &'static str)]) -> SocketAddr {
+    let answers = answers
+        .iter()
+        .map(|&(path, status, body)| (path.to_owned(), status, body));
+    let answers: Vec<_> = answers.collect();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -23,8 +28,8 @@
             let len = stream.read(&mut buf).unwrap();
             let request = String::from_utf8_lossy(&buf[..len]).into_owned();
             let path = request.split(' ').nth(1).unwrap_or_default();
-            let answer = answers.iter().find(|(at, ..)| *at == path);
-            let (_, status, body) = *answer.unwrap_or(&("", 404, "{}"));
+            let answer = answers.iter().find(|(at, ..)| at == path);
+            let (status, body) = answer.map_or((404, "{}"), |(_, status, body)| (*status, *body));
             let body = body.strip_prefix('@').map_or(body.to_owned(), |file| {
                 fs::read_to_string(format!("tests/documents/{file}")).unwrap()
             });
@@ -66,16 +71,17 @@
 /// are missed, and against evacuations that are not taken into account.
 #[test]
 fn differences_from_the_version_in_force() {
+    let varna = format!("{EVACUATIONS_PATH}/varna");
     let control = operators_interface(&[
-        ("/api/config", 200, "@same.json"),
-        ("/api/evacuations", 200, r#"{"evacuated": ["varna"]}"#),
+        (CONFIG_PATH, 200, "@same.json"),
+        (EVACUATIONS_PATH, 200, r#"{"evacuated": ["varna"]}"#),
         (
-            "/api/evacuations/varna",
+            &varna,
             200,
             r#"{"evacuated": true, "services": ["vouchers-next", "intake"]}"#,
         ),
     ]);
-    let empty = operators_interface(&[("/api/evacuations", 200, r#"{"evacuated": []}"#)]);
+    let empty = operators_interface(&[(EVACUATIONS_PATH, 200, r#"{"evacuated": []}"#)]);
     let mut s = Session::new(&[]);
     s.redact_as(control, "CONTROL");
     s.redact_as(empty, "EMPTY");
@@ -97,9 +103,9 @@
 fn a_control_host_that_does_not_answer() {
     let refusing = refusing_address();
     let cases = [
-        operators_interface(&[("/api/config", 503, "{}")]),
-        operators_interface(&[("/api/config", 307, "")]),
-        operators_interface(&[("/api/config", 200, "[]")]),
+        operators_interface(&[(CONFIG_PATH, 503, "{}")]),
+        operators_interface(&[(CONFIG_PATH, 307, "")]),
+        operators_interface(&[(CONFIG_PATH, 200, "[]")]),
     ];
     let mut s = Session::new(&[]);
     s.redact_as(refusing, "REFUSING");
--- a/crates/relay/src/process/sync/records.rs
+++ b/crates/relay/src/process/sync/records.rs
@@ -52,7 +52,9 @@
         let is_local = |host: &SocketAddrV4| {
             let nodes = self.view.nodes();
             let local = nodes.filter(|node| node.data_centre == self.cfg.node.data_centre);
-            local.into_iter().any(|node| node.address == *host)
+            local
+                .map(|node| node.address)
+                .any(|address| address == *host)
         };
         let hosts = self.record_hosts();
         let local: Vec<SocketAddrV4> = hosts.iter().copied().filter(is_local).collect();
