--- a/review/stand-ins-2/site_2.py
+++ b/review/stand-ins-2/site_2.py
@@ -198,6 +198,7 @@
         flow = {"port": self.port, "route": route, "edge": edge, "seq": random.getrandbits(32), "ack": None, "state": "opening",
                 "sent_at": time.time(), "copies": list(copies), "copy": 0, "request": None, "answers": [], "server": None, "reset_at": None}
         self.flows[self.port] = flow
+        flow["copy_times"] = [flow["sent_at"]]
         self.send(flow, self.syn(flow))
         return flow
 
@@ -226,6 +227,7 @@
                 if flow["state"] == "opening" and flow["copies"] and now >= flow["sent_at"] + flow["copies"][0]:
                     flow["copies"].pop(0)
                     flow["copy"] += 1
+                    flow["copy_times"].append(now)
                     self.send(flow, self.syn(flow))
                 request = flow["request"]
                 if flow["state"] == "open" and request and now >= request["again_at"]:
