--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "stand-ins-2"))
 from site_2 import Client, Site, run_case  # noqa: E402
 
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.18.0.1", 8443)
 STABLE_WINDOW_S = 5.0
 RESTART_DELAY_S = 0.4
 SERVER_DOWN_S = 2.0
