flow: an announcement does not reset flows that are on trial or were returned

What callers saw: living flows were reset by an agent that does not hold them ("upstream_restarted"). An agent that starts beside its upstream gets datagrams of other upstreams' flows on trial. Once the upstream had returned one, the table remembered that it does not hold the flow. At the first announcement whose incarnation differed from that of the restored checkpoint, `set_upstream` marked every entry of the table as lost, also these. The agent then answered `Holds` for them and reset them.

Change: only flows that an upstream of this agent got from their opening on become lost. A returned flow becomes lost if the checkpoint or list shows that an upstream accepted it at an earlier process: then no other upstream holds it, and its caller need not wait.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -22,6 +22,14 @@
     NotHeld,
 }
 
+impl Stage {
+    /// Whether an upstream of this agent got the flow from its opening on. If it does not
+    /// hold the flow any more, no upstream does.
+    pub fn is_accepted(self) -> bool {
+        matches!(self, Stage::Opening | Stage::Open | Stage::Closed)
+    }
+}
+
 /// State of a flow, built from the datagrams of both directions.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Flow {
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -130,7 +130,9 @@
         let former = self.flows_incarnation();
         let current = upstream.and_then(|upstream| upstream.incarnation);
         if former.is_some() && current.is_some() && former != current {
-            for flow in self.flows.values_mut() {
+            // Another upstream may hold a flow that is on trial here or was returned.
+            let accepted = self.flows.values_mut().filter(|f| f.stage.is_accepted());
+            for flow in accepted {
                 flow.stage = Stage::Lost;
                 flow.request = RequestProgress::Idle;
             }
--- a/crates/flow/src/process/flow_table/handover.rs
+++ b/crates/flow/src/process/flow_table/handover.rs
@@ -182,6 +182,16 @@
             known.upstream_range = restored.upstream_range;
             known.unrecorded_bytes = restored.unrecorded_bytes;
         }
+        // An upstream accepted the flow at an earlier process, and returned it to this one.
+        Stage::NotHeld if restored.upstream_range.is_some() => {
+            *known = Flow {
+                stage: Stage::Lost,
+                request: RequestProgress::Idle,
+                via: known.via,
+                last_datagram_at: known.last_datagram_at,
+                ..restored
+            };
+        }
         // The datagrams since the start are newer than the list.
         Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost | Stage::NotHeld => {}
     }
