flow: the upstream decides which flows a restart has ended

What callers saw: living flows were reset by their own agent ("upstream_restarted"). An agent compared the announced incarnation of its upstream with the last one that it or the checkpoint knew. If they differed, it marked every flow of its table as lost: also those that the present run had opened or answered before its first announcement to the agent. An announcement comes up to a second after the start of an upstream, or of an agent beside it, so it does not show which run holds a flow.

Change: each flow carries the incarnation that was announced when the upstream last showed that it holds it. After an announcement of another one, an open flow is unverified: the upstream gets the caller's next datagram. If it answers, the flow goes on; if it returns it, the caller is reset at once, one exchange on the host later than before. An opening that the upstream never answered is not proof of a flow: another upstream may have accepted a copy.

--- a/crates/flow/src/connection/flow.rs
+++ b/crates/flow/src/connection/flow.rs
@@ -11,29 +11,31 @@
     Opening,
     /// The upstream accepted the flow or sent data on it.
     Open,
+    /// The upstream accepted the flow, and has announced another incarnation since.
+    /// Only the upstream knows whether it did so before it restarted or after: it
+    /// announces itself some time after its start. It gets the flow's datagrams. If it
+    /// returns one, no upstream holds the flow.
+    Unverified,
     /// A datagram was delivered without knowing whether the upstream holds the
     /// flow; the upstream has not answered yet.
     Unconfirmed,
     /// Both ends have closed the flow, or one of them has reset it.
     Closed,
-    /// The upstream has lost the flow, for example by a restart.
+    /// The upstream accepted the flow and does not hold it any more, for example because
+    /// of a restart: it has returned a datagram of the flow.
     Lost,
     /// The upstream returned a datagram of the flow: it does not hold the flow.
     NotHeld,
 }
 
-impl Stage {
-    /// Whether an upstream of this agent got the flow from its opening on. If it does not
-    /// hold the flow any more, no upstream does.
-    pub fn is_accepted(self) -> bool {
-        matches!(self, Stage::Opening | Stage::Open | Stage::Closed)
-    }
-}
-
 /// State of a flow, built from the datagrams of both directions.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Flow {
     pub stage: Stage,
+    /// Incarnation that the upstream had announced last when it got the flow's opening, or
+    /// when it last sent a datagram of the flow; `None` if it had announced none. It may
+    /// have restarted before that without having announced itself.
+    pub incarnation: Option<u64>,
     /// Sequence number of the opening datagram, if it was seen.
     pub opening_seq: Option<u32>,
     /// Initial sequence number of the upstream and the sequence number after
@@ -60,6 +62,7 @@
     pub fn new(stage: Stage, now: Instant) -> Self {
         Flow {
             stage,
+            incarnation: None,
             opening_seq: None,
             upstream_range: None,
             unrecorded_bytes: 0,
@@ -124,6 +127,27 @@
         }
     }
 
+    /// Records an announcement of the upstream. What the upstream accepted before an
+    /// announcement of another incarnation has to be verified by its datagrams.
+    pub fn record_announcement(&mut self, incarnation: u64) {
+        let former = self.incarnation.replace(incarnation);
+        if former.is_none_or(|former| former == incarnation) {
+            return;
+        }
+        match self.stage {
+            // The former incarnation may not have accepted the opening, and another
+            // upstream a copy of it.
+            Stage::Opening => self.stage = Stage::Unconfirmed,
+            Stage::Open => self.stage = Stage::Unverified,
+            Stage::Unverified
+            | Stage::Unconfirmed
+            | Stage::Closed
+            | Stage::Lost
+            | Stage::NotHeld => return,
+        }
+        self.request = RequestProgress::Idle;
+    }
+
     pub fn close_if_both_ended(&mut self) {
         if self.caller_ended && self.upstream_ended {
             self.stage = Stage::Closed;
--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -124,18 +124,16 @@
         }
     }
 
-    /// Sets the state of the upstream; `None` if it does not run. Flows of an earlier
-    /// incarnation become lost.
+    /// Sets the state of the upstream; `None` if it does not run.
     pub fn set_upstream(&mut self, upstream: Option<UpstreamStatus>, now: Instant) {
         let former = self.flows_incarnation();
         let current = upstream.and_then(|upstream| upstream.incarnation);
-        if former.is_some() && current.is_some() && former != current {
-            // Another upstream may hold a flow that is on trial here or was returned.
-            let accepted = self.flows.values_mut().filter(|f| f.stage.is_accepted());
-            for flow in accepted {
-                flow.stage = Stage::Lost;
-                flow.request = RequestProgress::Idle;
+        if let Some(incarnation) = current {
+            for flow in self.flows.values_mut() {
+                flow.record_announcement(incarnation);
             }
+        }
+        if former.is_some() && current.is_some() && former != current {
             // The speed of the new run is unknown.
             self.service_time = ServiceTimeTracker::default();
             self.health = UpstreamHealth::default();
@@ -249,7 +247,11 @@
             Stage::Unconfirmed if seg.len > 0 && flow.unconfirmed_data >= MAX_UNCONFIRMED_DATA => {
                 CallerAction::Drop
             }
-            Stage::Opening | Stage::Open | Stage::Closed | Stage::Unconfirmed => {
+            Stage::Opening
+            | Stage::Open
+            | Stage::Unverified
+            | Stage::Closed
+            | Stage::Unconfirmed => {
                 flow.unconfirmed_data += u8::from(flow.stage == Stage::Unconfirmed && seg.len > 0);
                 let is_repeated = seg.len > 0 && flow.caller_seq == Some(seg.seq);
                 flow.record_caller_data(seg, now);
@@ -322,6 +324,7 @@
         self.cold_limit.record_delivery(now);
         let flow = Flow {
             opening_seq: Some(seg.seq),
+            incarnation: self.announced_incarnation(),
             ..Flow::new(Stage::Opening, now)
         };
         self.flows.insert(seg.key_from_caller(), flow);
@@ -336,6 +339,7 @@
             return CallerAction::NotHeld;
         }
         let mut flow = Flow {
+            incarnation: self.announced_incarnation(),
             unconfirmed_data: u8::from(seg.len > 0),
             ..Flow::new(Stage::Unconfirmed, now)
         };
@@ -375,7 +379,7 @@
         limit: usize,
     ) -> Vec<FlowTuple> {
         let open = self.flows.iter().filter(|(_, flow)| {
-            let held = matches!(flow.stage, Stage::Opening | Stage::Open);
+            let held = matches!(flow.stage, Stage::Opening | Stage::Open | Stage::Unverified);
             held && flow.via.is_some_and(&is_selected)
         });
         let mut open: Vec<(Instant, FlowTuple)> = open
@@ -391,7 +395,9 @@
         match self.flows.get(key) {
             Some(flow) if !flow.acknowledges_upstream(seg) => Claim::No,
             Some(flow) => match flow.stage {
-                Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost => Claim::Holds,
+                Stage::Opening | Stage::Open | Stage::Unverified | Stage::Closed | Stage::Lost => {
+                    Claim::Holds
+                }
                 Stage::Unconfirmed => Claim::Perhaps,
                 Stage::NotHeld => Claim::No,
             },
@@ -408,21 +414,22 @@
             return self.on_bounced(seg, now);
         }
         let key = seg.key_from_upstream();
-        let learned = self.flows.get(&key).is_none_or(|flow| {
-            matches!(
-                flow.stage,
-                Stage::Unconfirmed | Stage::NotHeld | Stage::Lost
-            )
-        });
-        if learned && seg.resets {
+        let stage = self.flows.get(&key).map(|flow| flow.stage);
+        let learned = matches!(
+            stage,
+            None | Some(Stage::Unconfirmed | Stage::NotHeld | Stage::Lost)
+        );
+        if seg.resets && (learned || stage == Some(Stage::Unverified)) {
             // The reset says only that the flow is unknown or closed.
             self.flows.remove(&key);
             return UpstreamAction::ToCaller { learned: false };
         }
+        let incarnation = self.announced_incarnation();
         let flow = self
             .flows
             .entry(key)
             .or_insert_with(|| Flow::new(Stage::Open, now));
+        flow.incarnation = incarnation;
         flow.last_datagram_at = now;
         if flow.stage != Stage::Closed {
             flow.stage = Stage::Open;
@@ -474,14 +481,18 @@
                 UpstreamAction::NotHeld
             }
             // The upstream had accepted the flow, so it has restarted since.
-            Stage::Open if !seg.resets => {
+            stage @ (Stage::Open | Stage::Unverified) if !seg.resets => {
                 flow.stage = Stage::Lost;
-                self.may_have_restarted = true;
+                self.may_have_restarted |= stage == Stage::Open;
+                self.service_time.remove(&key, now);
                 UpstreamAction::Reset
             }
-            Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost | Stage::NotHeld => {
-                UpstreamAction::Drop
-            }
+            Stage::Opening
+            | Stage::Open
+            | Stage::Unverified
+            | Stage::Closed
+            | Stage::Lost
+            | Stage::NotHeld => UpstreamAction::Drop,
         }
     }
 
@@ -642,7 +653,7 @@
         let cfg = self.settings;
         self.flows.retain(|_, flow| {
             let retention = match flow.stage {
-                Stage::Open | Stage::Unconfirmed => cfg.idle_timeout,
+                Stage::Open | Stage::Unverified | Stage::Unconfirmed => cfg.idle_timeout,
                 // Otherwise a balancer would deliver another datagram on trial.
                 Stage::NotHeld => cfg.recovery_period,
                 Stage::Opening | Stage::Closed | Stage::Lost => cfg.linger_timeout,
--- a/crates/flow/src/process/flow_table/handover.rs
+++ b/crates/flow/src/process/flow_table/handover.rs
@@ -26,11 +26,16 @@
         now >= self.recovery_until
     }
 
-    /// Incarnation of the upstream that holds the flows, if it is known.
+    /// Incarnation that the upstream has announced to this agent.
+    pub(super) fn announced_incarnation(&self) -> Option<u64> {
+        self.upstream.and_then(|upstream| upstream.incarnation)
+    }
+
+    /// Incarnation that the upstream has announced last, to this agent or to the one
+    /// before. The upstream may have restarted since.
     #[must_use]
     pub fn flows_incarnation(&self) -> Option<u64> {
-        let announced = self.upstream.and_then(|upstream| upstream.incarnation);
-        announced.or(self.restored_incarnation)
+        self.announced_incarnation().or(self.restored_incarnation)
     }
 
     /// The flows to hand over, the most recently used first.
@@ -39,7 +44,7 @@
         let records = self.flows.iter().filter_map(|(key, flow)| {
             let stage = match flow.stage {
                 Stage::Opening => RecordedStage::Opening,
-                Stage::Open => RecordedStage::Open,
+                Stage::Open | Stage::Unverified => RecordedStage::Open,
                 Stage::Closed => RecordedStage::Closed,
                 // The upstream may not hold them.
                 Stage::Unconfirmed | Stage::Lost | Stage::NotHeld => return None,
@@ -121,15 +126,15 @@
     }
 
     /// Takes over the flows of the previous agent. If their list is complete, the
-    /// upstream holds no other flows. Flows of an earlier incarnation of the upstream
-    /// are lost.
+    /// upstream holds no other flows.
     pub fn restore(&mut self, recovered: RecoveredFlows, now: Instant) {
-        let announced = self.upstream.and_then(|upstream| upstream.incarnation);
-        let is_lost =
-            announced.is_some() && recovered.upstream.is_some() && announced != recovered.upstream;
+        let announced = self.announced_incarnation();
         self.restored_incarnation = recovered.upstream.or(self.restored_incarnation);
         for record in recovered.flows {
-            let flow = restored_flow(&record, is_lost, now);
+            let mut flow = restored_flow(&record, recovered.upstream, now);
+            if let Some(announced) = announced {
+                flow.record_announcement(announced);
+            }
             match self.flows.entry(record.key) {
                 Entry::Vacant(entry) => drop(entry.insert(flow)),
                 Entry::Occupied(mut entry) => merge(entry.get_mut(), flow),
@@ -141,9 +146,8 @@
     }
 }
 
-fn restored_flow(record: &FlowRecord, is_lost: bool, now: Instant) -> Flow {
+fn restored_flow(record: &FlowRecord, incarnation: Option<u64>, now: Instant) -> Flow {
     let stage = match record.stage {
-        _ if is_lost => Stage::Lost,
         RecordedStage::Opening => Stage::Opening,
         RecordedStage::Open => Stage::Open,
         RecordedStage::Closed => Stage::Closed,
@@ -151,11 +155,12 @@
     // The clock may have started after the flow's last datagram.
     let idle_since = |idle: Duration| now.checked_sub(idle).unwrap_or(now);
     Flow {
+        incarnation,
         opening_seq: record.opening_seq,
         upstream_range: record.upstream_range,
         unrecorded_bytes: UNRECORDED_BYTES,
         caller_seq: record.caller_seq,
-        request: if record.awaiting_answer && !is_lost {
+        request: if record.awaiting_answer {
             RequestProgress::Waiting
         } else {
             RequestProgress::Idle
@@ -193,6 +198,11 @@
             };
         }
         // The datagrams since the start are newer than the list.
-        Stage::Opening | Stage::Open | Stage::Closed | Stage::Lost | Stage::NotHeld => {}
+        Stage::Opening
+        | Stage::Open
+        | Stage::Unverified
+        | Stage::Closed
+        | Stage::Lost
+        | Stage::NotHeld => {}
     }
 }
