flow, relay, platform: an agent denies unknown flows only on a fact

Cause: an upstream that started less than 2 s before its agent counted as one that started with it (`MIN_START_LEAD_MS`), and the agent took its empty table for complete. The process before it may have opened flows in those 2 s. Any announcement had the same effect if the clock had stepped. An announced end (`DELETE`) also made an agent deny all unknown flows, though the upstream still runs for a moment and the call may be late.

Change: `FlowTable::complete_from` carries the invariant. It is moved before the end of the recovery period (60 s) only by a complete list of the previous process, or by `FlowTable::record_absence`: this process has seen that nothing listens at the upstream's address, so each run that is found later began after it. On the platform's hosts agents start before their upstreams, so this holds after each first start. The `upstream` log line says whether the agent knows all flows, and how many are unverified.

Fixtures whose agents started with their upstream now see its absence first, and the sites of `platform/tests` start their upstreams after the agents.

--- a/crates/flow/src/process/flow_table.rs
+++ b/crates/flow/src/process/flow_table.rs
@@ -78,11 +78,14 @@
     restored_incarnation: Option<u64>,
     /// Whether the data centre is evacuated, so that the upstream gets no new flows.
     evacuated: bool,
-    /// Until this instant, the table accepts flows that the upstream may hold
-    /// from before the agent's start.
-    recovery_until: Instant,
-    /// The upstream is known not to run, so it holds no flows.
-    is_gone: bool,
+    /// From this instant on, the table has all flows that the upstream holds, and the
+    /// agent denies others. It comes before the end of the recovery period only by a
+    /// fact that shows that no earlier process at the agent's address opened an unknown
+    /// flow at the present run of the upstream: this process has seen that none ran
+    /// ([`FlowTable::record_absence`]), or it has the complete list of the process
+    /// before it ([`FlowTable::restore`]). Announcements do not show this: one may be
+    /// late, clocks are set back, and an upstream gets flows before it announces itself.
+    complete_from: Instant,
     flows: BTreeMap<FlowTuple, Flow>,
     /// When the first opening datagram was delivered that the upstream has not
     /// answered, since its last datagram.
@@ -110,8 +113,7 @@
             upstream: None,
             restored_incarnation: None,
             evacuated: false,
-            recovery_until: now + settings.recovery_period,
-            is_gone: false,
+            complete_from: now + settings.recovery_period,
             flows: BTreeMap::new(),
             unanswered_since: None,
             last_probe_at: None,
@@ -124,8 +126,23 @@
         }
     }
 
-    /// Sets the state of the upstream; `None` if it does not run.
-    pub fn set_upstream(&mut self, upstream: Option<UpstreamStatus>, now: Instant) {
+    /// Records that this process has seen that nothing listens at the address of the
+    /// upstream. Each run that is found later started after this process.
+    pub fn record_absence(&mut self, now: Instant) {
+        self.complete_from = self.complete_from.min(now);
+        // The run that got their datagrams has ended.
+        self.flows
+            .retain(|_, flow| flow.stage != Stage::Unconfirmed);
+        self.cold_limit.record_absence();
+        // A run that has announced itself may have started since.
+        if self.announced_incarnation().is_none() {
+            self.upstream = None;
+        }
+    }
+
+    /// Sets the state of the upstream; `None` if it does not run or has announced its
+    /// end.
+    pub fn set_upstream(&mut self, upstream: Option<UpstreamStatus>) {
         let former = self.flows_incarnation();
         let current = upstream.and_then(|upstream| upstream.incarnation);
         if let Some(incarnation) = current {
@@ -139,16 +156,12 @@
             self.health = UpstreamHealth::default();
             self.unanswered_since = None;
         }
-        if upstream.is_some_and(|upstream| !upstream.started_before_agent) {
-            self.recovery_until = now;
-        }
         if current.is_some() {
             self.may_have_restarted = false;
         }
         if upstream.is_none() {
             self.cold_limit.record_absence();
         }
-        self.is_gone = upstream.is_none();
         self.upstream = upstream;
     }
 
@@ -335,7 +348,7 @@
         // from a claim or from placing the flow before this process started, or
         // no agent has claimed the flow.
         let trusted = matches!(origin, Origin::Held | Origin::Tried);
-        if !trusted || !self.is_recovering(now) || seg.resets {
+        if !trusted || self.is_complete(now) || seg.resets {
             return CallerAction::NotHeld;
         }
         let mut flow = Flow {
@@ -348,13 +361,6 @@
         CallerAction::Deliver
     }
 
-    /// Whether the upstream may hold flows that are not in the table. Each
-    /// agent is in this state after its start, but it matters only if the
-    /// upstream started earlier.
-    fn is_recovering(&self, now: Instant) -> bool {
-        now < self.recovery_until && !self.is_gone
-    }
-
     /// Whether the flow is unconfirmed: a datagram of it was delivered and the
     /// upstream has not answered yet.
     #[must_use]
@@ -401,8 +407,8 @@
                 Stage::Unconfirmed => Claim::Perhaps,
                 Stage::NotHeld => Claim::No,
             },
-            None if self.is_recovering(now) => Claim::Perhaps,
-            None => Claim::No,
+            None if self.is_complete(now) => Claim::No,
+            None => Claim::Perhaps,
         }
     }
 
@@ -638,6 +644,13 @@
         load
     }
 
+    /// Number of flows of which only the upstream knows whether it still holds them.
+    #[must_use]
+    pub fn unverified_flows(&self) -> usize {
+        let flows = self.flows.values();
+        flows.filter(|f| f.stage == Stage::Unverified).count()
+    }
+
     /// Number of flows that wait for the first byte of an answer or are being
     /// opened.
     #[must_use]
--- a/crates/flow/src/process/flow_table/handover.rs
+++ b/crates/flow/src/process/flow_table/handover.rs
@@ -23,7 +23,7 @@
     /// Whether the table has all flows that the upstream holds.
     #[must_use]
     pub fn is_complete(&self, now: Instant) -> bool {
-        now >= self.recovery_until
+        now >= self.complete_from
     }
 
     /// Incarnation that the upstream has announced to this agent.
@@ -141,7 +141,7 @@
             }
         }
         if recovered.complete {
-            self.recovery_until = now;
+            self.complete_from = self.complete_from.min(now);
         }
     }
 }
--- a/crates/flow/src/process/flow_table/state.rs
+++ b/crates/flow/src/process/flow_table/state.rs
@@ -15,9 +15,6 @@
     pub slots: Slots,
     /// Whether it accepts new flows: it is neither draining nor stopped.
     pub accepting: bool,
-    /// The upstream started before its agent, so it may hold flows that the
-    /// agent has never seen.
-    pub started_before_agent: bool,
     /// The upstream responds slowly after its start, until this instant.
     pub slow_start_until: Option<Instant>,
 }
@@ -33,29 +30,17 @@
             incarnation: None,
             slots: ASSUMED_SLOTS,
             accepting: true,
-            started_before_agent: true,
             slow_start_until: None,
         }
     }
 
-    /// An upstream that listens and did not a moment ago, so it has just started.
-    #[must_use]
-    pub fn just_started() -> Self {
-        UpstreamStatus {
-            started_before_agent: false,
-            ..UpstreamStatus::listening()
-        }
-    }
-
-    /// An upstream that accepts flows, is past its slow start and started
-    /// together with its agent.
+    /// An upstream that accepts flows and is past its slow start.
     #[must_use]
     pub fn ready(incarnation: u64, slots: Slots) -> Self {
         UpstreamStatus {
             incarnation: Some(incarnation),
             slots,
             accepting: true,
-            started_before_agent: false,
             slow_start_until: None,
         }
     }
@@ -118,7 +103,7 @@
 pub enum Claim {
     /// The agent holds the flow.
     Holds,
-    /// The agent restarted recently, and its upstream may hold the flow.
+    /// An earlier process of the agent may have opened the flow at the upstream.
     Perhaps,
     /// The agent does not hold the flow.
     No,
--- a/crates/flow/tests/checkpoint.rs
+++ b/crates/flow/tests/checkpoint.rs
@@ -25,7 +25,7 @@
         slots: Slots(1000),
         ..UpstreamStatus::listening()
     };
-    table.set_upstream(Some(upstream), now);
+    table.set_upstream(Some(upstream));
     table
 }
 
--- a/crates/flow/tests/cold_limit.rs
+++ b/crates/flow/tests/cold_limit.rs
@@ -51,7 +51,7 @@
         ..FlowTableSettings::default()
     };
     let mut table = FlowTable::new(settings, now);
-    table.set_upstream(None, now);
+    table.set_upstream(None);
     (table, now)
 }
 
@@ -59,7 +59,7 @@
 fn cold_table(rate: f64, span: Duration) -> (FlowTable, Instant) {
     let (mut table, now) = new_table(Some(bound()));
     table.set_limits(limits(rate));
-    table.set_upstream(Some(cold(now, span)), now);
+    table.set_upstream(Some(cold(now, span)));
     (table, now)
 }
 
@@ -106,7 +106,7 @@
             );
             let bound = bound.unwrap();
             let (mut table, start) = new_table(Some(bound));
-            table.set_upstream(Some(cold(start, 60 * SECOND)), start);
+            table.set_upstream(Some(cold(start, 60 * SECOND)));
             let mut delivered = Vec::new();
             let mut now = start;
             for n in 0..600 {
@@ -162,12 +162,12 @@
 fn nothing_is_limited_without_a_bound_a_rate_or_a_cold_upstream() {
     let (mut table, now) = new_table(None);
     table.set_limits(limits(2.0));
-    table.set_upstream(Some(cold(now, SECOND)), now);
+    table.set_upstream(Some(cold(now, SECOND)));
     assert_eq!(fill(&mut table, 0, now), 2000, "no bound");
 
     let (mut table, now) = new_table(Some(bound()));
     table.set_limits(ServiceLimits::default());
-    table.set_upstream(Some(cold(now, SECOND)), now);
+    table.set_upstream(Some(cold(now, SECOND)));
     assert_eq!(fill(&mut table, 0, now), 2000, "no rate");
     assert!(!table.is_held_by_cold_limit(now));
 
@@ -245,7 +245,7 @@
     };
     let restarted = || {
         let mut table = FlowTable::new(settings, start);
-        table.set_upstream(Some(UpstreamStatus::listening()), start);
+        table.set_upstream(Some(UpstreamStatus::listening()));
         table
     };
     let unseen = Duration::from_millis(1100);
@@ -265,13 +265,13 @@
     let mut table = restarted();
     table.set_limits(limits(20.0));
     let warm = UpstreamStatus::ready(7, Slots(10));
-    table.set_upstream(Some(warm), start);
+    table.set_upstream(Some(warm));
     assert_eq!(fill(&mut table, 0, start), 20, "the upstream is warm");
 
     let mut table = restarted();
     table.set_limits(limits(20.0));
-    table.set_upstream(None, start);
-    table.set_upstream(Some(UpstreamStatus::just_started()), start);
+    table.record_absence(start);
+    table.set_upstream(Some(UpstreamStatus::listening()));
     assert_eq!(fill(&mut table, 0, start), 2, "the upstream did not run");
 }
 
@@ -282,7 +282,7 @@
     let warm = UpstreamStatus::ready(7, Slots(1000));
     let warm_table = || {
         let (mut table, now) = cold_table(20.0, SECOND);
-        table.set_upstream(Some(warm), now);
+        table.set_upstream(Some(warm));
         table.caller_datagram(&opening(1), Origin::Placed, now);
         table.upstream_datagram(&agreement(1, 5000), now);
         (table, now)
@@ -294,7 +294,7 @@
     let lost = bounced(data(1, 101, 5001));
     assert_eq!(table.upstream_datagram(&lost, now), UpstreamAction::Reset);
     assert_eq!(fill(&mut table, 0, now + SECOND), 2, "a lost flow");
-    table.set_upstream(Some(warm), now + SECOND);
+    table.set_upstream(Some(warm));
     // Two flows take a slot each.
     assert_eq!(fill(&mut table, 100, now + SECOND), 1998);
 
--- a/crates/flow/tests/cold_return.rs
+++ b/crates/flow/tests/cold_return.rs
@@ -217,12 +217,12 @@
             table.set_limits(ServiceLimits {
                 cold_rate: RequestRate::from_per_second(COLD_RATE),
             });
-            table.set_upstream(None, start);
+            table.set_upstream(None);
             let upstream = UpstreamStatus {
                 slow_start_until: Some(cold_until),
                 ..UpstreamStatus::ready(1, Slots(SLOTS))
             };
-            table.set_upstream(Some(upstream), start);
+            table.set_upstream(Some(upstream));
             Host {
                 address: address(n),
                 data_centre: name.parse().unwrap(),
--- a/crates/flow/tests/common/mod.rs
+++ b/crates/flow/tests/common/mod.rs
@@ -154,11 +154,12 @@
     Bytes::from_static(text.as_bytes())
 }
 
-/// The flow table of an agent with a ready upstream of 4 slots.
+/// The flow table of an agent with a ready upstream of 4 slots that started after it.
 pub fn flow_table() -> (FlowTable, Instant) {
     let now = Instant::now();
     let mut table = FlowTable::new(FlowTableSettings::default(), now);
-    table.set_upstream(Some(UpstreamStatus::ready(7, Slots(4))), now);
+    table.record_absence(now);
+    table.set_upstream(Some(UpstreamStatus::ready(7, Slots(4))));
     (table, now)
 }
 
--- a/crates/flow/tests/flow_table.rs
+++ b/crates/flow/tests/flow_table.rs
@@ -95,11 +95,7 @@
 fn table_of_restarted_agent() -> (FlowTable, std::time::Instant) {
     let now = std::time::Instant::now();
     let mut table = FlowTable::new(FlowTableSettings::default(), now);
-    let upstream = UpstreamStatus {
-        started_before_agent: true,
-        ..UpstreamStatus::ready(7, Slots(4))
-    };
-    table.set_upstream(Some(upstream), now);
+    table.set_upstream(Some(UpstreamStatus::ready(7, Slots(4))));
     (table, now)
 }
 
@@ -122,7 +118,7 @@
         ..UpstreamStatus::ready(7, Slots(4))
     };
     for upstream in [Some(leaving), None] {
-        table.set_upstream(upstream, now);
+        table.set_upstream(upstream);
         let verdict = table.caller_datagram(&opening(2), Origin::Placed, now);
         assert_eq!(verdict, CallerAction::PassOn);
         let verdict = table.caller_datagram(&data(1, 101, INITIAL_SEQ + 1), Origin::Held, now);
@@ -135,7 +131,7 @@
 #[test]
 fn flows_of_an_earlier_incarnation_are_reset() {
     let (mut table, now) = table_with_open_flow();
-    table.set_upstream(Some(UpstreamStatus::ready(8, Slots(4))), now);
+    table.set_upstream(Some(UpstreamStatus::ready(8, Slots(4))));
     assert_eq!(table.load(now).open_flows, 0);
     let seg = data(1, 101, INITIAL_SEQ + 1);
     let verdict = table.caller_datagram(&seg, Origin::Held, now);
@@ -297,10 +293,10 @@
         slow_start_until: Some(slow_start_ends_at),
         ..UpstreamStatus::ready(7, Slots(7))
     };
-    table.set_upstream(Some(slow), now);
+    table.set_upstream(Some(slow));
     assert_eq!(table.slots(now), Slots(4));
     assert_eq!(table.slots(slow_start_ends_at), Slots(7));
-    table.set_upstream(None, now);
+    table.set_upstream(None);
     assert_eq!(table.slots(now), Slots(0));
 }
 
@@ -348,13 +344,15 @@
         Claim::Perhaps,
         "not known yet"
     );
-    table.set_upstream(None, now);
+    table.record_absence(now);
     assert_eq!(table.claim(&key, &seg, now), Claim::No);
-    table.set_upstream(Some(UpstreamStatus::just_started()), now);
+    table.set_upstream(Some(UpstreamStatus::listening()));
     assert_eq!(table.claim(&key, &seg, now), Claim::No);
-    // An upstream that has run all the while may hold it.
+    // One that has announced its end may hold it for a moment, and the announcement may
+    // be a late one of an earlier run.
     let mut table = FlowTable::new(FlowTableSettings::default(), now);
-    table.set_upstream(None, now);
-    table.set_upstream(Some(UpstreamStatus::listening()), now);
+    table.set_upstream(None);
+    assert_eq!(table.claim(&key, &seg, now), Claim::Perhaps);
+    table.set_upstream(Some(UpstreamStatus::listening()));
     assert_eq!(table.claim(&key, &seg, now), Claim::Perhaps);
 }
--- a/crates/flow/tests/restarts.rs
+++ b/crates/flow/tests/restarts.rs
@@ -83,10 +83,9 @@
         let state = if n < AGENTS {
             let mut table = FlowTable::new(FlowTableSettings::default(), now);
             let upstream = UpstreamStatus {
-                started_before_agent: true,
                 ..UpstreamStatus::ready(7, Slots(100))
             };
-            table.set_upstream(Some(upstream), now);
+            table.set_upstream(Some(upstream));
             State::Agent(Box::new(Agent {
                 table,
                 recovery: Some(FlowListRecovery::new(
--- a/crates/flow/tests/upstream_runs.rs
+++ b/crates/flow/tests/upstream_runs.rs
@@ -27,7 +27,7 @@
 fn started_table() -> (FlowTable, Instant) {
     let now = Instant::now();
     let mut table = FlowTable::new(FlowTableSettings::default(), now);
-    table.set_upstream(Some(UpstreamStatus::listening()), now);
+    table.set_upstream(Some(UpstreamStatus::listening()));
     (table, now)
 }
 
@@ -59,14 +59,14 @@
 fn a_flow_that_the_upstream_returned_is_not_reset_after_its_announcement() {
     for before in [UpstreamStatus::listening(), announced(EARLIER_RUN)] {
         let (mut table, now) = started_table();
-        table.set_upstream(Some(before), now);
+        table.set_upstream(Some(before));
         table.restore_checkpoint(&checkpoint_of_earlier_run(9), now);
         let seg = data(1, 101, INITIAL_SEQ + 1);
         let tried = table.caller_datagram(&seg, Origin::Tried, now);
         assert_eq!(tried, CallerAction::Deliver);
         let returned = table.upstream_datagram(&bounced(seg), now);
         assert_eq!(returned, UpstreamAction::NotHeld);
-        table.set_upstream(Some(announced(PRESENT_RUN)), now);
+        table.set_upstream(Some(announced(PRESENT_RUN)));
         assert_eq!(table.claim(&seg.key_from_caller(), &seg, now), Claim::No);
         let verdict = table.caller_datagram(&seg, Origin::Tried, now);
         assert_eq!(verdict, CallerAction::NotHeld, "{before:?}");
@@ -78,10 +78,10 @@
 #[test]
 fn a_flow_on_trial_is_not_reset_after_an_announcement() {
     let (mut table, now) = started_table();
-    table.set_upstream(Some(announced(EARLIER_RUN)), now);
+    table.set_upstream(Some(announced(EARLIER_RUN)));
     let seg = data(1, 101, INITIAL_SEQ + 1);
     table.caller_datagram(&seg, Origin::Tried, now);
-    table.set_upstream(Some(announced(PRESENT_RUN)), now);
+    table.set_upstream(Some(announced(PRESENT_RUN)));
     assert_eq!(
         table.claim(&seg.key_from_caller(), &seg, now),
         Claim::Perhaps
@@ -134,7 +134,7 @@
     let learned = data(2, 101, INITIAL_SEQ + 1);
     table.caller_datagram(&learned, Origin::Held, now);
     table.upstream_datagram(&answer(2, INITIAL_SEQ + 1), now);
-    table.set_upstream(Some(announced(PRESENT_RUN)), now);
+    table.set_upstream(Some(announced(PRESENT_RUN)));
     for seg in [opened, learned] {
         let verdict = table.caller_datagram(&seg, Origin::Held, now);
         assert_eq!(verdict, CallerAction::Deliver);
@@ -147,9 +147,9 @@
 #[test]
 fn flows_opened_before_the_announcement_of_a_restart_go_on() {
     let (mut table, now) = started_table();
-    table.set_upstream(Some(announced(EARLIER_RUN)), now);
+    table.set_upstream(Some(announced(EARLIER_RUN)));
     let seg = open(&mut table, 1, now);
-    table.set_upstream(Some(announced(PRESENT_RUN)), now);
+    table.set_upstream(Some(announced(PRESENT_RUN)));
     let verdict = table.caller_datagram(&seg, Origin::Held, now);
     assert_eq!(verdict, CallerAction::Deliver);
     table.upstream_datagram(&answer(1, INITIAL_SEQ + 1), now);
@@ -161,9 +161,9 @@
 #[test]
 fn unverified_flows_are_handed_over() {
     let (mut table, now) = started_table();
-    table.set_upstream(Some(announced(EARLIER_RUN)), now);
+    table.set_upstream(Some(announced(EARLIER_RUN)));
     open(&mut table, 1, now);
-    table.set_upstream(Some(announced(PRESENT_RUN)), now);
+    table.set_upstream(Some(announced(PRESENT_RUN)));
     let keys: Vec<_> = table.records(now).iter().map(|r| r.key).collect();
     assert_eq!(keys, [opening(1).key_from_caller()]);
 }
@@ -173,9 +173,9 @@
 #[test]
 fn an_unanswered_opening_is_no_proof_of_a_lost_flow() {
     let (mut table, now) = started_table();
-    table.set_upstream(Some(announced(EARLIER_RUN)), now);
+    table.set_upstream(Some(announced(EARLIER_RUN)));
     table.caller_datagram(&opening(1), Origin::Placed, now);
-    table.set_upstream(Some(announced(PRESENT_RUN)), now);
+    table.set_upstream(Some(announced(PRESENT_RUN)));
     let seg = data(1, 101, 1 << 30);
     let verdict = table.caller_datagram(&seg, Origin::Held, now);
     assert_eq!(verdict, CallerAction::Deliver);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,5 +24,5 @@
 pub use process::{
     Agent, AgentSettings, Balancer, BalancerSettings, BalancerTable, ControlSync,
     ControlSyncSettings, ControlUpdate, EgressQueue, Handover, OutgoingDatagram, Traffic,
-    UpstreamUpdate,
+    UpstreamChange, UpstreamUpdate,
 };
--- a/crates/relay/src/process/agent/mod.rs
+++ b/crates/relay/src/process/agent/mod.rs
@@ -76,11 +76,22 @@
     pub opening_queue: OpeningQueueSettings,
 }
 
-/// A new state of an agent's upstream.
+/// What has become known of an agent's upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamChange {
+    /// It runs, in this state.
+    Runs(UpstreamStatus),
+    /// It has announced its end. It may still hold flows for a moment.
+    Ends,
+    /// Nothing listens at its address, as this process has seen itself.
+    Absent,
+}
+
+/// A change of an agent's upstream.
 #[derive(Debug)]
 pub struct UpstreamUpdate {
-    /// State of the upstream; `None` once it has gone.
-    pub upstream: Option<UpstreamStatus>,
+    /// The change.
+    pub change: UpstreamChange,
     /// Notified once the agent has applied the update.
     pub applied: oneshot::Sender<()>,
 }
--- a/crates/relay/src/process/agent/upstream.rs
+++ b/crates/relay/src/process/agent/upstream.rs
@@ -5,22 +5,31 @@
 use bytes::Bytes;
 use flow::{FlowTuple, UpstreamAction, UpstreamStatus};
 
-use super::{Agent, UpstreamUpdate};
+use super::{Agent, UpstreamChange, UpstreamUpdate};
 use crate::{Codec, Message};
 
 impl<C: Codec> Agent<C> {
     pub(super) async fn apply_upstream_update(&mut self, update: UpstreamUpdate) {
         let now = Instant::now();
         let before = self.flow_table.upstream().copied();
-        self.flow_table.set_upstream(update.upstream, now);
+        let was_complete = self.flow_table.is_complete(now);
+        match update.change {
+            UpstreamChange::Runs(status) => self.flow_table.set_upstream(Some(status)),
+            UpstreamChange::Ends => self.flow_table.set_upstream(None),
+            UpstreamChange::Absent => self.flow_table.record_absence(now),
+        }
+        let after = self.flow_table.upstream().copied();
+        let is_complete = self.flow_table.is_complete(now);
         let state =
             |upstream: Option<UpstreamStatus>| upstream.map(|u| (u.incarnation, u.accepting));
-        if state(before) != state(update.upstream) {
+        if state(before) != state(after) || was_complete != is_complete {
             log::info!(
                 event = "upstream",
-                incarnation = update.upstream.and_then(|u| u.incarnation).unwrap_or(0),
-                accepting = u64::from(update.upstream.is_some_and(|u| u.accepting)),
-                slots = update.upstream.map_or(0, |u| u.slots.0);
+                incarnation = after.and_then(|u| u.incarnation).unwrap_or(0),
+                accepting = u64::from(after.is_some_and(|u| u.accepting)),
+                slots = after.map_or(0, |u| u.slots.0),
+                complete = u64::from(is_complete),
+                unverified = self.flow_table.unverified_flows();
                 "incarnation or readiness of the upstream changed"
             );
             self.send_due_reports(now).await;
--- a/crates/relay/src/process/mod.rs
+++ b/crates/relay/src/process/mod.rs
@@ -9,7 +9,7 @@
 mod report_schedule;
 mod sync;
 
-pub use agent::{Agent, AgentSettings, UpstreamUpdate};
+pub use agent::{Agent, AgentSettings, UpstreamChange, UpstreamUpdate};
 pub use balancer::{Balancer, BalancerSettings};
 pub use balancer_table::{BalancerTable, Handover};
 pub use egress_queue::{EgressQueue, OutgoingDatagram, Traffic};
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -13,7 +13,8 @@
 use flow::{FlowTuple, Load, Origin, Segment, UpstreamStatus};
 use prometheus::Registry;
 use relay::{
-    Agent, AgentReport, AgentSettings, Codec, ControlUpdate, Message, ServiceTag, UpstreamUpdate,
+    Agent, AgentReport, AgentSettings, Codec, ControlUpdate, Message, ServiceTag, UpstreamChange,
+    UpstreamUpdate,
 };
 use tokio::{
     net::UdpSocket,
@@ -135,7 +136,7 @@
             &registry,
         );
         spawn(task.unwrap().run());
-        AgentSite {
+        let site = AgentSite {
             agent,
             outbound,
             updates,
@@ -146,7 +147,10 @@
             balancer: UdpSocket::bind(at(2, PEER_PORT)).await.unwrap(),
             other_agent: UdpSocket::bind(at(3, PEER_PORT)).await.unwrap(),
             caller: UdpSocket::bind(at(4, CALLER_PORT)).await.unwrap(),
-        }
+        };
+        // The agent starts before its upstream, so it knows all flows.
+        site.remove_upstream().await;
+        site
     }
 
     /// Lists the balancer, so that the agent reports to it.
@@ -167,17 +171,17 @@
 
     /// Sets the state of the upstream and waits until it is applied.
     pub async fn set_upstream(&self, status: UpstreamStatus) {
-        self.update_upstream(Some(status)).await;
+        self.update_upstream(UpstreamChange::Runs(status)).await;
     }
 
     /// Removes the upstream, which then does not run.
     pub async fn remove_upstream(&self) {
-        self.update_upstream(None).await;
+        self.update_upstream(UpstreamChange::Absent).await;
     }
 
-    async fn update_upstream(&self, upstream: Option<UpstreamStatus>) {
+    async fn update_upstream(&self, change: UpstreamChange) {
         let (applied, done) = oneshot::channel();
-        let update = UpstreamUpdate { upstream, applied };
+        let update = UpstreamUpdate { change, applied };
         self.upstream_updates.send(update).await.unwrap();
         done.await.unwrap();
     }
--- a/crates/relay/tests/slot_load.rs
+++ b/crates/relay/tests/slot_load.rs
@@ -183,7 +183,7 @@
     fn new(order: O, one_queue: bool, callers: Callers, demand: f64) -> Self {
         let epoch = Instant::now();
         let mut table = FlowTable::new(FlowTableSettings::default(), epoch);
-        table.set_upstream(Some(UpstreamStatus::ready(1, Slots(SLOTS))), epoch);
+        table.set_upstream(Some(UpstreamStatus::ready(1, Slots(SLOTS))));
         let mut idle_feeds = [VecDeque::new(), VecDeque::new()];
         for flow in 0..callers.feed_flows() {
             let first = segment(callers, Kind::Feed, flow, 101);
