--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -30,7 +30,8 @@
 //!
 //! let now = Instant::now();
 //! let mut flow_table = FlowTable::new(FlowTableSettings::default(), now);
-//! flow_table.set_upstream(Some(UpstreamStatus::ready(7, Slots(2))), now);
+//! flow_table.record_absence(now);
+//! flow_table.set_upstream(Some(UpstreamStatus::ready(7, Slots(2))));
 //! let opening = Segment {
 //!     source: "100.64.0.7:40001".parse().unwrap(),
 //!     destination: "198.18.0.1:443".parse().unwrap(),
@@ -39,7 +40,8 @@
 //! };
 //! assert_eq!(flow_table.caller_datagram(&opening, Origin::Placed, now), CallerAction::Deliver);
 //!
-//! // A datagram of a flow that is not in the table is not delivered.
+//! // A datagram of a flow that is not in the table is not delivered: the upstream started
+//! // after its agent, so it holds no other flow.
 //! let other = Segment {
 //!     source: "100.64.0.8:40001".parse().unwrap(),
 //!     opens: false,
