--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 # line `build` of deploy/system.toml.
 set -eu
 cd "$(dirname "$0")"
-python3 - site-3/limpet_site.py 11/play.py 12/play.py 13/play.py 14/play.py 15/play.py <<'PY'
+python3 - site-3/limpet_site.py site-3/links.py 11/play.py 12/play.py 13/play.py 14/play.py 15/play.py <<'PY'
 import sys
 import tomllib  # since Python 3.11
 
--- a/review/site-3/limpet_site.py
+++ b/review/site-3/limpet_site.py
@@ -33,10 +33,13 @@
     "config-apply-ms": 3000, "back-ms": 250, "max-stretch-ms": 12000, "recovery-s": 12,
     "reorder-ms": 2000, "max-flow-s": 60,
 }
+LARGE_BOUNDS = {**BOUNDS, "stable-window-ms": 6000, "ack-ms": 8000, "catch-up-s": 6, "drain-ms": 5000,
+                "config-apply-ms": 5000, "max-stretch-ms": 20000, "recovery-s": 15}
 HEARTBEAT_MS = 1200
 SITES = {
     "beji-pwani": ("dar", ("dar-kati", "dar-kaskazi", "dar-kusini")),
     "bbvg-sofia": ("bg-central", ("plovdiv-a", "sofia-b", "kazanlak-c")),
+    "bbvg-sofia-large": ("bg-central", ("plovdiv-a", "sofia-b", "kazanlak-c")),
 }
 
 
@@ -397,6 +400,7 @@
     def __init__(self, name, ip, zone, kind, data_dir=None, service=None):
         self.name, self.ip, self.zone, self.kind = name, ip, zone, kind
         self.data_dir, self.service = data_dir, service
+        self.roles = ("balancer", "control") if kind == "edge" else ("agent",)
         self.processes = {}
 
 
@@ -407,6 +411,7 @@
         """`services` lists the service of each side machine. The first `diskless` zones have
         a second edge machine, without a disk."""
         self.region, self.ZONES = SITES[site]
+        self.bounds = LARGE_BOUNDS if site == "bbvg-sofia-large" else BOUNDS
         self.record = Record(record_path)
         self.dir = tempfile.mkdtemp(prefix="limpet-review-3-")
         self.base = None
@@ -481,7 +486,7 @@
             "seeds": self.seeds(), "bootstrap": bootstrap,
             "limits": {"cpu-share": 1.0, "link-mbps": 1000.0, "memory-mb": 260},
             "fault-tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS, "heartbeat-ms": HEARTBEAT_MS,
+            "bounds": self.bounds, "heartbeat-ms": HEARTBEAT_MS,
         }
         if role == "control" and machine.data_dir:
             fields["data-dir"] = machine.data_dir
@@ -537,8 +542,8 @@
             await server.start()
             self.servers.append(server)
         for edge in sorted(self.edges, key=lambda edge: edge is last):
-            self.start_process(edge, "balancer", bootstrap=True)
-            self.start_process(edge, "control", bootstrap=True)
+            for role in edge.roles:
+                self.start_process(edge, role, bootstrap=True)
 
     async def client(self, n):
         client = Client(self, f"{self.base}.3.{n}")
@@ -635,13 +640,13 @@
     }
 
 
-def main(play, record_path, services, **options):
+def main(play, record_path, services, kind=Site, **options):
     """Plays a case. `play(site)` returns the list of broken rules, as text."""
 
     async def run():
-        site = Site(record_path, services, **options)
+        site = kind(record_path, services, **options)
         try:
-            return await asyncio.wait_for(play(site), 110)
+            return await asyncio.wait_for(play(site), 112)
         finally:
             site.record.note("end")
             await site.stop()
