replica: a group without a leader logs which voters it lacks

Change: every 5 s a member that asks for votes logs the voters that grant none, and the member that now uses the address of each.

--- a/crates/consensus/src/process/election.rs
+++ b/crates/consensus/src/process/election.rs
@@ -144,6 +144,15 @@
         );
     }
 
+    /// The members that granted the votes or pre-votes that this one asks for.
+    pub(super) fn supporters(&self) -> BTreeSet<MemberId> {
+        match &self.role_state {
+            RoleState::PreCandidate(state) => state.supporters.clone(),
+            RoleState::Candidate(votes) => votes.clone(),
+            RoleState::Follower(_) | RoleState::Leader(_) => BTreeSet::new(),
+        }
+    }
+
     /// Whether a leader is known and sent a message within the shortest election
     /// timeout.
     fn has_recent_leader(&self) -> bool {
--- a/crates/consensus/src/process/mod.rs
+++ b/crates/consensus/src/process/mod.rs
@@ -169,6 +169,7 @@
             group: self.log.group().cloned(),
             change_pending: self.log.group_index() > self.commit,
             caught_up,
+            supporters: self.supporters(),
             disk_failed: self.disk.failed(),
         }
     }
--- a/crates/consensus/src/process/status.rs
+++ b/crates/consensus/src/process/status.rs
@@ -43,6 +43,8 @@
     /// On the leader: the other members that hold every committed entry and
     /// replied within an election timeout.
     pub caught_up: BTreeSet<MemberId>,
+    /// On a member that asks for votes or pre-votes: the members that granted theirs.
+    pub supporters: BTreeSet<MemberId>,
     /// Whether the last write failed.
     pub disk_failed: bool,
 }
--- a/crates/replica/src/process/group.rs
+++ b/crates/replica/src/process/group.rs
@@ -30,6 +30,10 @@
 /// Interval at which the leader checks whether a membership change is needed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between log lines that say which voters a group without a leader lacks. Above the
+/// time in which a group elects a leader after a stall.
+const NO_LEADER_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Maximum size of all proposals that are not committed yet, in bytes: two of the maximum
 /// size. The log keeps them in memory.
 const MAX_PENDING_BYTES: usize = 8 << 20;
@@ -69,6 +73,8 @@
     compact_at: Option<Instant>,
     /// Whether this member led, and the group, at the last `group` log line.
     last_logged: Option<(bool, Option<Group>)>,
+    /// When the lack of a leader is logged next.
+    no_leader_log_at: Instant,
     disk: store::StoreHandle,
     outgoing: mpsc::Sender<Envelope>,
     routes: watch::Sender<Option<Arc<RoutingSet>>>,
@@ -122,6 +128,7 @@
             review_at: Instant::now(),
             compact_at: None,
             last_logged: None,
+            no_leader_log_at: Instant::now() + NO_LEADER_LOG_INTERVAL,
             disk: channels.disk,
             outgoing: channels.outgoing,
             routes: channels.routes,
@@ -489,12 +496,52 @@
         }
         self.review_at = now + REVIEW_INTERVAL;
         let status = self.consensus.status();
+        self.log_missing_leader(&status, now);
         match self.next_group_change(&status, now) {
             Some(change) => self.change_group(change),
             None => Ok(()),
         }
     }
 
+    /// Logs which voters a group lacks that has had no leader for some time.
+    fn log_missing_leader(&mut self, status: &Status, now: Instant) {
+        if status.leader.is_some() || status.is_blank() {
+            self.no_leader_log_at = now + NO_LEADER_LOG_INTERVAL;
+        }
+        // Only a member that asks for votes knows who grants them.
+        let Some(group) = status.group.as_ref() else {
+            return;
+        };
+        if now < self.no_leader_log_at || status.supporters.is_empty() {
+            return;
+        }
+        self.no_leader_log_at = now + NO_LEADER_LOG_INTERVAL;
+        let voters = group.voters.iter();
+        let missing = voters.filter(|(id, _)| !status.supporters.contains(id));
+        let missing: Vec<String> = missing
+            .map(|(id, address)| match self.member_at(*address) {
+                Some(successor) if successor != *id => {
+                    format!("{id} at {address}, which is now used by {successor}")
+                }
+                _ => format!("{id} at {address}"),
+            })
+            .collect();
+        log::warn!(
+            event = "no_leader", term:% = status.term, voters = group.voters.len(),
+            granted = status.supporters.len(), missing = missing.join("; ").as_str();
+            "the control group has no leader: these voters grant no vote"
+        );
+    }
+
+    /// The control host that was last heard at an address.
+    fn member_at(&self, address: SocketAddr) -> Option<MemberId> {
+        let hosts = self.control_hosts.iter();
+        let hosts = hosts.filter(|(_, host)| host.address == address);
+        hosts
+            .max_by_key(|(_, host)| host.last_heard)
+            .map(|(id, _)| *id)
+    }
+
     fn next_group_change(&self, status: &Status, now: Instant) -> Option<GroupChange> {
         let changing = self
             .pending
