replica: a further successor takes the vote of a voter of its data centre

Seen: three control hosts, one loss tolerated; three successors join and catch up, then the former hosts are killed at the same moment, without any lost disk. No successor answers reads or changes any more.

Cause: each successor became a voter and nobody left. Three of six voters are no majority, and nothing tells the removed hosts from hosts that are cut off.

Change: the group grows only as far as half of the voters remain after g removals and f lost disks, which is 2 * initial - 2 f voters. Beyond, a learner that has caught up gets the vote of a voter of its data centre in one joint change; that voter stays as a standby and does not take its vote back. Groups record the number of their first voters; groups of earlier versions are read and keep the former limit.

--- a/crates/consensus/src/process/group.rs
+++ b/crates/consensus/src/process/group.rs
@@ -8,7 +8,8 @@
 
 impl Consensus {
     /// Forms the first group. Ignored by a member that already has one.
-    pub(super) fn bootstrap(&mut self, group: Group) {
+    pub(super) fn bootstrap(&mut self, mut group: Group) {
+        group.initial_voters = group.voters.len();
         if self.log.snapshot().is_none() && group.is_voter(self.identity.id) {
             self.log.install(Snapshot {
                 position: LogPosition::default(),
@@ -89,7 +90,9 @@
         let group = self.log.group().ok_or(Rejection::LeaderNotReady)?;
         let group = group.transition_to(change.apply(group)?);
         match change {
-            GroupChange::Promote(id) if !self.caught_up(leader).contains(&id) => {
+            GroupChange::Promote(id) | GroupChange::Exchange { joins: id, .. }
+                if !self.caught_up(leader).contains(&id) =>
+            {
                 Err(Rejection::NotCaughtUp)
             }
             _ => Ok(group),
--- a/crates/consensus/src/version/group.rs
+++ b/crates/consensus/src/version/group.rs
@@ -17,8 +17,14 @@
     /// The voters before a change of voters that is not complete, and empty otherwise.
     /// While it is not empty, the group is joint: a quorum consists of a quorum of
     /// `voters` and one of `outgoing`, for elections as for commits.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[serde(default)]
     pub outgoing: BTreeMap<MemberId, SocketAddr>,
+    /// Learners whose vote was given to a successor. Only learners.
+    #[serde(default)]
+    pub standbys: BTreeSet<MemberId>,
+    /// Number of voters of the first group; 0 if an earlier version formed it.
+    #[serde(default)]
+    pub initial_voters: usize,
 }
 
 /// The members that granted a vote, each with the members whose disks it knew to be lost.
--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -116,6 +116,36 @@
     assert!(!before.transition_to(with_learner).is_joint());
 }
 
+/// Guards against a voter that gives its vote to a successor and leaves the group, or keeps
+/// voting: it stays as a learner. The leader that gives its own vote away hands over.
+#[test]
+fn an_exchanged_voter_becomes_a_standby() {
+    for leader_leaves in [false, true] {
+        let mut cluster = group_with_successor(3, 31);
+        let joiner = MemberId(9);
+        cluster.add_process(joiner);
+        cluster.change_until_accepted(GroupChange::AddLearner(joiner, address(joiner)));
+        cluster.run_steps(40);
+        let leader = cluster.elect_leader();
+        let other = (1..=4).map(MemberId).find(|id| *id != leader).unwrap();
+        let leaves = if leader_leaves { leader } else { other };
+        let joins = joiner;
+        cluster.change_until_accepted(GroupChange::Exchange { joins, leaves });
+        cluster.propose_until_accepted();
+        let group = cluster.status(cluster.leader().unwrap()).group.unwrap();
+        assert_eq!(group.voters.len(), 4);
+        assert!(group.is_voter(joiner) && !group.is_voter(leaves));
+        assert!(group.learners.contains_key(&leaves));
+        assert_eq!(group.standbys, [leaves].into());
+        assert_eq!(cluster.leader() == Some(leader), !leader_leaves);
+        cluster.change_until_accepted(GroupChange::Remove(leaves));
+        cluster.propose_until_accepted();
+        let group = cluster.status(cluster.leader().unwrap()).group.unwrap();
+        assert!(!group.contains(leaves) && group.standbys.is_empty());
+        cluster.heal_and_converge();
+    }
+}
+
 /// Guards against accepted entries that are lost, leaders of the same term and groups
 /// without a leader, when changes of the group meet lost disks, hosts that are removed for
 /// good, cuts and restarts.
--- a/crates/replica/src/process/nodes/mod.rs
+++ b/crates/replica/src/process/nodes/mod.rs
@@ -509,6 +509,7 @@
                     ControlHostContact {
                         address,
                         last_heard: at,
+                        data_centre: node.data_centre.clone(),
                         leaving,
                     },
                 );
--- a/crates/replica/src/version/membership.rs
+++ b/crates/replica/src/version/membership.rs
@@ -7,7 +7,7 @@
 };
 
 use consensus::{Group, GroupChange};
-use types::MemberId;
+use types::{DataCentre, MemberId};
 
 /// Limits and timeouts of a [`MembershipPolicy`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,9 @@
     /// Maximum number of voters. More voters slow down each change without adding
     /// safety.
     pub max_voters: usize,
+    /// Maximum number of voters and learners: three more than voters, so that as many
+    /// successors may join before the hosts that they replace are removed.
+    pub max_members: usize,
     /// A member that was not heard for this long may be removed. Short, because a
     /// voter that returns is added again without data loss.
     pub removal_timeout: Duration,
@@ -31,6 +34,7 @@
         MembershipSettings {
             min_voters: 3,
             max_voters: 9,
+            max_members: 12,
             removal_timeout: Duration::from_millis(1500),
             admission_timeout: Duration::from_secs(1),
         }
@@ -38,12 +42,14 @@
 }
 
 /// The last contact with a control host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlHostContact {
     /// Its address for messages between members.
     pub address: SocketAddr,
     /// When it was last heard, directly or through another control host.
     pub last_heard: Instant,
+    /// Its data centre.
+    pub data_centre: DataCentre,
     /// Whether it has announced that it is stopping.
     pub leaving: bool,
 }
@@ -63,7 +69,8 @@
 
     /// The next membership change, if any. In order of precedence:
     ///
-    /// 1. a learner that has caught up becomes a voter;
+    /// 1. a learner that has caught up becomes a voter. If the group has no room, it takes
+    ///    the place of a voter of its data centre;
     /// 2. a member whose address is now used by another member is removed: its
     ///    disk is lost, so it can never return. A voter is removed only if majorities
     ///    stay as large as those of the minimum number of voters;
@@ -78,7 +85,7 @@
         contacts: &BTreeMap<MemberId, ControlHostContact>,
         now: Instant,
     ) -> Option<GroupChange> {
-        self.caught_up_learner(group, caught_up)
+        self.caught_up_learner(local_id, group, caught_up, contacts)
             .or_else(|| self.replaced_member(local_id, group, contacts, now))
             .or_else(|| self.new_host(group, contacts, now))
             .or_else(|| self.silent_member(local_id, group, caught_up, contacts, now))
@@ -86,13 +93,37 @@
 
     fn caught_up_learner(
         &self,
+        local_id: MemberId,
         group: &Group,
         caught_up: &BTreeSet<MemberId>,
+        contacts: &BTreeMap<MemberId, ControlHostContact>,
     ) -> Option<GroupChange> {
-        let is_caught_up = |id: &&MemberId| caught_up.contains(id);
-        let learner = group.learners.keys().find(is_caught_up)?;
-        let has_room = group.voters.len() < self.settings.max_voters;
-        has_room.then_some(GroupChange::Promote(*learner))
+        let is_standby = |id: &MemberId| group.standbys.contains(id);
+        let mut ready = group.learners.keys().filter(|id| caught_up.contains(id));
+        if group.voters.len() < self.voter_limit(group) {
+            let learner = ready.min_by_key(|id| is_standby(id))?;
+            return Some(GroupChange::Promote(*learner));
+        }
+        // A standby does not get its vote back from its successor: they would take turns.
+        ready.find_map(|id| {
+            let leaves = predecessor(*id, local_id, group, caught_up, contacts)?;
+            let joins = *id;
+            (!is_standby(id)).then_some(GroupChange::Exchange { joins, leaves })
+        })
+    }
+
+    /// Maximum number of voters while successors join. Of n voters, any g that have got a
+    /// successor may be removed at once, and f disks lost beside them. Half of the voters
+    /// must remain: n - g - f >= n / 2. With n = initial + g, g is at most initial - 2 f.
+    fn voter_limit(&self, group: &Group) -> usize {
+        let losses = self.settings.min_voters / 2;
+        let limit = match group.initial_voters {
+            0 => self.settings.max_voters,
+            initial => (2 * initial).saturating_sub(2 * losses),
+        };
+        limit
+            .max(self.settings.min_voters + 1)
+            .min(self.settings.max_voters)
     }
 
     fn is_present(&self, host: &ControlHostContact, now: Instant) -> bool {
@@ -127,7 +158,7 @@
         contacts: &BTreeMap<MemberId, ControlHostContact>,
         now: Instant,
     ) -> Option<GroupChange> {
-        let has_room = group.voters.len() + group.learners.len() < self.settings.max_voters;
+        let has_room = group.voters.len() + group.learners.len() < self.settings.max_members;
         let (id, host) = contacts
             .iter()
             .find(|(id, host)| !group.contains(**id) && self.is_present(host, now))?;
@@ -161,3 +192,20 @@
         Some(GroupChange::Remove(*id))
     }
 }
+
+/// The voter whose place a learner takes: one of its data centre, first one that has not
+/// caught up, last the leader, since its group has to elect another one.
+fn predecessor(
+    learner: MemberId,
+    leader: MemberId,
+    group: &Group,
+    caught_up: &BTreeSet<MemberId>,
+    contacts: &BTreeMap<MemberId, ControlHostContact>,
+) -> Option<MemberId> {
+    let data_centre = |id| contacts.get(&id).map(|host| &host.data_centre);
+    let own = data_centre(learner)?;
+    let voters = group.voters.keys().copied();
+    voters
+        .filter(|id| data_centre(*id) == Some(own))
+        .min_by_key(|id| (*id == leader, caught_up.contains(id)))
+}
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -165,3 +165,35 @@
         assert_eq!(read_number(&hosts[0]).await, Some(RoutingSetNumber(6)));
     });
 }
+
+/// How long after its start a new host counts as a full replacement of another one.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+/// Guards against successors that do not take over: three hosts joined before the three
+/// former ones were removed at once, and were half of a group of six voters, which neither
+/// led nor returned the accepted set.
+#[test]
+fn hosts_that_are_removed_at_once_leave_their_successors_in_charge() {
+    System::new().block_on(async {
+        let group = TestGroup::new(3, 3);
+        let mut former = Vec::new();
+        for n in 1..=3 {
+            former.push(group.host(n, group.dirs[usize::from(n)].path(), true).await);
+        }
+        replace_routes(&former[0], 5).await;
+        let folders = [(); 3].map(|()| tempfile::tempdir().unwrap());
+        let mut successors = Vec::new();
+        for (n, dir) in (7..).zip(&folders) {
+            successors.push(group.host(n, dir.path(), false).await);
+        }
+        sleep(CATCH_UP_TIME).await;
+        replace_routes(&successors[0], 6).await;
+        for host in former {
+            host.task.abort();
+        }
+        for host in &successors {
+            assert_eq!(read_number(host).await, Some(RoutingSetNumber(6)));
+        }
+        replace_routes(&successors[1], 7).await;
+    });
+}
--- a/crates/replica/tests/group_changes.rs
+++ b/crates/replica/tests/group_changes.rs
@@ -9,6 +9,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     hash::{Hash, Hasher},
+    panic::{self, AssertUnwindSafe},
     time::Instant,
 };
 
@@ -16,10 +17,11 @@
 use explorer::{Model, explore};
 use harness::Cluster;
 use replica::{ControlHostContact, MembershipPolicy, MembershipSettings};
-use types::MemberId;
+use types::{DataCentre, MemberId};
 
 /// Hosts of the first group, which tolerates the loss of one disk.
 const FORMER: u64 = 3;
+const FORMER_COUNT: usize = 3;
 
 /// Steps between two reviews of the membership by the leader.
 const REVIEW_STEPS: u64 = 5;
@@ -75,10 +77,12 @@
     last_heard: BTreeMap<MemberId, Instant>,
     steps: u64,
     next_id: u64,
-    /// Successors that have had the time to catch up, and whose former hosts still run.
-    replaceable: usize,
-    /// Successors that have not had the time to catch up.
-    joining: usize,
+    /// The ports of all hosts in the order in which they have joined.
+    ports: Vec<u16>,
+    /// How many of the ports belong to hosts that have had the time to catch up.
+    settled: usize,
+    /// Number of former hosts that were removed.
+    removed: usize,
     /// The host whose disk is lost and its next id, until it starts again.
     down: Option<(MemberId, MemberId)>,
     /// Whether the host whose disk was lost has not had the time to catch up.
@@ -86,6 +90,8 @@
     frozen: Option<MemberId>,
     cut: Option<MemberId>,
     limits: Limits,
+    /// The invariant of the harness that the last event has violated.
+    violation: Option<String>,
 }
 
 impl State {
@@ -98,13 +104,17 @@
             last_heard: BTreeMap::new(),
             steps: 0,
             next_id: FORMER,
-            replaceable: 0,
-            joining: 0,
+            ports: (1..=FORMER)
+                .map(|id| harness::address(MemberId(id)).port())
+                .collect(),
+            settled: FORMER_COUNT,
+            removed: 0,
             down: None,
             recovering: false,
             frozen: None,
             cut: None,
             limits,
+            violation: None,
         };
         state.run(SETTLE_STEPS);
         state.propose();
@@ -158,6 +168,15 @@
         status.is_some_and(|status| status.is_leader()) && !self.cluster.processes[&id].suspended
     }
 
+    /// The data centre of a host. Each former host has its own, and successors join those
+    /// one after the other.
+    fn data_centre(&self, id: MemberId) -> DataCentre {
+        let port = self.cluster.address_of(id).port();
+        let number = self.ports.iter().position(|known| *known == port);
+        let number = number.unwrap_or_default() as u64 % FORMER;
+        format!("dc-{number}").parse().unwrap()
+    }
+
     /// The contacts of a host. A host that is cut off has none with the others.
     fn contacts_of(&self, id: MemberId) -> BTreeMap<MemberId, ControlHostContact> {
         let heard = self.last_heard.iter().filter(|(other, _)| {
@@ -168,6 +187,7 @@
             let contact = ControlHostContact {
                 address: self.cluster.address_of(*other),
                 last_heard: *last_heard,
+                data_centre: self.data_centre(*other),
                 leaving: false,
             };
             (*other, contact)
@@ -188,13 +208,14 @@
         match event {
             Event::Join => {
                 self.next_id += 1;
-                self.cluster.add_process(MemberId(self.next_id));
-                self.joining += 1;
+                let id = MemberId(self.next_id);
+                self.cluster.add_process(id);
+                self.ports.push(self.cluster.address_of(id).port());
                 self.limits.joins -= 1;
             }
             Event::Remove(id) => {
                 self.cluster.remove_process(id);
-                self.replaceable -= 1;
+                self.removed += 1;
             }
             Event::LoseDisk(id) => {
                 self.next_id += 1;
@@ -236,8 +257,7 @@
             Event::Propose => return self.propose(),
             Event::Settle => {
                 self.run(SETTLE_STEPS);
-                self.replaceable += self.joining;
-                self.joining = 0;
+                self.settled = self.ports.len();
                 self.recovering &= self.down.is_some();
                 return;
             }
@@ -259,8 +279,7 @@
         events.extend(self.frozen.map(Event::Thaw));
         events.extend(self.cut.map(|_| Event::Heal));
         for id in running {
-            let is_former = id.0 <= FORMER;
-            if is_former && self.replaceable > 0 && calm {
+            if self.may_be_removed(id) && calm {
                 events.push(Event::Remove(id));
             }
             if self.limits.losses > 0 && !self.recovering && calm {
@@ -273,6 +292,19 @@
         events
     }
 
+    /// Whether a host may be removed: its successor has caught up. With one successor, any
+    /// former host may be the one that it replaces, in whatever data centre.
+    fn may_be_removed(&self, id: MemberId) -> bool {
+        let port = self.cluster.address_of(id).port();
+        let Some(place) = self.ports.iter().position(|known| *known == port) else {
+            return false;
+        };
+        let is_former = place < FORMER_COUNT;
+        let single = self.ports.len() == FORMER_COUNT + 1;
+        let has_successor = self.settled > FORMER_COUNT + if single { 0 } else { place };
+        is_former && has_successor && self.removed < self.settled - FORMER_COUNT
+    }
+
     /// Ends all events, and checks that the group leads and has every accepted change.
     fn check_recovery(&self) -> Result<(), String> {
         let mut state = self.clone();
@@ -339,7 +371,13 @@
             self.cut,
         )
             .hash(hasher);
-        (self.joining, self.replaceable).hash(hasher);
+        (
+            self.ports.len(),
+            self.settled,
+            self.removed,
+            &self.violation,
+        )
+            .hash(hasher);
     }
 }
 
@@ -359,13 +397,25 @@
     }
 
     fn apply(&self, state: &State, event: &Event) -> State {
-        let mut next = state.clone();
-        next.apply(*event);
-        next
+        let applied = panic::catch_unwind(AssertUnwindSafe(|| {
+            let mut next = state.clone();
+            next.apply(*event);
+            next
+        }));
+        applied.unwrap_or_else(|cause| {
+            let text = cause.downcast_ref::<String>().cloned();
+            State {
+                violation: Some(text.unwrap_or_else(|| "an invariant is violated".to_owned())),
+                ..state.clone()
+            }
+        })
     }
 
     fn check(&self, state: &State) -> Result<(), String> {
-        state.check_recovery()
+        match &state.violation {
+            Some(violation) => Err(violation.clone()),
+            None => state.check_recovery(),
+        }
     }
 }
 
@@ -424,3 +474,51 @@
     state.apply(Event::Settle);
     search("majorities only", state);
 }
+
+/// Guards against successors that do not take over when the hosts which they replace are
+/// removed at the same time, in any order of joining and also beside a lost disk.
+#[test]
+fn three_hosts_that_are_removed_at_once_leave_their_successors() {
+    let limits = Limits {
+        joins: FORMER_COUNT,
+        losses: 1,
+        disturbances: 0,
+    };
+    for settles in [false, true] {
+        let mut state = State::new(limits, 4);
+        for _ in 0..FORMER {
+            state.apply(Event::Join);
+            if settles {
+                state.apply(Event::Settle);
+            }
+        }
+        state.apply(Event::Settle);
+        state.propose();
+        for id in 1..=FORMER {
+            state.cluster.remove_process(MemberId(id));
+        }
+        assert_eq!(state.check_recovery(), Ok(()));
+        for lost in FORMER + 1..=2 * FORMER {
+            let mut state = state.clone();
+            state.propose();
+            state.apply(Event::LoseDisk(MemberId(lost)));
+            assert_eq!(state.check_recovery(), Ok(()), "disk of {lost}");
+        }
+    }
+}
+
+/// The same, with a search over all orders of the removals and a lost disk.
+#[test]
+fn no_order_of_removals_after_three_successors_have_joined_stops_the_group() {
+    let limits = Limits {
+        joins: FORMER_COUNT,
+        losses: 1,
+        disturbances: 1,
+    };
+    let mut state = State::new(limits, 5);
+    for _ in 0..FORMER {
+        state.apply(Event::Join);
+    }
+    state.apply(Event::Settle);
+    search("with three successors", state);
+}
--- a/crates/replica/tests/membership.rs
+++ b/crates/replica/tests/membership.rs
@@ -24,6 +24,10 @@
     /// Member, number of its address, and milliseconds since the last contact.
     heard: &'static [(u64, u64, u64)],
     leaving: &'static [u64],
+    /// Numbers of the data centres of the members; 0 for those that are not listed.
+    data_centres: &'static [(u64, u64)],
+    standbys: &'static [u64],
+    initial_voters: usize,
     min_voters: usize,
     expected: Option<GroupChange>,
 }
@@ -34,6 +38,9 @@
     caught_up: &[2, 3],
     heard: &[(1, 1, 0), (2, 2, 0), (3, 3, 0)],
     leaving: &[],
+    data_centres: &[],
+    standbys: &[],
+    initial_voters: 3,
     min_voters: 3,
     expected: None,
 };
@@ -46,6 +53,13 @@
         .iter()
         .map(|n| (MemberId(*n), address(*n)))
         .collect();
+    group.standbys = case.standbys.iter().map(|n| MemberId(*n)).collect();
+    group.initial_voters = case.initial_voters;
+    let data_centre = |id: u64| {
+        let found = case.data_centres.iter().find(|(member, _)| *member == id);
+        let number = found.map_or(0, |(_, number)| *number);
+        format!("dc-{number}").parse().unwrap()
+    };
     let heard: BTreeMap<MemberId, ControlHostContact> = case
         .heard
         .iter()
@@ -53,6 +67,7 @@
             let heard = ControlHostContact {
                 address: address(*at),
                 last_heard: now.checked_sub(Duration::from_millis(*age)).unwrap(),
+                data_centre: data_centre(*id),
                 leaving: case.leaving.contains(id),
             };
             (MemberId(*id), heard)
@@ -231,3 +246,85 @@
         },
     );
 }
+
+/// Guards against successors that make the group so large that the former hosts cannot be
+/// removed at once: three successors of three hosts were half of six voters and did not lead.
+#[test]
+fn a_second_successor_takes_the_place_of_the_voter_that_it_replaces() {
+    let joining = Case {
+        voters: &[1, 2, 3, 4],
+        learners: &[5],
+        caught_up: &[2, 3, 4, 5],
+        heard: &[(1, 1, 0), (2, 2, 0), (3, 3, 0), (4, 4, 0), (5, 5, 0)],
+        data_centres: &[(1, 1), (2, 2), (3, 3), (4, 1), (5, 2)],
+        ..CASE
+    };
+    let exchange = |joins, leaves| {
+        let (joins, leaves) = (MemberId(joins), MemberId(leaves));
+        Some(GroupChange::Exchange { joins, leaves })
+    };
+    check(
+        "of the same data centre",
+        &Case {
+            expected: exchange(5, 2),
+            ..joining
+        },
+    );
+    check(
+        "no voter of its data centre",
+        &Case {
+            data_centres: &[(1, 1), (2, 2), (3, 3), (4, 1), (5, 9)],
+            ..joining
+        },
+    );
+    check(
+        "the leader is not the first choice",
+        &Case {
+            data_centres: &[(1, 1), (2, 2), (3, 3), (4, 1), (5, 1)],
+            expected: exchange(5, 4),
+            ..joining
+        },
+    );
+    check(
+        "a voter that is gone is the first choice",
+        &Case {
+            caught_up: &[2, 4, 5],
+            data_centres: &[(1, 1), (2, 2), (3, 2), (4, 1), (5, 2)],
+            expected: exchange(5, 3),
+            ..joining
+        },
+    );
+    check(
+        "a standby does not take its place back",
+        &Case {
+            standbys: &[5],
+            ..joining
+        },
+    );
+    check(
+        "a standby votes again while there is room",
+        &Case {
+            voters: &[1, 3, 4],
+            caught_up: &[3, 4, 5],
+            standbys: &[5],
+            expected: Some(GroupChange::Promote(MemberId(5))),
+            ..joining
+        },
+    );
+    check(
+        "a group of an earlier version",
+        &Case {
+            initial_voters: 0,
+            expected: Some(GroupChange::Promote(MemberId(5))),
+            ..joining
+        },
+    );
+    check(
+        "the group was formed with more voters than it needs",
+        &Case {
+            initial_voters: 4,
+            expected: Some(GroupChange::Promote(MemberId(5))),
+            ..joining
+        },
+    );
+}
