replica: a standby gets its vote back only if fewer than 2f + 1 voters are left

Cause: a search by hand (replica/group_changes, three successors, 4 events) found that a successor which loses its disk and stays dark is removed as silent, and the group then fills the place with a standby, a host that is about to be removed. When the former hosts were removed, two successors were half of four voters and knew of no loss any more.

Change: successors are promoted while there is room; standbys only if fewer than 2f + 1 voters are left.

Evidence: a_successor_that_loses_its_disk_does_not_give_a_former_host_its_vote_back failed before ("no change is accepted after all events have ended") and passes.

--- a/crates/replica/src/version/membership.rs
+++ b/crates/replica/src/version/membership.rs
@@ -99,16 +99,22 @@
         contacts: &BTreeMap<MemberId, ControlHostContact>,
     ) -> Option<GroupChange> {
         let is_standby = |id: &MemberId| group.standbys.contains(id);
-        let mut ready = group.learners.keys().filter(|id| caught_up.contains(id));
-        if group.voters.len() < self.voter_limit(group) {
-            let learner = ready.min_by_key(|id| is_standby(id))?;
+        let ready = group.learners.keys().filter(|id| caught_up.contains(id));
+        let (standbys, successors): (Vec<_>, Vec<_>) = ready.copied().partition(is_standby);
+        let has_room = group.voters.len() < self.voter_limit(group);
+        if let Some(learner) = successors.first().filter(|_| has_room) {
             return Some(GroupChange::Promote(*learner));
         }
-        // A standby does not get its vote back from its successor: they would take turns.
-        ready.find_map(|id| {
-            let leaves = predecessor(*id, local_id, group, caught_up, contacts)?;
-            let joins = *id;
-            (!is_standby(id)).then_some(GroupChange::Exchange { joins, leaves })
+        // A standby is expected to be removed, so it votes only if too few others do. It
+        // does not get its vote back from its successor: they would take turns.
+        if let Some(learner) = standbys.first()
+            && group.voters.len() < self.settings.min_voters
+        {
+            return Some(GroupChange::Promote(*learner));
+        }
+        successors.into_iter().find_map(|joins| {
+            let leaves = predecessor(joins, local_id, group, caught_up, contacts)?;
+            Some(GroupChange::Exchange { joins, leaves })
         })
     }
 
